--- /dev/null
+++ b/include/wagtailslip/net/http_client.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wagtailslip/base/time.h"
+#include "wagtailslip/net/asio.h"
+#include "wagtailslip/net/error.h"
+#include "wagtailslip/net/http_server.h"
+
+namespace wagtailslip::net {
+
+/// Header of an answer, and its body where it was read whole.
+struct HttpResponse {
+  unsigned status = 0;
+  std::map<std::string, std::string, beast::iless> headers;
+  std::string body;
+
+  /// Value of a header field; empty if it is absent.
+  std::string Header(const std::string& name) const;
+};
+
+/// Builds a request with a body.
+HttpRequest MakeRequest(http::verb method, std::string_view target, std::string body = {},
+                        const HttpHeaders& headers = {});
+
+/// One kept-alive connection to a server.
+class HttpConnection {
+ public:
+  explicit HttpConnection(asio::any_io_executor executor);
+
+  /// @throws ConnectError, TimeoutError
+  Task<void> Connect(const tcp::endpoint& address, Duration timeout);
+  /// Sends a request and reads the whole answer.
+  /// @param timeout limit for the whole call
+  /// @throws TimeoutError, NetError
+  Task<HttpResponse> Call(HttpRequest request, Duration timeout);
+  /// Sends a request and reads the answer's header.
+  Task<HttpResponse> Start(HttpRequest request, Duration timeout);
+  /// Reads the next piece of the body after Start; nothing at its end.
+  /// @param timeout limit for this piece
+  /// @throws NetError if the connection ends before the body does
+  Task<std::optional<std::string>> ReadSome(Duration timeout);
+
+  void set_body_limit(std::uint64_t bytes) { body_limit_ = bytes; }
+  /// Whether another request may be sent on this connection.
+  bool reusable() const { return reusable_; }
+  void Close();
+
+ private:
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
+  std::uint64_t body_limit_ = 64ULL * 1024 * 1024;
+  bool reusable_ = false;
+};
+
+/// Keeps idle connections by address. Used by one thread.
+class HttpPool {
+ public:
+  explicit HttpPool(asio::any_io_executor executor) : executor_(std::move(executor)) {}
+
+  /// An idle connection, or a new one.
+  /// @param fresh takes no idle connection; used where a request must not meet a stale connection
+  Task<std::unique_ptr<HttpConnection>> Acquire(const tcp::endpoint& address, Duration timeout,
+                                                bool fresh = false);
+  /// Gives a connection back; one that is not reusable is closed.
+  void Release(const tcp::endpoint& address, std::unique_ptr<HttpConnection> connection);
+
+ private:
+  static constexpr std::size_t kIdlePerAddress = 64;
+  asio::any_io_executor executor_;
+  std::map<tcp::endpoint, std::vector<std::unique_ptr<HttpConnection>>> idle_;
+};
+
+/// Connects, calls and closes.
+Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout);
+
+}  // namespace wagtailslip::net
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,134 @@
+#include "wagtailslip/net/http_client.h"
+
+#include <array>
+
+#include "wagtailslip/net/address.h"
+
+namespace wagtailslip::net {
+namespace {
+
+constexpr std::size_t kReadBytes = 64 * 1024;
+
+[[noreturn]] void RaiseCallError(const char* action, const error_code& ec) {
+  const std::string message = std::string(action) + ": " + ec.message();
+  if (ec == beast::error::timeout) throw TimeoutError(message);
+  throw NetError(message);
+}
+
+HttpResponse ToResponse(const http::response_header<>& header) {
+  HttpResponse response;
+  response.status = header.result_int();
+  for (const auto& field : header) {
+    response.headers[std::string(field.name_string())] = std::string(field.value());
+  }
+  return response;
+}
+
+}  // namespace
+
+std::string HttpResponse::Header(const std::string& name) const {
+  const auto it = headers.find(name);
+  return it == headers.end() ? std::string() : it->second;
+}
+
+HttpRequest MakeRequest(http::verb method, std::string_view target, std::string body,
+                        const HttpHeaders& headers) {
+  HttpRequest request(method, boost::string_view(target.data(), target.size()), 11);
+  for (const auto& [name, value] : headers) request.set(name, value);
+  if (!body.empty() && request[http::field::content_type].empty()) {
+    request.set(http::field::content_type, "application/json");
+  }
+  request.body() = std::move(body);
+  return request;
+}
+
+HttpConnection::HttpConnection(asio::any_io_executor executor) : stream_(std::move(executor)) {}
+
+Task<void> HttpConnection::Connect(const tcp::endpoint& address, Duration timeout) {
+  stream_.expires_after(timeout);
+  error_code ec;
+  co_await stream_.async_connect(address, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) throw ConnectError("cannot connect to " + FormatAddress(address) + ": " + ec.message());
+  stream_.socket().set_option(tcp::no_delay(true), ec);
+  reusable_ = true;
+}
+
+Task<HttpResponse> HttpConnection::Start(HttpRequest request, Duration timeout) {
+  reusable_ = false;
+  request.prepare_payload();
+  if (request[http::field::host].empty()) request.set(http::field::host, "wagtailslip");
+  stream_.expires_after(timeout);
+  error_code ec;
+  co_await http::async_write(stream_, request, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) RaiseCallError("request could not be sent", ec);
+  parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
+  parser_->body_limit(body_limit_);
+  co_await http::async_read_header(stream_, buffer_, *parser_,
+                                   asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) RaiseCallError("answer was not received", ec);
+  co_return ToResponse(parser_->get().base());
+}
+
+Task<std::optional<std::string>> HttpConnection::ReadSome(Duration timeout) {
+  if (parser_->is_done()) {
+    reusable_ = parser_->get().keep_alive();
+    co_return std::nullopt;
+  }
+  std::string piece(kReadBytes, '\0');
+  auto& body = parser_->get().body();
+  body.data = piece.data();
+  body.size = piece.size();
+  body.more = true;
+  stream_.expires_after(timeout);
+  error_code ec;
+  co_await http::async_read_some(stream_, buffer_, *parser_,
+                                 asio::redirect_error(asio::use_awaitable, ec));
+  if (ec == http::error::need_buffer) ec = {};
+  if (ec) RaiseCallError("answer ended early", ec);
+  piece.resize(piece.size() - body.size);
+  if (piece.empty() && parser_->is_done()) {
+    reusable_ = parser_->get().keep_alive();
+    co_return std::nullopt;
+  }
+  co_return piece;
+}
+
+Task<HttpResponse> HttpConnection::Call(HttpRequest request, Duration timeout) {
+  HttpResponse response = co_await Start(std::move(request), timeout);
+  while (auto piece = co_await ReadSome(timeout)) response.body += *piece;
+  co_return response;
+}
+
+void HttpConnection::Close() {
+  error_code ec;
+  stream_.socket().close(ec);
+  reusable_ = false;
+}
+
+Task<std::unique_ptr<HttpConnection>> HttpPool::Acquire(const tcp::endpoint& address,
+                                                        Duration timeout, bool fresh) {
+  auto& connections = idle_[address];
+  if (!fresh && !connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    co_return connection;
+  }
+  auto connection = std::make_unique<HttpConnection>(executor_);
+  co_await connection->Connect(address, timeout);
+  co_return connection;
+}
+
+void HttpPool::Release(const tcp::endpoint& address, std::unique_ptr<HttpConnection> connection) {
+  auto& connections = idle_[address];
+  if (connection->reusable() && connections.size() < kIdlePerAddress) {
+    connections.push_back(std::move(connection));
+  }
+}
+
+Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout) {
+  HttpConnection connection(co_await asio::this_coro::executor);
+  co_await connection.Connect(address, timeout);
+  co_return co_await connection.Call(std::move(request), timeout);
+}
+
+}  // namespace wagtailslip::net
