--- /dev/null
+++ b/include/wagtailslip/process/events.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <array>
+#include <nlohmann/json.hpp>
+#include <span>
+#include <string_view>
+
+namespace wagtailslip::process {
+
+/// Log events. The number is stable: operators and alerts refer to it.
+enum class Event {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kStartRefused = 1004,
+  kReplicaRoleChanged = 2001,
+  kStorageFailed = 2002,
+  kRecordRejected = 2003,
+  kInvariantViolated = 2004,
+  kLeaseLost = 2005,
+  kLeaseGained = 2006,
+  kFrameRejected = 2007,
+  kMembershipChanged = 2008,
+  kEndpointJoined = 3001,
+  kEndpointLeft = 3002,
+  kEndpointSuspected = 3003,
+  kRolloutAdvanced = 3101,
+  kReplicaStateChanged = 3102,
+  kOrderFailed = 3103,
+  kChunkRejected = 3201,
+  kFetchFailed = 3202,
+  kArtifactVerified = 3203,
+  kArtifactSupplied = 3204,
+  kRequestNotRun = 4001,
+  kRequestUnknown = 4002,
+  kAnswerRejected = 4003,
+  kStreamCut = 4004,
+  kOperatorCommand = 5001,
+  kOperatorRefused = 5002,
+  kScheduleApplied = 5003,
+};
+
+/// Severity of an event.
+enum class Severity { kInfo, kWarning, kError };
+
+/// One row of the catalogue.
+struct EventRow {
+  Event event;
+  std::string_view name;
+  Severity severity;
+  std::string_view meaning;
+};
+
+/// All events in order of their numbers; docs/events.md lists the same rows.
+std::span<const EventRow> EventCatalogue();
+
+/// Writes one structured log line: a JSON object with time, event number, name and the fields.
+/// @param fields JSON object with further members
+void LogEvent(Event event, const nlohmann::json& fields = nlohmann::json::object());
+
+/// Starts logging to standard error.
+/// @param process id written on each line
+/// @param level lowest severity that is written: info, warning or error
+void StartLog(std::string_view process, std::string_view level);
+
+}  // namespace wagtailslip::process
--- /dev/null
+++ b/include/wagtailslip/process/metrics.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+
+#include "wagtailslip/base/enum_table.h"
+#include "wagtailslip/base/time.h"
+
+namespace wagtailslip::process {
+
+/// Counters of a process, exported under the names of kCounters.
+enum class Counter {
+  kRequests,
+  kComplete,
+  kNotRun,
+  kUnknown,
+  kStreamCut,
+  kAnswerRejected,
+  kRetries,
+  kTokens,
+  kRecordedAnswers,
+  kStaleLookups,
+  kFetchedBytesPeer,
+  kFetchedBytesOrigin,
+  kServedChunkBytes,
+  kChunksRejected,
+};
+inline constexpr std::size_t kCounterCount = 14;
+inline constexpr EnumTable<Counter, kCounterCount> kCounters{
+    {{{Counter::kRequests, "requests_total"},
+      {Counter::kComplete, "requests_complete_total"},
+      {Counter::kNotRun, "requests_not_run_total"},
+      {Counter::kUnknown, "requests_unknown_total"},
+      {Counter::kStreamCut, "streams_cut_total"},
+      {Counter::kAnswerRejected, "answers_rejected_total"},
+      {Counter::kRetries, "retries_total"},
+      {Counter::kTokens, "stream_pieces_total"},
+      {Counter::kRecordedAnswers, "recorded_answers_total"},
+      {Counter::kStaleLookups, "stale_lookups_total"},
+      {Counter::kFetchedBytesPeer, "fetched_bytes_peer_total"},
+      {Counter::kFetchedBytesOrigin, "fetched_bytes_origin_total"},
+      {Counter::kServedChunkBytes, "served_chunk_bytes_total"},
+      {Counter::kChunksRejected, "chunks_rejected_total"}}}};
+
+/// Latency histograms of a process in milliseconds.
+enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
+inline constexpr std::size_t kLatencyCount = 4;
+inline constexpr EnumTable<Latency, kLatencyCount> kLatencies{
+    {{{Latency::kRequest, "request_ms"},
+      {Latency::kFirstByte, "first_byte_ms"},
+      {Latency::kQueue, "queue_ms"},
+      {Latency::kCommit, "commit_ms"}}}};
+
+/// Counters and latency histograms; all members are safe from any thread.
+class Metrics {
+ public:
+  Metrics();
+
+  void Add(Counter counter, std::uint64_t n = 1) {
+    counters_[static_cast<std::size_t>(counter)].fetch_add(n, std::memory_order_relaxed);
+  }
+  std::uint64_t Value(Counter counter) const {
+    return counters_[static_cast<std::size_t>(counter)].load(std::memory_order_relaxed);
+  }
+  void Record(Latency latency, Duration value);
+
+  /// Prometheus text form.
+  std::string Text() const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  using Cell = boost::histogram::accumulators::thread_safe<std::uint64_t>;
+  using Histogram =
+      boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<Cell>>;
+
+  std::array<std::atomic<std::uint64_t>, kCounterCount> counters_{};
+  std::vector<Histogram> histograms_;
+};
+
+}  // namespace wagtailslip::process
--- /dev/null
+++ b/src/codec/field_copy.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <type_traits>
+#include <vector>
+
+#include "wagtailslip/base/digest.h"
+#include "wagtailslip/base/time.h"
+#include "wagtailslip/codec/error.h"
+
+namespace wagtailslip::codec {
+
+/// Copies fields of a domain struct to its wire struct. ToWireCopy and FromWireCopy offer the same
+/// calls, so that one function per struct lists its fields for both directions.
+struct ToWireCopy {
+  template <typename D, typename W>
+  void operator()(const D& domain, W& wire) const {
+    if constexpr (std::is_enum_v<D>) {
+      wire = static_cast<W>(domain);
+    } else if constexpr (std::same_as<D, Digest>) {
+      wire.assign(reinterpret_cast<const char*>(domain.bytes.data()), domain.bytes.size());
+    } else if constexpr (std::same_as<D, Duration>) {
+      wire = domain.count();
+    } else if constexpr (std::same_as<D, UtcTime>) {
+      wire = domain.time_since_epoch().count();
+    } else if constexpr (std::is_arithmetic_v<D>) {
+      wire = static_cast<W>(domain);
+    } else {
+      wire = domain;
+    }
+  }
+};
+
+/// Copies fields of a wire struct to its domain struct.
+struct FromWireCopy {
+  template <typename D, typename W>
+  void operator()(D& domain, const W& wire) const {
+    if constexpr (std::is_enum_v<D>) {
+      // Enumerations of the records have fewer than kEnumLimit values.
+      if (wire < 0 || wire >= kEnumLimit) throw CodecError("enumeration value is out of range");
+      domain = static_cast<D>(wire);
+    } else if constexpr (std::same_as<D, Digest>) {
+      if (wire.size() != domain.bytes.size()) throw CodecError("digest has the wrong length");
+      std::copy(wire.begin(), wire.end(), domain.bytes.begin());
+    } else if constexpr (std::same_as<D, Duration>) {
+      domain = Duration(wire);
+    } else if constexpr (std::same_as<D, UtcTime>) {
+      domain = UtcTime(Duration(wire));
+    } else if constexpr (std::is_arithmetic_v<D>) {
+      domain = static_cast<D>(wire);
+    } else {
+      domain = wire;
+    }
+  }
+
+  static constexpr int kEnumLimit = 32;
+};
+
+}  // namespace wagtailslip::codec
--- /dev/null
+++ b/src/codec/wagtailslip.thrift
@@ -0,0 +1,266 @@
+// Messages between wagtailslip processes and records of the replicated log.
+// Regenerate with tools/generate-thrift; the generated code is committed.
+namespace cpp wagtailslip.wire
+
+struct CommandId {
+  1: string request_id
+  2: i64 base_revision
+  3: string operator_name
+}
+
+struct CreateRollout {
+  1: CommandId command
+  2: string model
+  3: string version
+  4: i16 kind
+  5: string origin
+  6: binary root
+  7: i16 policy
+  8: i32 minimum_serving
+  9: i32 batch_size
+  10: i32 failure_limit
+  11: string base
+}
+
+struct ControlRollout {
+  1: CommandId command
+  2: string rollout_id
+  3: i16 action
+}
+
+struct AdvanceRollout {
+  1: string rollout_id
+  2: string event
+  3: list<string> endpoints
+  4: string reason
+}
+
+struct Rule {
+  1: string account
+  2: string kind
+  3: i16 call_class
+  4: i32 priority
+  5: double weight
+  6: double rate_limit
+  7: i64 deadline_ns
+}
+
+struct SetRule {
+  1: CommandId command
+  2: Rule rule
+}
+
+union ScheduledBody {
+  1: CreateRollout create_rollout
+  2: SetRule set_rule
+}
+
+struct ScheduledChange {
+  1: i64 effective_at_ns
+  2: ScheduledBody change
+}
+
+struct SubmitSheet {
+  1: CommandId command
+  2: list<ScheduledChange> changes
+  3: binary content
+}
+
+struct ApplySchedule {
+  1: i64 now_ns
+}
+
+struct EndpointJoined {
+  1: string endpoint_id
+  2: i64 incarnation
+  3: i16 role
+  4: string address
+  5: string agent_address
+  6: string model
+  7: string region
+  8: string failure_domain
+  9: bool obeys_fencing
+  10: bool checks_sender
+}
+
+struct EndpointLeft {
+  1: string endpoint_id
+  2: i64 incarnation
+  3: string reason
+}
+
+struct DrainEndpoint {
+  1: CommandId command
+  2: string endpoint_id
+  3: bool drain
+}
+
+struct IntentRecorded {
+  1: string account
+  2: string key
+  3: binary request
+  4: string owner
+  5: i64 owner_incarnation
+  6: i64 at_ns
+}
+
+struct OutcomeRecorded {
+  1: string account
+  2: string key
+  3: string owner
+  4: i64 owner_incarnation
+  5: i16 outcome
+  6: i32 status
+  7: string content_type
+  8: binary body
+}
+
+struct ProcessStarted {
+  1: string process
+  2: i64 incarnation
+  3: string http_address
+  4: string region
+  5: string failure_domain
+}
+
+struct ProcessLeft {
+  1: string process
+  2: i64 incarnation
+}
+
+struct NoOp {
+}
+
+union Record {
+  1: NoOp no_op
+  2: CreateRollout create_rollout
+  3: ControlRollout control_rollout
+  4: AdvanceRollout advance_rollout
+  5: SetRule set_rule
+  6: SubmitSheet submit_sheet
+  7: ApplySchedule apply_schedule
+  8: EndpointJoined endpoint_joined
+  9: EndpointLeft endpoint_left
+  10: DrainEndpoint drain_endpoint
+  11: IntentRecorded intent_recorded
+  12: OutcomeRecorded outcome_recorded
+  13: ProcessStarted process_started
+  14: ProcessLeft process_left
+}
+
+// Agreement messages travel in the shape of agreement::Message.
+struct AgreementEntry {
+  1: i64 index
+  2: i64 term
+  3: i16 kind
+  4: binary data
+}
+
+// A proposal that an entry process forwards to the leader.
+struct ProposeRequest {
+  1: i64 proposal
+  2: binary record
+}
+
+struct ProposeReply {
+  1: i64 proposal
+  2: bool accepted
+  3: i16 status
+  4: i64 revision
+  5: string code
+  6: string field
+  7: string message
+}
+
+// State of one endpoint as its agent reports it.
+struct EndpointReport {
+  1: string endpoint_id
+  2: i64 incarnation
+  3: i16 replica_state
+  4: string model
+  5: string version
+  6: binary root
+  7: i32 chunks_present
+  8: i32 chunks_total
+  9: i32 running
+  10: i32 waiting
+  11: i32 slots
+  12: string error
+  13: i64 report_number
+  14: i64 order_fencing_term
+  15: i64 order_fencing_revision
+  16: binary verified_root
+}
+
+struct AgentHeartbeat {
+  1: EndpointJoined endpoint
+  2: EndpointReport report
+  3: bool leaving
+}
+
+// Command of the leader to one endpoint.
+struct EndpointOrder {
+  1: string endpoint_id
+  2: i64 term
+  3: i64 revision
+  4: string model
+  5: string version
+  6: i16 kind
+  7: string origin
+  8: binary root
+  9: i16 policy
+  10: bool may_load
+  11: string rollout_id
+}
+
+struct Member {
+  1: string endpoint_id
+  2: string agent_address
+  3: string region
+  4: string failure_domain
+}
+
+// Answer of the home entry process to a heartbeat.
+struct HomeReply {
+  1: list<EndpointOrder> orders
+  2: i64 members_revision
+  3: list<Member> members
+  4: list<string> entries
+}
+
+struct OrderBatch {
+  1: i64 term
+  2: list<EndpointOrder> orders
+}
+
+// Relay of endpoint reports between entry processes.
+struct LoadBatch {
+  1: list<EndpointReport> reports
+  2: bool leaving
+}
+
+struct AgreementMessage {
+  1: binary payload
+}
+
+union PeerMessage {
+  1: AgreementMessage agreement
+  2: ProposeRequest propose_request
+  3: ProposeReply propose_reply
+  4: AgentHeartbeat agent_heartbeat
+  5: HomeReply home_reply
+  6: OrderBatch order_batch
+  7: LoadBatch load_batch
+}
+
+// Every frame between processes. sent_at_ns is the sender's monotonic clock; echo_ns returns the
+// newest sent_at_ns that the sender received from the addressee, which bounds the addressee's lease.
+struct Frame {
+  1: i16 protocol
+  2: string sender
+  3: i64 incarnation
+  4: string sender_address
+  5: i64 sent_at_ns
+  6: i64 echo_ns
+  7: PeerMessage body
+}
