--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -29,6 +29,10 @@
 void CommandId::__set_operator_name(const std::string& val) {
   this->operator_name = val;
 }
+
+void CommandId::__set_seen_revision(const int64_t val) {
+  this->seen_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const CommandId& obj)
 {
   obj.printTo(out);
@@ -81,6 +85,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen_revision);
+          this->__isset.seen_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,6 +122,10 @@
   xfer += oprot->writeString(this->operator_name);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("seen_revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->seen_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -120,6 +136,7 @@
   swap(a.request_id, b.request_id);
   swap(a.base_revision, b.base_revision);
   swap(a.operator_name, b.operator_name);
+  swap(a.seen_revision, b.seen_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -127,12 +144,14 @@
   request_id = other0.request_id;
   base_revision = other0.base_revision;
   operator_name = other0.operator_name;
+  seen_revision = other0.seen_revision;
   __isset = other0.__isset;
 }
 CommandId& CommandId::operator=(const CommandId& other1) {
   request_id = other1.request_id;
   base_revision = other1.base_revision;
   operator_name = other1.operator_name;
+  seen_revision = other1.seen_revision;
   __isset = other1.__isset;
   return *this;
 }
@@ -142,6 +161,7 @@
   out << "request_id=" << to_string(request_id);
   out << ", " << "base_revision=" << to_string(base_revision);
   out << ", " << "operator_name=" << to_string(operator_name);
+  out << ", " << "seen_revision=" << to_string(seen_revision);
   out << ")";
 }
 
@@ -190,8 +210,12 @@
   this->failure_limit = val;
 }
 
-void CreateRollout::__set_base(const std::string& val) {
-  this->base = val;
+void CreateRollout::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void CreateRollout::__set_base_version(const std::string& val) {
+  this->base_version = val;
 }
 std::ostream& operator<<(std::ostream& out, const CreateRollout& obj)
 {
@@ -303,8 +327,16 @@
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->base);
-          this->__isset.base = true;
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->base_version);
+          this->__isset.base_version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -366,8 +398,12 @@
   xfer += oprot->writeI32(this->failure_limit);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("base", ::apache::thrift::protocol::T_STRING, 11);
-  xfer += oprot->writeString(this->base);
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->base_version);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -387,7 +423,8 @@
   swap(a.minimum_serving, b.minimum_serving);
   swap(a.batch_size, b.batch_size);
   swap(a.failure_limit, b.failure_limit);
-  swap(a.base, b.base);
+  swap(a.adapter, b.adapter);
+  swap(a.base_version, b.base_version);
   swap(a.__isset, b.__isset);
 }
 
@@ -402,7 +439,8 @@
   minimum_serving = other2.minimum_serving;
   batch_size = other2.batch_size;
   failure_limit = other2.failure_limit;
-  base = other2.base;
+  adapter = other2.adapter;
+  base_version = other2.base_version;
   __isset = other2.__isset;
 }
 CreateRollout& CreateRollout::operator=(const CreateRollout& other3) {
@@ -416,7 +454,8 @@
   minimum_serving = other3.minimum_serving;
   batch_size = other3.batch_size;
   failure_limit = other3.failure_limit;
-  base = other3.base;
+  adapter = other3.adapter;
+  base_version = other3.base_version;
   __isset = other3.__isset;
   return *this;
 }
@@ -433,7 +472,8 @@
   out << ", " << "minimum_serving=" << to_string(minimum_serving);
   out << ", " << "batch_size=" << to_string(batch_size);
   out << ", " << "failure_limit=" << to_string(failure_limit);
-  out << ", " << "base=" << to_string(base);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "base_version=" << to_string(base_version);
   out << ")";
 }
 
@@ -2521,6 +2561,10 @@
 void ProcessStarted::__set_failure_domain(const std::string& val) {
   this->failure_domain = val;
 }
+
+void ProcessStarted::__set_peer_address(const std::string& val) {
+  this->peer_address = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProcessStarted& obj)
 {
   obj.printTo(out);
@@ -2589,6 +2633,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer_address);
+          this->__isset.peer_address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2626,6 +2678,10 @@
   xfer += oprot->writeString(this->failure_domain);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("peer_address", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->peer_address);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2638,6 +2694,7 @@
   swap(a.http_address, b.http_address);
   swap(a.region, b.region);
   swap(a.failure_domain, b.failure_domain);
+  swap(a.peer_address, b.peer_address);
   swap(a.__isset, b.__isset);
 }
 
@@ -2647,6 +2704,7 @@
   http_address = other42.http_address;
   region = other42.region;
   failure_domain = other42.failure_domain;
+  peer_address = other42.peer_address;
   __isset = other42.__isset;
 }
 ProcessStarted& ProcessStarted::operator=(const ProcessStarted& other43) {
@@ -2655,6 +2713,7 @@
   http_address = other43.http_address;
   region = other43.region;
   failure_domain = other43.failure_domain;
+  peer_address = other43.peer_address;
   __isset = other43.__isset;
   return *this;
 }
@@ -2666,6 +2725,7 @@
   out << ", " << "http_address=" << to_string(http_address);
   out << ", " << "region=" << to_string(region);
   out << ", " << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "peer_address=" << to_string(peer_address);
   out << ")";
 }
 
@@ -3230,6 +3290,118 @@
 }
 
 
+ReplicaId::~ReplicaId() noexcept {
+}
+
+
+void ReplicaId::__set_process(const std::string& val) {
+  this->process = val;
+}
+
+void ReplicaId::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplicaId& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplicaId::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->process);
+          this->__isset.process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicaId::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicaId");
+
+  xfer += oprot->writeFieldBegin("process", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplicaId &a, ReplicaId &b) {
+  using ::std::swap;
+  swap(a.process, b.process);
+  swap(a.incarnation, b.incarnation);
+  swap(a.__isset, b.__isset);
+}
+
+ReplicaId::ReplicaId(const ReplicaId& other50) {
+  process = other50.process;
+  incarnation = other50.incarnation;
+  __isset = other50.__isset;
+}
+ReplicaId& ReplicaId::operator=(const ReplicaId& other51) {
+  process = other51.process;
+  incarnation = other51.incarnation;
+  __isset = other51.__isset;
+  return *this;
+}
+void ReplicaId::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplicaId(";
+  out << "process=" << to_string(process);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ")";
+}
+
+
 AgreementEntry::~AgreementEntry() noexcept {
 }
 
@@ -3356,19 +3528,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AgreementEntry::AgreementEntry(const AgreementEntry& other50) {
-  index = other50.index;
-  term = other50.term;
-  kind = other50.kind;
-  data = other50.data;
-  __isset = other50.__isset;
+AgreementEntry::AgreementEntry(const AgreementEntry& other52) {
+  index = other52.index;
+  term = other52.term;
+  kind = other52.kind;
+  data = other52.data;
+  __isset = other52.__isset;
 }
-AgreementEntry& AgreementEntry::operator=(const AgreementEntry& other51) {
-  index = other51.index;
-  term = other51.term;
-  kind = other51.kind;
-  data = other51.data;
-  __isset = other51.__isset;
+AgreementEntry& AgreementEntry::operator=(const AgreementEntry& other53) {
+  index = other53.index;
+  term = other53.term;
+  kind = other53.kind;
+  data = other53.data;
+  __isset = other53.__isset;
   return *this;
 }
 void AgreementEntry::printTo(std::ostream& out) const {
@@ -3382,25 +3554,25 @@
 }
 
 
-ProposeRequest::~ProposeRequest() noexcept {
+MemberEntry::~MemberEntry() noexcept {
 }
 
 
-void ProposeRequest::__set_proposal(const int64_t val) {
-  this->proposal = val;
+void MemberEntry::__set_id(const ReplicaId& val) {
+  this->id = val;
 }
 
-void ProposeRequest::__set_record(const std::string& val) {
-  this->record = val;
+void MemberEntry::__set_role(const int16_t val) {
+  this->role = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+std::ostream& operator<<(std::ostream& out, const MemberEntry& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t MemberEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3422,17 +3594,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->record);
-          this->__isset.record = true;
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->role);
+          this->__isset.role = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3449,17 +3621,17 @@
   return xfer;
 }
 
-uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t MemberEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeRequest");
+  xfer += oprot->writeStructBegin("MemberEntry");
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->record);
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->role);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3467,72 +3639,56 @@
   return xfer;
 }
 
-void swap(ProposeRequest &a, ProposeRequest &b) {
+void swap(MemberEntry &a, MemberEntry &b) {
   using ::std::swap;
-  swap(a.proposal, b.proposal);
-  swap(a.record, b.record);
+  swap(a.id, b.id);
+  swap(a.role, b.role);
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other52) {
-  proposal = other52.proposal;
-  record = other52.record;
-  __isset = other52.__isset;
+MemberEntry::MemberEntry(const MemberEntry& other54) {
+  id = other54.id;
+  role = other54.role;
+  __isset = other54.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other53) {
-  proposal = other53.proposal;
-  record = other53.record;
-  __isset = other53.__isset;
+MemberEntry& MemberEntry::operator=(const MemberEntry& other55) {
+  id = other55.id;
+  role = other55.role;
+  __isset = other55.__isset;
   return *this;
 }
-void ProposeRequest::printTo(std::ostream& out) const {
+void MemberEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ProposeRequest(";
-  out << "proposal=" << to_string(proposal);
-  out << ", " << "record=" << to_string(record);
+  out << "MemberEntry(";
+  out << "id=" << to_string(id);
+  out << ", " << "role=" << to_string(role);
   out << ")";
 }
 
 
-ProposeReply::~ProposeReply() noexcept {
-}
-
-
-void ProposeReply::__set_proposal(const int64_t val) {
-  this->proposal = val;
-}
-
-void ProposeReply::__set_accepted(const bool val) {
-  this->accepted = val;
-}
-
-void ProposeReply::__set_status(const int16_t val) {
-  this->status = val;
+VoteRequest::~VoteRequest() noexcept {
 }
 
-void ProposeReply::__set_revision(const int64_t val) {
-  this->revision = val;
-}
 
-void ProposeReply::__set_code(const std::string& val) {
-  this->code = val;
+void VoteRequest::__set_pre_vote(const bool val) {
+  this->pre_vote = val;
 }
 
-void ProposeReply::__set_field(const std::string& val) {
-  this->field = val;
+void VoteRequest::__set_last_index(const int64_t val) {
+  this->last_index = val;
 }
 
-void ProposeReply::__set_message(const std::string& val) {
-  this->message = val;
+void VoteRequest::__set_last_term(const int64_t val) {
+  this->last_term = val;
 }
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t VoteRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3554,57 +3710,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proposal);
-          this->__isset.proposal = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre_vote);
+          this->__isset.pre_vote = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->accepted);
-          this->__isset.accepted = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_index);
+          this->__isset.last_index = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I16) {
-          xfer += iprot->readI16(this->status);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->code);
-          this->__isset.code = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->field);
-          this->__isset.field = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+          xfer += iprot->readI64(this->last_term);
+          this->__isset.last_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3621,30 +3745,1538 @@
   return xfer;
 }
 
-uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t VoteRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ProposeReply");
+  xfer += oprot->writeStructBegin("VoteRequest");
 
-  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldBegin("pre_vote", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->pre_vote);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->accepted);
+  xfer += oprot->writeFieldBegin("last_index", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->last_index);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I16, 3);
-  xfer += oprot->writeI16(this->status);
+  xfer += oprot->writeFieldBegin("last_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->last_term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->revision);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->code);
-  xfer += oprot->writeFieldEnd();
+void swap(VoteRequest &a, VoteRequest &b) {
+  using ::std::swap;
+  swap(a.pre_vote, b.pre_vote);
+  swap(a.last_index, b.last_index);
+  swap(a.last_term, b.last_term);
+  swap(a.__isset, b.__isset);
+}
+
+VoteRequest::VoteRequest(const VoteRequest& other56) noexcept {
+  pre_vote = other56.pre_vote;
+  last_index = other56.last_index;
+  last_term = other56.last_term;
+  __isset = other56.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other57) noexcept {
+  pre_vote = other57.pre_vote;
+  last_index = other57.last_index;
+  last_term = other57.last_term;
+  __isset = other57.__isset;
+  return *this;
+}
+void VoteRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteRequest(";
+  out << "pre_vote=" << to_string(pre_vote);
+  out << ", " << "last_index=" << to_string(last_index);
+  out << ", " << "last_term=" << to_string(last_term);
+  out << ")";
+}
+
+
+VoteReply::~VoteReply() noexcept {
+}
+
+
+void VoteReply::__set_pre_vote(const bool val) {
+  this->pre_vote = val;
+}
+
+void VoteReply::__set_granted(const bool val) {
+  this->granted = val;
+}
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VoteReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->pre_vote);
+          this->__isset.pre_vote = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VoteReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VoteReply");
+
+  xfer += oprot->writeFieldBegin("pre_vote", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->pre_vote);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VoteReply &a, VoteReply &b) {
+  using ::std::swap;
+  swap(a.pre_vote, b.pre_vote);
+  swap(a.granted, b.granted);
+  swap(a.__isset, b.__isset);
+}
+
+VoteReply::VoteReply(const VoteReply& other58) noexcept {
+  pre_vote = other58.pre_vote;
+  granted = other58.granted;
+  __isset = other58.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other59) noexcept {
+  pre_vote = other59.pre_vote;
+  granted = other59.granted;
+  __isset = other59.__isset;
+  return *this;
+}
+void VoteReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VoteReply(";
+  out << "pre_vote=" << to_string(pre_vote);
+  out << ", " << "granted=" << to_string(granted);
+  out << ")";
+}
+
+
+AppendRequest::~AppendRequest() noexcept {
+}
+
+
+void AppendRequest::__set_prev_index(const int64_t val) {
+  this->prev_index = val;
+}
+
+void AppendRequest::__set_prev_term(const int64_t val) {
+  this->prev_term = val;
+}
+
+void AppendRequest::__set_entries(const std::vector<AgreementEntry> & val) {
+  this->entries = val;
+}
+
+void AppendRequest::__set_commit(const int64_t val) {
+  this->commit = val;
+}
+
+void AppendRequest::__set_sent_at_ns(const int64_t val) {
+  this->sent_at_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prev_index);
+          this->__isset.prev_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prev_term);
+          this->__isset.prev_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->entries.clear();
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->entries.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
+            {
+              xfer += this->entries[_i64].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commit);
+          this->__isset.commit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_ns);
+          this->__isset.sent_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendRequest");
+
+  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->prev_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prev_term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->prev_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
+    std::vector<AgreementEntry> ::const_iterator _iter65;
+    for (_iter65 = this->entries.begin(); _iter65 != this->entries.end(); ++_iter65)
+    {
+      xfer += (*_iter65).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commit", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_ns", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->sent_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendRequest &a, AppendRequest &b) {
+  using ::std::swap;
+  swap(a.prev_index, b.prev_index);
+  swap(a.prev_term, b.prev_term);
+  swap(a.entries, b.entries);
+  swap(a.commit, b.commit);
+  swap(a.sent_at_ns, b.sent_at_ns);
+  swap(a.__isset, b.__isset);
+}
+
+AppendRequest::AppendRequest(const AppendRequest& other66) {
+  prev_index = other66.prev_index;
+  prev_term = other66.prev_term;
+  entries = other66.entries;
+  commit = other66.commit;
+  sent_at_ns = other66.sent_at_ns;
+  __isset = other66.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other67) {
+  prev_index = other67.prev_index;
+  prev_term = other67.prev_term;
+  entries = other67.entries;
+  commit = other67.commit;
+  sent_at_ns = other67.sent_at_ns;
+  __isset = other67.__isset;
+  return *this;
+}
+void AppendRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendRequest(";
+  out << "prev_index=" << to_string(prev_index);
+  out << ", " << "prev_term=" << to_string(prev_term);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "commit=" << to_string(commit);
+  out << ", " << "sent_at_ns=" << to_string(sent_at_ns);
+  out << ")";
+}
+
+
+AppendReply::~AppendReply() noexcept {
+}
+
+
+void AppendReply::__set_success(const bool val) {
+  this->success = val;
+}
+
+void AppendReply::__set_match(const int64_t val) {
+  this->match = val;
+}
+
+void AppendReply::__set_prev_index(const int64_t val) {
+  this->prev_index = val;
+}
+
+void AppendReply::__set_hint_index(const int64_t val) {
+  this->hint_index = val;
+}
+
+void AppendReply::__set_hint_term(const int64_t val) {
+  this->hint_term = val;
+}
+
+void AppendReply::__set_sent_at_ns(const int64_t val) {
+  this->sent_at_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AppendReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->success);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->match);
+          this->__isset.match = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->prev_index);
+          this->__isset.prev_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hint_index);
+          this->__isset.hint_index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->hint_term);
+          this->__isset.hint_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_ns);
+          this->__isset.sent_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AppendReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AppendReply");
+
+  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->success);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("match", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->match);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prev_index", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->prev_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hint_index", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->hint_index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hint_term", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->hint_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_ns", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->sent_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AppendReply &a, AppendReply &b) {
+  using ::std::swap;
+  swap(a.success, b.success);
+  swap(a.match, b.match);
+  swap(a.prev_index, b.prev_index);
+  swap(a.hint_index, b.hint_index);
+  swap(a.hint_term, b.hint_term);
+  swap(a.sent_at_ns, b.sent_at_ns);
+  swap(a.__isset, b.__isset);
+}
+
+AppendReply::AppendReply(const AppendReply& other68) noexcept {
+  success = other68.success;
+  match = other68.match;
+  prev_index = other68.prev_index;
+  hint_index = other68.hint_index;
+  hint_term = other68.hint_term;
+  sent_at_ns = other68.sent_at_ns;
+  __isset = other68.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other69) noexcept {
+  success = other69.success;
+  match = other69.match;
+  prev_index = other69.prev_index;
+  hint_index = other69.hint_index;
+  hint_term = other69.hint_term;
+  sent_at_ns = other69.sent_at_ns;
+  __isset = other69.__isset;
+  return *this;
+}
+void AppendReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AppendReply(";
+  out << "success=" << to_string(success);
+  out << ", " << "match=" << to_string(match);
+  out << ", " << "prev_index=" << to_string(prev_index);
+  out << ", " << "hint_index=" << to_string(hint_index);
+  out << ", " << "hint_term=" << to_string(hint_term);
+  out << ", " << "sent_at_ns=" << to_string(sent_at_ns);
+  out << ")";
+}
+
+
+SnapshotPart::~SnapshotPart() noexcept {
+}
+
+
+void SnapshotPart::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotPart::__set_index_term(const int64_t val) {
+  this->index_term = val;
+}
+
+void SnapshotPart::__set_membership(const std::vector<MemberEntry> & val) {
+  this->membership = val;
+}
+
+void SnapshotPart::__set_offset(const int64_t val) {
+  this->offset = val;
+}
+
+void SnapshotPart::__set_total(const int64_t val) {
+  this->total = val;
+}
+
+void SnapshotPart::__set_data(const std::string& val) {
+  this->data = val;
+}
+
+void SnapshotPart::__set_sent_at_ns(const int64_t val) {
+  this->sent_at_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index_term);
+          this->__isset.index_term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->membership.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->membership.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->membership[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.membership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->total);
+          this->__isset.total = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_ns);
+          this->__isset.sent_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotPart");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("index_term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->index_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->membership.size()));
+    std::vector<MemberEntry> ::const_iterator _iter75;
+    for (_iter75 = this->membership.begin(); _iter75 != this->membership.end(); ++_iter75)
+    {
+      xfer += (*_iter75).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("total", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_ns", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sent_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotPart &a, SnapshotPart &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.index_term, b.index_term);
+  swap(a.membership, b.membership);
+  swap(a.offset, b.offset);
+  swap(a.total, b.total);
+  swap(a.data, b.data);
+  swap(a.sent_at_ns, b.sent_at_ns);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotPart::SnapshotPart(const SnapshotPart& other76) {
+  index = other76.index;
+  index_term = other76.index_term;
+  membership = other76.membership;
+  offset = other76.offset;
+  total = other76.total;
+  data = other76.data;
+  sent_at_ns = other76.sent_at_ns;
+  __isset = other76.__isset;
+}
+SnapshotPart& SnapshotPart::operator=(const SnapshotPart& other77) {
+  index = other77.index;
+  index_term = other77.index_term;
+  membership = other77.membership;
+  offset = other77.offset;
+  total = other77.total;
+  data = other77.data;
+  sent_at_ns = other77.sent_at_ns;
+  __isset = other77.__isset;
+  return *this;
+}
+void SnapshotPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotPart(";
+  out << "index=" << to_string(index);
+  out << ", " << "index_term=" << to_string(index_term);
+  out << ", " << "membership=" << to_string(membership);
+  out << ", " << "offset=" << to_string(offset);
+  out << ", " << "total=" << to_string(total);
+  out << ", " << "data=" << to_string(data);
+  out << ", " << "sent_at_ns=" << to_string(sent_at_ns);
+  out << ")";
+}
+
+
+SnapshotReply::~SnapshotReply() noexcept {
+}
+
+
+void SnapshotReply::__set_index(const int64_t val) {
+  this->index = val;
+}
+
+void SnapshotReply::__set_next_offset(const int64_t val) {
+  this->next_offset = val;
+}
+
+void SnapshotReply::__set_sent_at_ns(const int64_t val) {
+  this->sent_at_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SnapshotReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->index);
+          this->__isset.index = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_offset);
+          this->__isset.next_offset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sent_at_ns);
+          this->__isset.sent_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SnapshotReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SnapshotReply");
+
+  xfer += oprot->writeFieldBegin("index", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->index);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_offset", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->next_offset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sent_at_ns", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sent_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SnapshotReply &a, SnapshotReply &b) {
+  using ::std::swap;
+  swap(a.index, b.index);
+  swap(a.next_offset, b.next_offset);
+  swap(a.sent_at_ns, b.sent_at_ns);
+  swap(a.__isset, b.__isset);
+}
+
+SnapshotReply::SnapshotReply(const SnapshotReply& other78) noexcept {
+  index = other78.index;
+  next_offset = other78.next_offset;
+  sent_at_ns = other78.sent_at_ns;
+  __isset = other78.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other79) noexcept {
+  index = other79.index;
+  next_offset = other79.next_offset;
+  sent_at_ns = other79.sent_at_ns;
+  __isset = other79.__isset;
+  return *this;
+}
+void SnapshotReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SnapshotReply(";
+  out << "index=" << to_string(index);
+  out << ", " << "next_offset=" << to_string(next_offset);
+  out << ", " << "sent_at_ns=" << to_string(sent_at_ns);
+  out << ")";
+}
+
+
+AgreementBody::~AgreementBody() noexcept {
+}
+
+
+void AgreementBody::__set_vote_request(const VoteRequest& val) {
+  this->vote_request = val;
+__isset.vote_request = true;
+}
+
+void AgreementBody::__set_vote_reply(const VoteReply& val) {
+  this->vote_reply = val;
+__isset.vote_reply = true;
+}
+
+void AgreementBody::__set_append_request(const AppendRequest& val) {
+  this->append_request = val;
+__isset.append_request = true;
+}
+
+void AgreementBody::__set_append_reply(const AppendReply& val) {
+  this->append_reply = val;
+__isset.append_reply = true;
+}
+
+void AgreementBody::__set_snapshot_part(const SnapshotPart& val) {
+  this->snapshot_part = val;
+__isset.snapshot_part = true;
+}
+
+void AgreementBody::__set_snapshot_reply(const SnapshotReply& val) {
+  this->snapshot_reply = val;
+__isset.snapshot_reply = true;
+}
+std::ostream& operator<<(std::ostream& out, const AgreementBody& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AgreementBody::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->vote_request.read(iprot);
+          this->__isset.vote_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->vote_reply.read(iprot);
+          this->__isset.vote_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append_request.read(iprot);
+          this->__isset.append_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->append_reply.read(iprot);
+          this->__isset.append_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot_part.read(iprot);
+          this->__isset.snapshot_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->snapshot_reply.read(iprot);
+          this->__isset.snapshot_reply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AgreementBody::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AgreementBody");
+
+  if (this->__isset.vote_request) {
+    xfer += oprot->writeFieldBegin("vote_request", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->vote_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.vote_reply) {
+    xfer += oprot->writeFieldBegin("vote_reply", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->vote_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append_request) {
+    xfer += oprot->writeFieldBegin("append_request", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->append_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.append_reply) {
+    xfer += oprot->writeFieldBegin("append_reply", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->append_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshot_part) {
+    xfer += oprot->writeFieldBegin("snapshot_part", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->snapshot_part.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshot_reply) {
+    xfer += oprot->writeFieldBegin("snapshot_reply", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->snapshot_reply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AgreementBody &a, AgreementBody &b) {
+  using ::std::swap;
+  swap(a.vote_request, b.vote_request);
+  swap(a.vote_reply, b.vote_reply);
+  swap(a.append_request, b.append_request);
+  swap(a.append_reply, b.append_reply);
+  swap(a.snapshot_part, b.snapshot_part);
+  swap(a.snapshot_reply, b.snapshot_reply);
+  swap(a.__isset, b.__isset);
+}
+
+AgreementBody::AgreementBody(const AgreementBody& other80) {
+  vote_request = other80.vote_request;
+  vote_reply = other80.vote_reply;
+  append_request = other80.append_request;
+  append_reply = other80.append_reply;
+  snapshot_part = other80.snapshot_part;
+  snapshot_reply = other80.snapshot_reply;
+  __isset = other80.__isset;
+}
+AgreementBody& AgreementBody::operator=(const AgreementBody& other81) {
+  vote_request = other81.vote_request;
+  vote_reply = other81.vote_reply;
+  append_request = other81.append_request;
+  append_reply = other81.append_reply;
+  snapshot_part = other81.snapshot_part;
+  snapshot_reply = other81.snapshot_reply;
+  __isset = other81.__isset;
+  return *this;
+}
+void AgreementBody::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AgreementBody(";
+  out << "vote_request="; (__isset.vote_request ? (out << to_string(vote_request)) : (out << "<null>"));
+  out << ", " << "vote_reply="; (__isset.vote_reply ? (out << to_string(vote_reply)) : (out << "<null>"));
+  out << ", " << "append_request="; (__isset.append_request ? (out << to_string(append_request)) : (out << "<null>"));
+  out << ", " << "append_reply="; (__isset.append_reply ? (out << to_string(append_reply)) : (out << "<null>"));
+  out << ", " << "snapshot_part="; (__isset.snapshot_part ? (out << to_string(snapshot_part)) : (out << "<null>"));
+  out << ", " << "snapshot_reply="; (__isset.snapshot_reply ? (out << to_string(snapshot_reply)) : (out << "<null>"));
+  out << ")";
+}
+
+
+AgreementMessage::~AgreementMessage() noexcept {
+}
+
+
+void AgreementMessage::__set_sender(const ReplicaId& val) {
+  this->sender = val;
+}
+
+void AgreementMessage::__set_receiver(const ReplicaId& val) {
+  this->receiver = val;
+}
+
+void AgreementMessage::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void AgreementMessage::__set_body(const AgreementBody& val) {
+  this->body = val;
+}
+std::ostream& operator<<(std::ostream& out, const AgreementMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AgreementMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sender.read(iprot);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->receiver.read(iprot);
+          this->__isset.receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->body.read(iprot);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AgreementMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AgreementMessage");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->sender.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->receiver.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AgreementMessage &a, AgreementMessage &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.receiver, b.receiver);
+  swap(a.term, b.term);
+  swap(a.body, b.body);
+  swap(a.__isset, b.__isset);
+}
+
+AgreementMessage::AgreementMessage(const AgreementMessage& other82) {
+  sender = other82.sender;
+  receiver = other82.receiver;
+  term = other82.term;
+  body = other82.body;
+  __isset = other82.__isset;
+}
+AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other83) {
+  sender = other83.sender;
+  receiver = other83.receiver;
+  term = other83.term;
+  body = other83.body;
+  __isset = other83.__isset;
+  return *this;
+}
+void AgreementMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AgreementMessage(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "receiver=" << to_string(receiver);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "body=" << to_string(body);
+  out << ")";
+}
+
+
+ProposeRequest::~ProposeRequest() noexcept {
+}
+
+
+void ProposeRequest::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeRequest::__set_record(const std::string& val) {
+  this->record = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->record);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeRequest");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->record);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProposeRequest &a, ProposeRequest &b) {
+  using ::std::swap;
+  swap(a.proposal, b.proposal);
+  swap(a.record, b.record);
+  swap(a.__isset, b.__isset);
+}
+
+ProposeRequest::ProposeRequest(const ProposeRequest& other84) {
+  proposal = other84.proposal;
+  record = other84.record;
+  __isset = other84.__isset;
+}
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other85) {
+  proposal = other85.proposal;
+  record = other85.record;
+  __isset = other85.__isset;
+  return *this;
+}
+void ProposeRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProposeRequest(";
+  out << "proposal=" << to_string(proposal);
+  out << ", " << "record=" << to_string(record);
+  out << ")";
+}
+
+
+ProposeReply::~ProposeReply() noexcept {
+}
+
+
+void ProposeReply::__set_proposal(const int64_t val) {
+  this->proposal = val;
+}
+
+void ProposeReply::__set_accepted(const bool val) {
+  this->accepted = val;
+}
+
+void ProposeReply::__set_status(const int16_t val) {
+  this->status = val;
+}
+
+void ProposeReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ProposeReply::__set_code(const std::string& val) {
+  this->code = val;
+}
+
+void ProposeReply::__set_field(const std::string& val) {
+  this->field = val;
+}
+
+void ProposeReply::__set_message(const std::string& val) {
+  this->message = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProposeReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proposal);
+          this->__isset.proposal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepted);
+          this->__isset.accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->field);
+          this->__isset.field = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProposeReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProposeReply");
+
+  xfer += oprot->writeFieldBegin("proposal", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->proposal);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->code);
+  xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("field", ::apache::thrift::protocol::T_STRING, 6);
   xfer += oprot->writeString(this->field);
@@ -3671,25 +5303,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other54) {
-  proposal = other54.proposal;
-  accepted = other54.accepted;
-  status = other54.status;
-  revision = other54.revision;
-  code = other54.code;
-  field = other54.field;
-  message = other54.message;
-  __isset = other54.__isset;
-}
-ProposeReply& ProposeReply::operator=(const ProposeReply& other55) {
-  proposal = other55.proposal;
-  accepted = other55.accepted;
-  status = other55.status;
-  revision = other55.revision;
-  code = other55.code;
-  field = other55.field;
-  message = other55.message;
-  __isset = other55.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other86) {
+  proposal = other86.proposal;
+  accepted = other86.accepted;
+  status = other86.status;
+  revision = other86.revision;
+  code = other86.code;
+  field = other86.field;
+  message = other86.message;
+  __isset = other86.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other87) {
+  proposal = other87.proposal;
+  accepted = other87.accepted;
+  status = other87.status;
+  revision = other87.revision;
+  code = other87.code;
+  field = other87.field;
+  message = other87.message;
+  __isset = other87.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -3706,81 +5338,57 @@
 }
 
 
-EndpointReport::~EndpointReport() noexcept {
+LineReport::~LineReport() noexcept {
 }
 
 
-void EndpointReport::__set_endpoint_id(const std::string& val) {
-  this->endpoint_id = val;
+void LineReport::__set_model(const std::string& val) {
+  this->model = val;
 }
 
-void EndpointReport::__set_incarnation(const int64_t val) {
-  this->incarnation = val;
+void LineReport::__set_adapter(const std::string& val) {
+  this->adapter = val;
 }
 
-void EndpointReport::__set_replica_state(const int16_t val) {
+void LineReport::__set_replica_state(const int16_t val) {
   this->replica_state = val;
 }
 
-void EndpointReport::__set_model(const std::string& val) {
-  this->model = val;
-}
-
-void EndpointReport::__set_version(const std::string& val) {
-  this->version = val;
-}
-
-void EndpointReport::__set_root(const std::string& val) {
-  this->root = val;
+void LineReport::__set_target_root(const std::string& val) {
+  this->target_root = val;
 }
 
-void EndpointReport::__set_chunks_present(const int32_t val) {
+void LineReport::__set_chunks_present(const int32_t val) {
   this->chunks_present = val;
 }
 
-void EndpointReport::__set_chunks_total(const int32_t val) {
+void LineReport::__set_chunks_total(const int32_t val) {
   this->chunks_total = val;
 }
 
-void EndpointReport::__set_running(const int32_t val) {
-  this->running = val;
-}
-
-void EndpointReport::__set_waiting(const int32_t val) {
-  this->waiting = val;
-}
-
-void EndpointReport::__set_slots(const int32_t val) {
-  this->slots = val;
+void LineReport::__set_served_root(const std::string& val) {
+  this->served_root = val;
 }
 
-void EndpointReport::__set_error(const std::string& val) {
+void LineReport::__set_error(const std::string& val) {
   this->error = val;
 }
 
-void EndpointReport::__set_report_number(const int64_t val) {
-  this->report_number = val;
-}
-
-void EndpointReport::__set_order_fencing_term(const int64_t val) {
-  this->order_fencing_term = val;
-}
-
-void EndpointReport::__set_order_fencing_revision(const int64_t val) {
-  this->order_fencing_revision = val;
+void LineReport::__set_token_term(const int64_t val) {
+  this->token_term = val;
 }
 
-void EndpointReport::__set_verified_root(const std::string& val) {
-  this->verified_root = val;
+void LineReport::__set_token_revision(const int64_t val) {
+  this->token_revision = val;
 }
-std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
+std::ostream& operator<<(std::ostream& out, const LineReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t EndpointReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LineReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3803,16 +5411,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->endpoint_id);
-          this->__isset.endpoint_id = true;
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->incarnation);
-          this->__isset.incarnation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3827,77 +5435,261 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->model);
-          this->__isset.model = true;
+          xfer += iprot->readBinary(this->target_root);
+          this->__isset.target_root = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->version);
-          this->__isset.version = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->chunks_present);
+          this->__isset.chunks_present = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->root);
-          this->__isset.root = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->chunks_total);
+          this->__isset.chunks_total = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->chunks_present);
-          this->__isset.chunks_present = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->served_root);
+          this->__isset.served_root = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->chunks_total);
-          this->__isset.chunks_total = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->error);
+          this->__isset.error = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->running);
-          this->__isset.running = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token_term);
+          this->__isset.token_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->waiting);
-          this->__isset.waiting = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token_revision);
+          this->__isset.token_revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->slots);
-          this->__isset.slots = true;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LineReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LineReport");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("replica_state", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->replica_state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target_root", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->target_root);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("chunks_present", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->chunks_present);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("chunks_total", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->chunks_total);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("served_root", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->served_root);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->error);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token_term", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->token_term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("token_revision", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->token_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LineReport &a, LineReport &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.adapter, b.adapter);
+  swap(a.replica_state, b.replica_state);
+  swap(a.target_root, b.target_root);
+  swap(a.chunks_present, b.chunks_present);
+  swap(a.chunks_total, b.chunks_total);
+  swap(a.served_root, b.served_root);
+  swap(a.error, b.error);
+  swap(a.token_term, b.token_term);
+  swap(a.token_revision, b.token_revision);
+  swap(a.__isset, b.__isset);
+}
+
+LineReport::LineReport(const LineReport& other88) {
+  model = other88.model;
+  adapter = other88.adapter;
+  replica_state = other88.replica_state;
+  target_root = other88.target_root;
+  chunks_present = other88.chunks_present;
+  chunks_total = other88.chunks_total;
+  served_root = other88.served_root;
+  error = other88.error;
+  token_term = other88.token_term;
+  token_revision = other88.token_revision;
+  __isset = other88.__isset;
+}
+LineReport& LineReport::operator=(const LineReport& other89) {
+  model = other89.model;
+  adapter = other89.adapter;
+  replica_state = other89.replica_state;
+  target_root = other89.target_root;
+  chunks_present = other89.chunks_present;
+  chunks_total = other89.chunks_total;
+  served_root = other89.served_root;
+  error = other89.error;
+  token_term = other89.token_term;
+  token_revision = other89.token_revision;
+  __isset = other89.__isset;
+  return *this;
+}
+void LineReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LineReport(";
+  out << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "replica_state=" << to_string(replica_state);
+  out << ", " << "target_root=" << to_string(target_root);
+  out << ", " << "chunks_present=" << to_string(chunks_present);
+  out << ", " << "chunks_total=" << to_string(chunks_total);
+  out << ", " << "served_root=" << to_string(served_root);
+  out << ", " << "error=" << to_string(error);
+  out << ", " << "token_term=" << to_string(token_term);
+  out << ", " << "token_revision=" << to_string(token_revision);
+  out << ")";
+}
+
+
+EndpointReport::~EndpointReport() noexcept {
+}
+
+
+void EndpointReport::__set_endpoint_id(const std::string& val) {
+  this->endpoint_id = val;
+}
+
+void EndpointReport::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void EndpointReport::__set_report_number(const int64_t val) {
+  this->report_number = val;
+}
+
+void EndpointReport::__set_running(const int32_t val) {
+  this->running = val;
+}
+
+void EndpointReport::__set_waiting(const int32_t val) {
+  this->waiting = val;
+}
+
+void EndpointReport::__set_slots(const int32_t val) {
+  this->slots = val;
+}
+
+void EndpointReport::__set_healthy(const bool val) {
+  this->healthy = val;
+}
+
+void EndpointReport::__set_lines(const std::vector<LineReport> & val) {
+  this->lines = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint_id);
+          this->__isset.endpoint_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->error);
-          this->__isset.error = true;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 13:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
           xfer += iprot->readI64(this->report_number);
           this->__isset.report_number = true;
@@ -3905,26 +5697,54 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->order_fencing_term);
-          this->__isset.order_fencing_term = true;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->running);
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waiting);
+          this->__isset.waiting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->slots);
+          this->__isset.slots = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->order_fencing_revision);
-          this->__isset.order_fencing_revision = true;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->healthy);
+          this->__isset.healthy = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 16:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->verified_root);
-          this->__isset.verified_root = true;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lines.clear();
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->lines.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
+            {
+              xfer += this->lines[_i94].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lines = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3954,60 +5774,36 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("replica_state", ::apache::thrift::protocol::T_I16, 3);
-  xfer += oprot->writeI16(this->replica_state);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->model);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->version);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeBinary(this->root);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("chunks_present", ::apache::thrift::protocol::T_I32, 7);
-  xfer += oprot->writeI32(this->chunks_present);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("chunks_total", ::apache::thrift::protocol::T_I32, 8);
-  xfer += oprot->writeI32(this->chunks_total);
+  xfer += oprot->writeFieldBegin("report_number", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->report_number);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_I32, 4);
   xfer += oprot->writeI32(this->running);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeFieldBegin("waiting", ::apache::thrift::protocol::T_I32, 5);
   xfer += oprot->writeI32(this->waiting);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeFieldBegin("slots", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->slots);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRING, 12);
-  xfer += oprot->writeString(this->error);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("report_number", ::apache::thrift::protocol::T_I64, 13);
-  xfer += oprot->writeI64(this->report_number);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("order_fencing_term", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->order_fencing_term);
+  xfer += oprot->writeFieldBegin("healthy", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->healthy);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("order_fencing_revision", ::apache::thrift::protocol::T_I64, 15);
-  xfer += oprot->writeI64(this->order_fencing_revision);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("verified_root", ::apache::thrift::protocol::T_STRING, 16);
-  xfer += oprot->writeBinary(this->verified_root);
+  xfer += oprot->writeFieldBegin("lines", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lines.size()));
+    std::vector<LineReport> ::const_iterator _iter95;
+    for (_iter95 = this->lines.begin(); _iter95 != this->lines.end(); ++_iter95)
+    {
+      xfer += (*_iter95).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4019,60 +5815,36 @@
   using ::std::swap;
   swap(a.endpoint_id, b.endpoint_id);
   swap(a.incarnation, b.incarnation);
-  swap(a.replica_state, b.replica_state);
-  swap(a.model, b.model);
-  swap(a.version, b.version);
-  swap(a.root, b.root);
-  swap(a.chunks_present, b.chunks_present);
-  swap(a.chunks_total, b.chunks_total);
+  swap(a.report_number, b.report_number);
   swap(a.running, b.running);
   swap(a.waiting, b.waiting);
   swap(a.slots, b.slots);
-  swap(a.error, b.error);
-  swap(a.report_number, b.report_number);
-  swap(a.order_fencing_term, b.order_fencing_term);
-  swap(a.order_fencing_revision, b.order_fencing_revision);
-  swap(a.verified_root, b.verified_root);
+  swap(a.healthy, b.healthy);
+  swap(a.lines, b.lines);
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other56) {
-  endpoint_id = other56.endpoint_id;
-  incarnation = other56.incarnation;
-  replica_state = other56.replica_state;
-  model = other56.model;
-  version = other56.version;
-  root = other56.root;
-  chunks_present = other56.chunks_present;
-  chunks_total = other56.chunks_total;
-  running = other56.running;
-  waiting = other56.waiting;
-  slots = other56.slots;
-  error = other56.error;
-  report_number = other56.report_number;
-  order_fencing_term = other56.order_fencing_term;
-  order_fencing_revision = other56.order_fencing_revision;
-  verified_root = other56.verified_root;
-  __isset = other56.__isset;
-}
-EndpointReport& EndpointReport::operator=(const EndpointReport& other57) {
-  endpoint_id = other57.endpoint_id;
-  incarnation = other57.incarnation;
-  replica_state = other57.replica_state;
-  model = other57.model;
-  version = other57.version;
-  root = other57.root;
-  chunks_present = other57.chunks_present;
-  chunks_total = other57.chunks_total;
-  running = other57.running;
-  waiting = other57.waiting;
-  slots = other57.slots;
-  error = other57.error;
-  report_number = other57.report_number;
-  order_fencing_term = other57.order_fencing_term;
-  order_fencing_revision = other57.order_fencing_revision;
-  verified_root = other57.verified_root;
-  __isset = other57.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other96) {
+  endpoint_id = other96.endpoint_id;
+  incarnation = other96.incarnation;
+  report_number = other96.report_number;
+  running = other96.running;
+  waiting = other96.waiting;
+  slots = other96.slots;
+  healthy = other96.healthy;
+  lines = other96.lines;
+  __isset = other96.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other97) {
+  endpoint_id = other97.endpoint_id;
+  incarnation = other97.incarnation;
+  report_number = other97.report_number;
+  running = other97.running;
+  waiting = other97.waiting;
+  slots = other97.slots;
+  healthy = other97.healthy;
+  lines = other97.lines;
+  __isset = other97.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -4080,20 +5852,12 @@
   out << "EndpointReport(";
   out << "endpoint_id=" << to_string(endpoint_id);
   out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "replica_state=" << to_string(replica_state);
-  out << ", " << "model=" << to_string(model);
-  out << ", " << "version=" << to_string(version);
-  out << ", " << "root=" << to_string(root);
-  out << ", " << "chunks_present=" << to_string(chunks_present);
-  out << ", " << "chunks_total=" << to_string(chunks_total);
+  out << ", " << "report_number=" << to_string(report_number);
   out << ", " << "running=" << to_string(running);
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "slots=" << to_string(slots);
-  out << ", " << "error=" << to_string(error);
-  out << ", " << "report_number=" << to_string(report_number);
-  out << ", " << "order_fencing_term=" << to_string(order_fencing_term);
-  out << ", " << "order_fencing_revision=" << to_string(order_fencing_revision);
-  out << ", " << "verified_root=" << to_string(verified_root);
+  out << ", " << "healthy=" << to_string(healthy);
+  out << ", " << "lines=" << to_string(lines);
   out << ")";
 }
 
@@ -4113,6 +5877,10 @@
 void AgentHeartbeat::__set_leaving(const bool val) {
   this->leaving = val;
 }
+
+void AgentHeartbeat::__set_members_revision(const int64_t val) {
+  this->members_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const AgentHeartbeat& obj)
 {
   obj.printTo(out);
@@ -4165,6 +5933,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->members_revision);
+          this->__isset.members_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4194,6 +5970,10 @@
   xfer += oprot->writeBool(this->leaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("members_revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->members_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4204,20 +5984,23 @@
   swap(a.endpoint, b.endpoint);
   swap(a.report, b.report);
   swap(a.leaving, b.leaving);
+  swap(a.members_revision, b.members_revision);
   swap(a.__isset, b.__isset);
 }
 
-AgentHeartbeat::AgentHeartbeat(const AgentHeartbeat& other58) {
-  endpoint = other58.endpoint;
-  report = other58.report;
-  leaving = other58.leaving;
-  __isset = other58.__isset;
+AgentHeartbeat::AgentHeartbeat(const AgentHeartbeat& other98) {
+  endpoint = other98.endpoint;
+  report = other98.report;
+  leaving = other98.leaving;
+  members_revision = other98.members_revision;
+  __isset = other98.__isset;
 }
-AgentHeartbeat& AgentHeartbeat::operator=(const AgentHeartbeat& other59) {
-  endpoint = other59.endpoint;
-  report = other59.report;
-  leaving = other59.leaving;
-  __isset = other59.__isset;
+AgentHeartbeat& AgentHeartbeat::operator=(const AgentHeartbeat& other99) {
+  endpoint = other99.endpoint;
+  report = other99.report;
+  leaving = other99.leaving;
+  members_revision = other99.members_revision;
+  __isset = other99.__isset;
   return *this;
 }
 void AgentHeartbeat::printTo(std::ostream& out) const {
@@ -4226,6 +6009,7 @@
   out << "endpoint=" << to_string(endpoint);
   out << ", " << "report=" << to_string(report);
   out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "members_revision=" << to_string(members_revision);
   out << ")";
 }
 
@@ -4238,26 +6022,38 @@
   this->endpoint_id = val;
 }
 
-void EndpointOrder::__set_term(const int64_t val) {
-  this->term = val;
+void EndpointOrder::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
 }
 
-void EndpointOrder::__set_revision(const int64_t val) {
-  this->revision = val;
+void EndpointOrder::__set_token_term(const int64_t val) {
+  this->token_term = val;
+}
+
+void EndpointOrder::__set_token_revision(const int64_t val) {
+  this->token_revision = val;
 }
 
 void EndpointOrder::__set_model(const std::string& val) {
   this->model = val;
 }
 
-void EndpointOrder::__set_version(const std::string& val) {
-  this->version = val;
+void EndpointOrder::__set_adapter(const std::string& val) {
+  this->adapter = val;
 }
 
 void EndpointOrder::__set_kind(const int16_t val) {
   this->kind = val;
 }
 
+void EndpointOrder::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void EndpointOrder::__set_base_version(const std::string& val) {
+  this->base_version = val;
+}
+
 void EndpointOrder::__set_origin(const std::string& val) {
   this->origin = val;
 }
@@ -4270,10 +6066,6 @@
   this->policy = val;
 }
 
-void EndpointOrder::__set_may_load(const bool val) {
-  this->may_load = val;
-}
-
 void EndpointOrder::__set_rollout_id(const std::string& val) {
   this->rollout_id = val;
 }
@@ -4315,21 +6107,29 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->token_term);
+          this->__isset.token_term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->token_revision);
+          this->__isset.token_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->model);
           this->__isset.model = true;
@@ -4337,15 +6137,15 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->version);
-          this->__isset.version = true;
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_I16) {
           xfer += iprot->readI16(this->kind);
           this->__isset.kind = true;
@@ -4353,7 +6153,23 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->origin);
           this->__isset.origin = true;
@@ -4361,7 +6177,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
+      case 11:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readBinary(this->root);
           this->__isset.root = true;
@@ -4369,7 +6185,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 9:
+      case 12:
         if (ftype == ::apache::thrift::protocol::T_I16) {
           xfer += iprot->readI16(this->policy);
           this->__isset.policy = true;
@@ -4377,15 +6193,7 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 10:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->may_load);
-          this->__isset.may_load = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 11:
+      case 13:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->rollout_id);
           this->__isset.rollout_id = true;
@@ -4414,43 +6222,51 @@
   xfer += oprot->writeString(this->endpoint_id);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("token_term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->token_term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeFieldBegin("token_revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->token_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->model);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->adapter);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 6);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 7);
   xfer += oprot->writeI16(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 10);
   xfer += oprot->writeString(this->origin);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 11);
   xfer += oprot->writeBinary(this->root);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("policy", ::apache::thrift::protocol::T_I16, 9);
+  xfer += oprot->writeFieldBegin("policy", ::apache::thrift::protocol::T_I16, 12);
   xfer += oprot->writeI16(this->policy);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("may_load", ::apache::thrift::protocol::T_BOOL, 10);
-  xfer += oprot->writeBool(this->may_load);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("rollout_id", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeFieldBegin("rollout_id", ::apache::thrift::protocol::T_STRING, 13);
   xfer += oprot->writeString(this->rollout_id);
   xfer += oprot->writeFieldEnd();
 
@@ -4462,61 +6278,69 @@
 void swap(EndpointOrder &a, EndpointOrder &b) {
   using ::std::swap;
   swap(a.endpoint_id, b.endpoint_id);
-  swap(a.term, b.term);
-  swap(a.revision, b.revision);
+  swap(a.incarnation, b.incarnation);
+  swap(a.token_term, b.token_term);
+  swap(a.token_revision, b.token_revision);
   swap(a.model, b.model);
-  swap(a.version, b.version);
+  swap(a.adapter, b.adapter);
   swap(a.kind, b.kind);
+  swap(a.version, b.version);
+  swap(a.base_version, b.base_version);
   swap(a.origin, b.origin);
   swap(a.root, b.root);
   swap(a.policy, b.policy);
-  swap(a.may_load, b.may_load);
   swap(a.rollout_id, b.rollout_id);
   swap(a.__isset, b.__isset);
 }
 
-EndpointOrder::EndpointOrder(const EndpointOrder& other60) {
-  endpoint_id = other60.endpoint_id;
-  term = other60.term;
-  revision = other60.revision;
-  model = other60.model;
-  version = other60.version;
-  kind = other60.kind;
-  origin = other60.origin;
-  root = other60.root;
-  policy = other60.policy;
-  may_load = other60.may_load;
-  rollout_id = other60.rollout_id;
-  __isset = other60.__isset;
-}
-EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other61) {
-  endpoint_id = other61.endpoint_id;
-  term = other61.term;
-  revision = other61.revision;
-  model = other61.model;
-  version = other61.version;
-  kind = other61.kind;
-  origin = other61.origin;
-  root = other61.root;
-  policy = other61.policy;
-  may_load = other61.may_load;
-  rollout_id = other61.rollout_id;
-  __isset = other61.__isset;
+EndpointOrder::EndpointOrder(const EndpointOrder& other100) {
+  endpoint_id = other100.endpoint_id;
+  incarnation = other100.incarnation;
+  token_term = other100.token_term;
+  token_revision = other100.token_revision;
+  model = other100.model;
+  adapter = other100.adapter;
+  kind = other100.kind;
+  version = other100.version;
+  base_version = other100.base_version;
+  origin = other100.origin;
+  root = other100.root;
+  policy = other100.policy;
+  rollout_id = other100.rollout_id;
+  __isset = other100.__isset;
+}
+EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other101) {
+  endpoint_id = other101.endpoint_id;
+  incarnation = other101.incarnation;
+  token_term = other101.token_term;
+  token_revision = other101.token_revision;
+  model = other101.model;
+  adapter = other101.adapter;
+  kind = other101.kind;
+  version = other101.version;
+  base_version = other101.base_version;
+  origin = other101.origin;
+  root = other101.root;
+  policy = other101.policy;
+  rollout_id = other101.rollout_id;
+  __isset = other101.__isset;
   return *this;
 }
 void EndpointOrder::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "EndpointOrder(";
   out << "endpoint_id=" << to_string(endpoint_id);
-  out << ", " << "term=" << to_string(term);
-  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "token_term=" << to_string(token_term);
+  out << ", " << "token_revision=" << to_string(token_revision);
   out << ", " << "model=" << to_string(model);
-  out << ", " << "version=" << to_string(version);
+  out << ", " << "adapter=" << to_string(adapter);
   out << ", " << "kind=" << to_string(kind);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "base_version=" << to_string(base_version);
   out << ", " << "origin=" << to_string(origin);
   out << ", " << "root=" << to_string(root);
   out << ", " << "policy=" << to_string(policy);
-  out << ", " << "may_load=" << to_string(may_load);
   out << ", " << "rollout_id=" << to_string(rollout_id);
   out << ")";
 }
@@ -4648,19 +6472,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other62) {
-  endpoint_id = other62.endpoint_id;
-  agent_address = other62.agent_address;
-  region = other62.region;
-  failure_domain = other62.failure_domain;
-  __isset = other62.__isset;
+Member::Member(const Member& other102) {
+  endpoint_id = other102.endpoint_id;
+  agent_address = other102.agent_address;
+  region = other102.region;
+  failure_domain = other102.failure_domain;
+  __isset = other102.__isset;
 }
-Member& Member::operator=(const Member& other63) {
-  endpoint_id = other63.endpoint_id;
-  agent_address = other63.agent_address;
-  region = other63.region;
-  failure_domain = other63.failure_domain;
-  __isset = other63.__isset;
+Member& Member::operator=(const Member& other103) {
+  endpoint_id = other103.endpoint_id;
+  agent_address = other103.agent_address;
+  region = other103.region;
+  failure_domain = other103.failure_domain;
+  __isset = other103.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -4725,14 +6549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->orders.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->orders.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->orders[_i68].read(iprot);
+              xfer += this->orders[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4753,14 +6577,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->members.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->members.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->members[_i73].read(iprot);
+              xfer += this->members[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4773,14 +6597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->entries.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->entries.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += iprot->readString(this->entries[_i78]);
+              xfer += iprot->readString(this->entries[_i118]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4809,10 +6633,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<EndpointOrder> ::const_iterator _iter79;
-    for (_iter79 = this->orders.begin(); _iter79 != this->orders.end(); ++_iter79)
+    std::vector<EndpointOrder> ::const_iterator _iter119;
+    for (_iter119 = this->orders.begin(); _iter119 != this->orders.end(); ++_iter119)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4825,10 +6649,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter80;
-    for (_iter80 = this->members.begin(); _iter80 != this->members.end(); ++_iter80)
+    std::vector<Member> ::const_iterator _iter120;
+    for (_iter120 = this->members.begin(); _iter120 != this->members.end(); ++_iter120)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4837,10 +6661,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->entries.size()));
-    std::vector<std::string> ::const_iterator _iter81;
-    for (_iter81 = this->entries.begin(); _iter81 != this->entries.end(); ++_iter81)
+    std::vector<std::string> ::const_iterator _iter121;
+    for (_iter121 = this->entries.begin(); _iter121 != this->entries.end(); ++_iter121)
     {
-      xfer += oprot->writeString((*_iter81));
+      xfer += oprot->writeString((*_iter121));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4860,19 +6684,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HomeReply::HomeReply(const HomeReply& other82) {
-  orders = other82.orders;
-  members_revision = other82.members_revision;
-  members = other82.members;
-  entries = other82.entries;
-  __isset = other82.__isset;
+HomeReply::HomeReply(const HomeReply& other122) {
+  orders = other122.orders;
+  members_revision = other122.members_revision;
+  members = other122.members;
+  entries = other122.entries;
+  __isset = other122.__isset;
 }
-HomeReply& HomeReply::operator=(const HomeReply& other83) {
-  orders = other83.orders;
-  members_revision = other83.members_revision;
-  members = other83.members;
-  entries = other83.entries;
-  __isset = other83.__isset;
+HomeReply& HomeReply::operator=(const HomeReply& other123) {
+  orders = other123.orders;
+  members_revision = other123.members_revision;
+  members = other123.members;
+  entries = other123.entries;
+  __isset = other123.__isset;
   return *this;
 }
 void HomeReply::printTo(std::ostream& out) const {
@@ -4937,14 +6761,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->orders.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->orders.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->orders[_i88].read(iprot);
+              xfer += this->orders[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4977,10 +6801,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<EndpointOrder> ::const_iterator _iter89;
-    for (_iter89 = this->orders.begin(); _iter89 != this->orders.end(); ++_iter89)
+    std::vector<EndpointOrder> ::const_iterator _iter129;
+    for (_iter129 = this->orders.begin(); _iter129 != this->orders.end(); ++_iter129)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter129).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4998,15 +6822,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderBatch::OrderBatch(const OrderBatch& other90) {
-  term = other90.term;
-  orders = other90.orders;
-  __isset = other90.__isset;
+OrderBatch::OrderBatch(const OrderBatch& other130) {
+  term = other130.term;
+  orders = other130.orders;
+  __isset = other130.__isset;
 }
-OrderBatch& OrderBatch::operator=(const OrderBatch& other91) {
-  term = other91.term;
-  orders = other91.orders;
-  __isset = other91.__isset;
+OrderBatch& OrderBatch::operator=(const OrderBatch& other131) {
+  term = other131.term;
+  orders = other131.orders;
+  __isset = other131.__isset;
   return *this;
 }
 void OrderBatch::printTo(std::ostream& out) const {
@@ -5025,10 +6849,6 @@
 void LoadBatch::__set_reports(const std::vector<EndpointReport> & val) {
   this->reports = val;
 }
-
-void LoadBatch::__set_leaving(const bool val) {
-  this->leaving = val;
-}
 std::ostream& operator<<(std::ostream& out, const LoadBatch& obj)
 {
   obj.printTo(out);
@@ -5061,14 +6881,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->reports.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->reports.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->reports[_i96].read(iprot);
+              xfer += this->reports[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5077,14 +6897,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->leaving);
-          this->__isset.leaving = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5105,19 +6917,15 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<EndpointReport> ::const_iterator _iter97;
-    for (_iter97 = this->reports.begin(); _iter97 != this->reports.end(); ++_iter97)
+    std::vector<EndpointReport> ::const_iterator _iter137;
+    for (_iter137 = this->reports.begin(); _iter137 != this->reports.end(); ++_iter137)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->leaving);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5126,45 +6934,45 @@
 void swap(LoadBatch &a, LoadBatch &b) {
   using ::std::swap;
   swap(a.reports, b.reports);
-  swap(a.leaving, b.leaving);
   swap(a.__isset, b.__isset);
 }
 
-LoadBatch::LoadBatch(const LoadBatch& other98) {
-  reports = other98.reports;
-  leaving = other98.leaving;
-  __isset = other98.__isset;
+LoadBatch::LoadBatch(const LoadBatch& other138) {
+  reports = other138.reports;
+  __isset = other138.__isset;
 }
-LoadBatch& LoadBatch::operator=(const LoadBatch& other99) {
-  reports = other99.reports;
-  leaving = other99.leaving;
-  __isset = other99.__isset;
+LoadBatch& LoadBatch::operator=(const LoadBatch& other139) {
+  reports = other139.reports;
+  __isset = other139.__isset;
   return *this;
 }
 void LoadBatch::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LoadBatch(";
   out << "reports=" << to_string(reports);
-  out << ", " << "leaving=" << to_string(leaving);
   out << ")";
 }
 
 
-AgreementMessage::~AgreementMessage() noexcept {
+JoinRequest::~JoinRequest() noexcept {
 }
 
 
-void AgreementMessage::__set_payload(const std::string& val) {
-  this->payload = val;
+void JoinRequest::__set_id(const ReplicaId& val) {
+  this->id = val;
 }
-std::ostream& operator<<(std::ostream& out, const AgreementMessage& obj)
+
+void JoinRequest::__set_has_disk(const bool val) {
+  this->has_disk = val;
+}
+std::ostream& operator<<(std::ostream& out, const JoinRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t AgreementMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t JoinRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -5186,9 +6994,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->payload);
-          this->__isset.payload = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->id.read(iprot);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->has_disk);
+          this->__isset.has_disk = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -5205,13 +7021,17 @@
   return xfer;
 }
 
-uint32_t AgreementMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t JoinRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AgreementMessage");
+  xfer += oprot->writeStructBegin("JoinRequest");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->id.write(oprot);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeBinary(this->payload);
+  xfer += oprot->writeFieldBegin("has_disk", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->has_disk);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -5219,25 +7039,29 @@
   return xfer;
 }
 
-void swap(AgreementMessage &a, AgreementMessage &b) {
+void swap(JoinRequest &a, JoinRequest &b) {
   using ::std::swap;
-  swap(a.payload, b.payload);
+  swap(a.id, b.id);
+  swap(a.has_disk, b.has_disk);
   swap(a.__isset, b.__isset);
 }
 
-AgreementMessage::AgreementMessage(const AgreementMessage& other100) {
-  payload = other100.payload;
-  __isset = other100.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other140) {
+  id = other140.id;
+  has_disk = other140.has_disk;
+  __isset = other140.__isset;
 }
-AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other101) {
-  payload = other101.payload;
-  __isset = other101.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other141) {
+  id = other141.id;
+  has_disk = other141.has_disk;
+  __isset = other141.__isset;
   return *this;
 }
-void AgreementMessage::printTo(std::ostream& out) const {
+void JoinRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AgreementMessage(";
-  out << "payload=" << to_string(payload);
+  out << "JoinRequest(";
+  out << "id=" << to_string(id);
+  out << ", " << "has_disk=" << to_string(has_disk);
   out << ")";
 }
 
@@ -5280,6 +7104,11 @@
   this->load_batch = val;
 __isset.load_batch = true;
 }
+
+void PeerMessage::__set_join_request(const JoinRequest& val) {
+  this->join_request = val;
+__isset.join_request = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -5364,6 +7193,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->join_request.read(iprot);
+          this->__isset.join_request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5416,6 +7253,11 @@
     xfer += this->load_batch.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.join_request) {
+    xfer += oprot->writeFieldBegin("join_request", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->join_request.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5430,28 +7272,31 @@
   swap(a.home_reply, b.home_reply);
   swap(a.order_batch, b.order_batch);
   swap(a.load_batch, b.load_batch);
+  swap(a.join_request, b.join_request);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other102) {
-  agreement = other102.agreement;
-  propose_request = other102.propose_request;
-  propose_reply = other102.propose_reply;
-  agent_heartbeat = other102.agent_heartbeat;
-  home_reply = other102.home_reply;
-  order_batch = other102.order_batch;
-  load_batch = other102.load_batch;
-  __isset = other102.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other103) {
-  agreement = other103.agreement;
-  propose_request = other103.propose_request;
-  propose_reply = other103.propose_reply;
-  agent_heartbeat = other103.agent_heartbeat;
-  home_reply = other103.home_reply;
-  order_batch = other103.order_batch;
-  load_batch = other103.load_batch;
-  __isset = other103.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other142) {
+  agreement = other142.agreement;
+  propose_request = other142.propose_request;
+  propose_reply = other142.propose_reply;
+  agent_heartbeat = other142.agent_heartbeat;
+  home_reply = other142.home_reply;
+  order_batch = other142.order_batch;
+  load_batch = other142.load_batch;
+  join_request = other142.join_request;
+  __isset = other142.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other143) {
+  agreement = other143.agreement;
+  propose_request = other143.propose_request;
+  propose_reply = other143.propose_reply;
+  agent_heartbeat = other143.agent_heartbeat;
+  home_reply = other143.home_reply;
+  order_batch = other143.order_batch;
+  load_batch = other143.load_batch;
+  join_request = other143.join_request;
+  __isset = other143.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -5464,6 +7309,7 @@
   out << ", " << "home_reply="; (__isset.home_reply ? (out << to_string(home_reply)) : (out << "<null>"));
   out << ", " << "order_batch="; (__isset.order_batch ? (out << to_string(order_batch)) : (out << "<null>"));
   out << ", " << "load_batch="; (__isset.load_batch ? (out << to_string(load_batch)) : (out << "<null>"));
+  out << ", " << "join_request="; (__isset.join_request ? (out << to_string(join_request)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5496,6 +7342,10 @@
   this->echo_ns = val;
 }
 
+void Frame::__set_applied_revision(const int64_t val) {
+  this->applied_revision = val;
+}
+
 void Frame::__set_body(const PeerMessage& val) {
   this->body = val;
 }
@@ -5576,6 +7426,14 @@
         }
         break;
       case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->applied_revision);
+          this->__isset.applied_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->body.read(iprot);
           this->__isset.body = true;
@@ -5624,7 +7482,11 @@
   xfer += oprot->writeI64(this->echo_ns);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += oprot->writeFieldBegin("applied_revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->applied_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 8);
   xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
@@ -5641,29 +7503,32 @@
   swap(a.sender_address, b.sender_address);
   swap(a.sent_at_ns, b.sent_at_ns);
   swap(a.echo_ns, b.echo_ns);
+  swap(a.applied_revision, b.applied_revision);
   swap(a.body, b.body);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other104) {
-  protocol = other104.protocol;
-  sender = other104.sender;
-  incarnation = other104.incarnation;
-  sender_address = other104.sender_address;
-  sent_at_ns = other104.sent_at_ns;
-  echo_ns = other104.echo_ns;
-  body = other104.body;
-  __isset = other104.__isset;
-}
-Frame& Frame::operator=(const Frame& other105) {
-  protocol = other105.protocol;
-  sender = other105.sender;
-  incarnation = other105.incarnation;
-  sender_address = other105.sender_address;
-  sent_at_ns = other105.sent_at_ns;
-  echo_ns = other105.echo_ns;
-  body = other105.body;
-  __isset = other105.__isset;
+Frame::Frame(const Frame& other144) {
+  protocol = other144.protocol;
+  sender = other144.sender;
+  incarnation = other144.incarnation;
+  sender_address = other144.sender_address;
+  sent_at_ns = other144.sent_at_ns;
+  echo_ns = other144.echo_ns;
+  applied_revision = other144.applied_revision;
+  body = other144.body;
+  __isset = other144.__isset;
+}
+Frame& Frame::operator=(const Frame& other145) {
+  protocol = other145.protocol;
+  sender = other145.sender;
+  incarnation = other145.incarnation;
+  sender_address = other145.sender_address;
+  sent_at_ns = other145.sent_at_ns;
+  echo_ns = other145.echo_ns;
+  applied_revision = other145.applied_revision;
+  body = other145.body;
+  __isset = other145.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -5675,6 +7540,7 @@
   out << ", " << "sender_address=" << to_string(sender_address);
   out << ", " << "sent_at_ns=" << to_string(sent_at_ns);
   out << ", " << "echo_ns=" << to_string(echo_ns);
+  out << ", " << "applied_revision=" << to_string(applied_revision);
   out << ", " << "body=" << to_string(body);
   out << ")";
 }
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -59,12 +59,34 @@
 
 class Record;
 
+class ReplicaId;
+
 class AgreementEntry;
 
+class MemberEntry;
+
+class VoteRequest;
+
+class VoteReply;
+
+class AppendRequest;
+
+class AppendReply;
+
+class SnapshotPart;
+
+class SnapshotReply;
+
+class AgreementBody;
+
+class AgreementMessage;
+
 class ProposeRequest;
 
 class ProposeReply;
 
+class LineReport;
+
 class EndpointReport;
 
 class AgentHeartbeat;
@@ -79,17 +101,18 @@
 
 class LoadBatch;
 
-class AgreementMessage;
+class JoinRequest;
 
 class PeerMessage;
 
 class Frame;
 
 typedef struct _CommandId__isset {
-  _CommandId__isset() : request_id(false), base_revision(false), operator_name(false) {}
+  _CommandId__isset() : request_id(false), base_revision(false), operator_name(false), seen_revision(false) {}
   bool request_id :1;
   bool base_revision :1;
   bool operator_name :1;
+  bool seen_revision :1;
 } _CommandId__isset;
 
 class CommandId : public virtual ::apache::thrift::TBase {
@@ -100,13 +123,15 @@
   CommandId() noexcept
             : request_id(),
               base_revision(0),
-              operator_name() {
+              operator_name(),
+              seen_revision(0) {
   }
 
   virtual ~CommandId() noexcept;
   std::string request_id;
   int64_t base_revision;
   std::string operator_name;
+  int64_t seen_revision;
 
   _CommandId__isset __isset;
 
@@ -116,6 +141,8 @@
 
   void __set_operator_name(const std::string& val);
 
+  void __set_seen_revision(const int64_t val);
+
   bool operator == (const CommandId & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -124,6 +151,8 @@
       return false;
     if (!(operator_name == rhs.operator_name))
       return false;
+    if (!(seen_revision == rhs.seen_revision))
+      return false;
     return true;
   }
   bool operator != (const CommandId &rhs) const {
@@ -143,7 +172,7 @@
 std::ostream& operator<<(std::ostream& out, const CommandId& obj);
 
 typedef struct _CreateRollout__isset {
-  _CreateRollout__isset() : command(false), model(false), version(false), kind(false), origin(false), root(false), policy(false), minimum_serving(false), batch_size(false), failure_limit(false), base(false) {}
+  _CreateRollout__isset() : command(false), model(false), version(false), kind(false), origin(false), root(false), policy(false), minimum_serving(false), batch_size(false), failure_limit(false), adapter(false), base_version(false) {}
   bool command :1;
   bool model :1;
   bool version :1;
@@ -154,7 +183,8 @@
   bool minimum_serving :1;
   bool batch_size :1;
   bool failure_limit :1;
-  bool base :1;
+  bool adapter :1;
+  bool base_version :1;
 } _CreateRollout__isset;
 
 class CreateRollout : public virtual ::apache::thrift::TBase {
@@ -172,7 +202,8 @@
                   minimum_serving(0),
                   batch_size(0),
                   failure_limit(0),
-                  base() {
+                  adapter(),
+                  base_version() {
   }
 
   virtual ~CreateRollout() noexcept;
@@ -186,7 +217,8 @@
   int32_t minimum_serving;
   int32_t batch_size;
   int32_t failure_limit;
-  std::string base;
+  std::string adapter;
+  std::string base_version;
 
   _CreateRollout__isset __isset;
 
@@ -210,7 +242,9 @@
 
   void __set_failure_limit(const int32_t val);
 
-  void __set_base(const std::string& val);
+  void __set_adapter(const std::string& val);
+
+  void __set_base_version(const std::string& val);
 
   bool operator == (const CreateRollout & rhs) const
   {
@@ -234,7 +268,9 @@
       return false;
     if (!(failure_limit == rhs.failure_limit))
       return false;
-    if (!(base == rhs.base))
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(base_version == rhs.base_version))
       return false;
     return true;
   }
@@ -1095,12 +1131,13 @@
 std::ostream& operator<<(std::ostream& out, const OutcomeRecorded& obj);
 
 typedef struct _ProcessStarted__isset {
-  _ProcessStarted__isset() : process(false), incarnation(false), http_address(false), region(false), failure_domain(false) {}
+  _ProcessStarted__isset() : process(false), incarnation(false), http_address(false), region(false), failure_domain(false), peer_address(false) {}
   bool process :1;
   bool incarnation :1;
   bool http_address :1;
   bool region :1;
   bool failure_domain :1;
+  bool peer_address :1;
 } _ProcessStarted__isset;
 
 class ProcessStarted : public virtual ::apache::thrift::TBase {
@@ -1113,7 +1150,8 @@
                    incarnation(0),
                    http_address(),
                    region(),
-                   failure_domain() {
+                   failure_domain(),
+                   peer_address() {
   }
 
   virtual ~ProcessStarted() noexcept;
@@ -1122,6 +1160,7 @@
   std::string http_address;
   std::string region;
   std::string failure_domain;
+  std::string peer_address;
 
   _ProcessStarted__isset __isset;
 
@@ -1135,6 +1174,8 @@
 
   void __set_failure_domain(const std::string& val);
 
+  void __set_peer_address(const std::string& val);
+
   bool operator == (const ProcessStarted & rhs) const
   {
     if (!(process == rhs.process))
@@ -1147,6 +1188,8 @@
       return false;
     if (!(failure_domain == rhs.failure_domain))
       return false;
+    if (!(peer_address == rhs.peer_address))
+      return false;
     return true;
   }
   bool operator != (const ProcessStarted &rhs) const {
@@ -1394,6 +1437,56 @@
 
 std::ostream& operator<<(std::ostream& out, const Record& obj);
 
+typedef struct _ReplicaId__isset {
+  _ReplicaId__isset() : process(false), incarnation(false) {}
+  bool process :1;
+  bool incarnation :1;
+} _ReplicaId__isset;
+
+class ReplicaId : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplicaId(const ReplicaId&);
+  ReplicaId& operator=(const ReplicaId&);
+  ReplicaId() noexcept
+            : process(),
+              incarnation(0) {
+  }
+
+  virtual ~ReplicaId() noexcept;
+  std::string process;
+  int64_t incarnation;
+
+  _ReplicaId__isset __isset;
+
+  void __set_process(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  bool operator == (const ReplicaId & rhs) const
+  {
+    if (!(process == rhs.process))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicaId &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicaId & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplicaId &a, ReplicaId &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplicaId& obj);
+
 typedef struct _AgreementEntry__isset {
   _AgreementEntry__isset() : index(false), term(false), kind(false), data(false) {}
   bool index :1;
@@ -1458,45 +1551,44 @@
 
 std::ostream& operator<<(std::ostream& out, const AgreementEntry& obj);
 
-typedef struct _ProposeRequest__isset {
-  _ProposeRequest__isset() : proposal(false), record(false) {}
-  bool proposal :1;
-  bool record :1;
-} _ProposeRequest__isset;
+typedef struct _MemberEntry__isset {
+  _MemberEntry__isset() : id(false), role(false) {}
+  bool id :1;
+  bool role :1;
+} _MemberEntry__isset;
 
-class ProposeRequest : public virtual ::apache::thrift::TBase {
+class MemberEntry : public virtual ::apache::thrift::TBase {
  public:
 
-  ProposeRequest(const ProposeRequest&);
-  ProposeRequest& operator=(const ProposeRequest&);
-  ProposeRequest() noexcept
-                 : proposal(0),
-                   record() {
+  MemberEntry(const MemberEntry&);
+  MemberEntry& operator=(const MemberEntry&);
+  MemberEntry() noexcept
+              : role(0) {
   }
 
-  virtual ~ProposeRequest() noexcept;
-  int64_t proposal;
-  std::string record;
+  virtual ~MemberEntry() noexcept;
+  ReplicaId id;
+  int16_t role;
 
-  _ProposeRequest__isset __isset;
+  _MemberEntry__isset __isset;
 
-  void __set_proposal(const int64_t val);
+  void __set_id(const ReplicaId& val);
 
-  void __set_record(const std::string& val);
+  void __set_role(const int16_t val);
 
-  bool operator == (const ProposeRequest & rhs) const
+  bool operator == (const MemberEntry & rhs) const
   {
-    if (!(proposal == rhs.proposal))
+    if (!(id == rhs.id))
       return false;
-    if (!(record == rhs.record))
+    if (!(role == rhs.role))
       return false;
     return true;
   }
-  bool operator != (const ProposeRequest &rhs) const {
+  bool operator != (const MemberEntry &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ProposeRequest & ) const;
+  bool operator < (const MemberEntry & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1504,84 +1596,56 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProposeRequest &a, ProposeRequest &b);
+void swap(MemberEntry &a, MemberEntry &b);
 
-std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj);
+std::ostream& operator<<(std::ostream& out, const MemberEntry& obj);
 
-typedef struct _ProposeReply__isset {
-  _ProposeReply__isset() : proposal(false), accepted(false), status(false), revision(false), code(false), field(false), message(false) {}
-  bool proposal :1;
-  bool accepted :1;
-  bool status :1;
-  bool revision :1;
-  bool code :1;
-  bool field :1;
-  bool message :1;
-} _ProposeReply__isset;
+typedef struct _VoteRequest__isset {
+  _VoteRequest__isset() : pre_vote(false), last_index(false), last_term(false) {}
+  bool pre_vote :1;
+  bool last_index :1;
+  bool last_term :1;
+} _VoteRequest__isset;
 
-class ProposeReply : public virtual ::apache::thrift::TBase {
+class VoteRequest : public virtual ::apache::thrift::TBase {
  public:
 
-  ProposeReply(const ProposeReply&);
-  ProposeReply& operator=(const ProposeReply&);
-  ProposeReply() noexcept
-               : proposal(0),
-                 accepted(0),
-                 status(0),
-                 revision(0),
-                 code(),
-                 field(),
-                 message() {
+  VoteRequest(const VoteRequest&) noexcept;
+  VoteRequest& operator=(const VoteRequest&) noexcept;
+  VoteRequest() noexcept
+              : pre_vote(0),
+                last_index(0),
+                last_term(0) {
   }
 
-  virtual ~ProposeReply() noexcept;
-  int64_t proposal;
-  bool accepted;
-  int16_t status;
-  int64_t revision;
-  std::string code;
-  std::string field;
-  std::string message;
-
-  _ProposeReply__isset __isset;
-
-  void __set_proposal(const int64_t val);
-
-  void __set_accepted(const bool val);
-
-  void __set_status(const int16_t val);
+  virtual ~VoteRequest() noexcept;
+  bool pre_vote;
+  int64_t last_index;
+  int64_t last_term;
 
-  void __set_revision(const int64_t val);
+  _VoteRequest__isset __isset;
 
-  void __set_code(const std::string& val);
+  void __set_pre_vote(const bool val);
 
-  void __set_field(const std::string& val);
+  void __set_last_index(const int64_t val);
 
-  void __set_message(const std::string& val);
+  void __set_last_term(const int64_t val);
 
-  bool operator == (const ProposeReply & rhs) const
+  bool operator == (const VoteRequest & rhs) const
   {
-    if (!(proposal == rhs.proposal))
-      return false;
-    if (!(accepted == rhs.accepted))
-      return false;
-    if (!(status == rhs.status))
-      return false;
-    if (!(revision == rhs.revision))
-      return false;
-    if (!(code == rhs.code))
+    if (!(pre_vote == rhs.pre_vote))
       return false;
-    if (!(field == rhs.field))
+    if (!(last_index == rhs.last_index))
       return false;
-    if (!(message == rhs.message))
+    if (!(last_term == rhs.last_term))
       return false;
     return true;
   }
-  bool operator != (const ProposeReply &rhs) const {
+  bool operator != (const VoteRequest &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ProposeReply & ) const;
+  bool operator < (const VoteRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1589,147 +1653,119 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ProposeReply &a, ProposeReply &b);
+void swap(VoteRequest &a, VoteRequest &b);
 
-std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
+std::ostream& operator<<(std::ostream& out, const VoteRequest& obj);
 
-typedef struct _EndpointReport__isset {
-  _EndpointReport__isset() : endpoint_id(false), incarnation(false), replica_state(false), model(false), version(false), root(false), chunks_present(false), chunks_total(false), running(false), waiting(false), slots(false), error(false), report_number(false), order_fencing_term(false), order_fencing_revision(false), verified_root(false) {}
-  bool endpoint_id :1;
-  bool incarnation :1;
-  bool replica_state :1;
-  bool model :1;
-  bool version :1;
-  bool root :1;
-  bool chunks_present :1;
-  bool chunks_total :1;
-  bool running :1;
-  bool waiting :1;
-  bool slots :1;
-  bool error :1;
-  bool report_number :1;
-  bool order_fencing_term :1;
-  bool order_fencing_revision :1;
-  bool verified_root :1;
-} _EndpointReport__isset;
+typedef struct _VoteReply__isset {
+  _VoteReply__isset() : pre_vote(false), granted(false) {}
+  bool pre_vote :1;
+  bool granted :1;
+} _VoteReply__isset;
 
-class EndpointReport : public virtual ::apache::thrift::TBase {
+class VoteReply : public virtual ::apache::thrift::TBase {
  public:
 
-  EndpointReport(const EndpointReport&);
-  EndpointReport& operator=(const EndpointReport&);
-  EndpointReport() noexcept
-                 : endpoint_id(),
-                   incarnation(0),
-                   replica_state(0),
-                   model(),
-                   version(),
-                   root(),
-                   chunks_present(0),
-                   chunks_total(0),
-                   running(0),
-                   waiting(0),
-                   slots(0),
-                   error(),
-                   report_number(0),
-                   order_fencing_term(0),
-                   order_fencing_revision(0),
-                   verified_root() {
+  VoteReply(const VoteReply&) noexcept;
+  VoteReply& operator=(const VoteReply&) noexcept;
+  VoteReply() noexcept
+            : pre_vote(0),
+              granted(0) {
   }
 
-  virtual ~EndpointReport() noexcept;
-  std::string endpoint_id;
-  int64_t incarnation;
-  int16_t replica_state;
-  std::string model;
-  std::string version;
-  std::string root;
-  int32_t chunks_present;
-  int32_t chunks_total;
-  int32_t running;
-  int32_t waiting;
-  int32_t slots;
-  std::string error;
-  int64_t report_number;
-  int64_t order_fencing_term;
-  int64_t order_fencing_revision;
-  std::string verified_root;
+  virtual ~VoteReply() noexcept;
+  bool pre_vote;
+  bool granted;
 
-  _EndpointReport__isset __isset;
+  _VoteReply__isset __isset;
 
-  void __set_endpoint_id(const std::string& val);
+  void __set_pre_vote(const bool val);
 
-  void __set_incarnation(const int64_t val);
+  void __set_granted(const bool val);
 
-  void __set_replica_state(const int16_t val);
+  bool operator == (const VoteReply & rhs) const
+  {
+    if (!(pre_vote == rhs.pre_vote))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    return true;
+  }
+  bool operator != (const VoteReply &rhs) const {
+    return !(*this == rhs);
+  }
 
-  void __set_model(const std::string& val);
+  bool operator < (const VoteReply & ) const;
 
-  void __set_version(const std::string& val);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  void __set_root(const std::string& val);
+  virtual void printTo(std::ostream& out) const;
+};
 
-  void __set_chunks_present(const int32_t val);
+void swap(VoteReply &a, VoteReply &b);
 
-  void __set_chunks_total(const int32_t val);
+std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
 
-  void __set_running(const int32_t val);
+typedef struct _AppendRequest__isset {
+  _AppendRequest__isset() : prev_index(false), prev_term(false), entries(false), commit(false), sent_at_ns(false) {}
+  bool prev_index :1;
+  bool prev_term :1;
+  bool entries :1;
+  bool commit :1;
+  bool sent_at_ns :1;
+} _AppendRequest__isset;
 
-  void __set_waiting(const int32_t val);
+class AppendRequest : public virtual ::apache::thrift::TBase {
+ public:
 
-  void __set_slots(const int32_t val);
+  AppendRequest(const AppendRequest&);
+  AppendRequest& operator=(const AppendRequest&);
+  AppendRequest() noexcept
+                : prev_index(0),
+                  prev_term(0),
+                  commit(0),
+                  sent_at_ns(0) {
+  }
 
-  void __set_error(const std::string& val);
+  virtual ~AppendRequest() noexcept;
+  int64_t prev_index;
+  int64_t prev_term;
+  std::vector<AgreementEntry>  entries;
+  int64_t commit;
+  int64_t sent_at_ns;
 
-  void __set_report_number(const int64_t val);
+  _AppendRequest__isset __isset;
 
-  void __set_order_fencing_term(const int64_t val);
+  void __set_prev_index(const int64_t val);
 
-  void __set_order_fencing_revision(const int64_t val);
+  void __set_prev_term(const int64_t val);
 
-  void __set_verified_root(const std::string& val);
+  void __set_entries(const std::vector<AgreementEntry> & val);
 
-  bool operator == (const EndpointReport & rhs) const
+  void __set_commit(const int64_t val);
+
+  void __set_sent_at_ns(const int64_t val);
+
+  bool operator == (const AppendRequest & rhs) const
   {
-    if (!(endpoint_id == rhs.endpoint_id))
-      return false;
-    if (!(incarnation == rhs.incarnation))
-      return false;
-    if (!(replica_state == rhs.replica_state))
-      return false;
-    if (!(model == rhs.model))
-      return false;
-    if (!(version == rhs.version))
-      return false;
-    if (!(root == rhs.root))
+    if (!(prev_index == rhs.prev_index))
       return false;
-    if (!(chunks_present == rhs.chunks_present))
-      return false;
-    if (!(chunks_total == rhs.chunks_total))
-      return false;
-    if (!(running == rhs.running))
-      return false;
-    if (!(waiting == rhs.waiting))
-      return false;
-    if (!(slots == rhs.slots))
-      return false;
-    if (!(error == rhs.error))
-      return false;
-    if (!(report_number == rhs.report_number))
+    if (!(prev_term == rhs.prev_term))
       return false;
-    if (!(order_fencing_term == rhs.order_fencing_term))
+    if (!(entries == rhs.entries))
       return false;
-    if (!(order_fencing_revision == rhs.order_fencing_revision))
+    if (!(commit == rhs.commit))
       return false;
-    if (!(verified_root == rhs.verified_root))
+    if (!(sent_at_ns == rhs.sent_at_ns))
       return false;
     return true;
   }
-  bool operator != (const EndpointReport &rhs) const {
+  bool operator != (const AppendRequest &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const EndpointReport & ) const;
+  bool operator < (const AppendRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1737,30 +1773,729 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(EndpointReport &a, EndpointReport &b);
+void swap(AppendRequest &a, AppendRequest &b);
 
-std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
+std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
 
-typedef struct _AgentHeartbeat__isset {
-  _AgentHeartbeat__isset() : endpoint(false), report(false), leaving(false) {}
-  bool endpoint :1;
-  bool report :1;
-  bool leaving :1;
-} _AgentHeartbeat__isset;
+typedef struct _AppendReply__isset {
+  _AppendReply__isset() : success(false), match(false), prev_index(false), hint_index(false), hint_term(false), sent_at_ns(false) {}
+  bool success :1;
+  bool match :1;
+  bool prev_index :1;
+  bool hint_index :1;
+  bool hint_term :1;
+  bool sent_at_ns :1;
+} _AppendReply__isset;
 
-class AgentHeartbeat : public virtual ::apache::thrift::TBase {
+class AppendReply : public virtual ::apache::thrift::TBase {
  public:
 
-  AgentHeartbeat(const AgentHeartbeat&);
-  AgentHeartbeat& operator=(const AgentHeartbeat&);
-  AgentHeartbeat() noexcept
-                 : leaving(0) {
-  }
+  AppendReply(const AppendReply&) noexcept;
+  AppendReply& operator=(const AppendReply&) noexcept;
+  AppendReply() noexcept
+              : success(0),
+                match(0),
+                prev_index(0),
+                hint_index(0),
+                hint_term(0),
+                sent_at_ns(0) {
+  }
+
+  virtual ~AppendReply() noexcept;
+  bool success;
+  int64_t match;
+  int64_t prev_index;
+  int64_t hint_index;
+  int64_t hint_term;
+  int64_t sent_at_ns;
 
-  virtual ~AgentHeartbeat() noexcept;
+  _AppendReply__isset __isset;
+
+  void __set_success(const bool val);
+
+  void __set_match(const int64_t val);
+
+  void __set_prev_index(const int64_t val);
+
+  void __set_hint_index(const int64_t val);
+
+  void __set_hint_term(const int64_t val);
+
+  void __set_sent_at_ns(const int64_t val);
+
+  bool operator == (const AppendReply & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(match == rhs.match))
+      return false;
+    if (!(prev_index == rhs.prev_index))
+      return false;
+    if (!(hint_index == rhs.hint_index))
+      return false;
+    if (!(hint_term == rhs.hint_term))
+      return false;
+    if (!(sent_at_ns == rhs.sent_at_ns))
+      return false;
+    return true;
+  }
+  bool operator != (const AppendReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AppendReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AppendReply &a, AppendReply &b);
+
+std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
+
+typedef struct _SnapshotPart__isset {
+  _SnapshotPart__isset() : index(false), index_term(false), membership(false), offset(false), total(false), data(false), sent_at_ns(false) {}
+  bool index :1;
+  bool index_term :1;
+  bool membership :1;
+  bool offset :1;
+  bool total :1;
+  bool data :1;
+  bool sent_at_ns :1;
+} _SnapshotPart__isset;
+
+class SnapshotPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotPart(const SnapshotPart&);
+  SnapshotPart& operator=(const SnapshotPart&);
+  SnapshotPart() noexcept
+               : index(0),
+                 index_term(0),
+                 offset(0),
+                 total(0),
+                 data(),
+                 sent_at_ns(0) {
+  }
+
+  virtual ~SnapshotPart() noexcept;
+  int64_t index;
+  int64_t index_term;
+  std::vector<MemberEntry>  membership;
+  int64_t offset;
+  int64_t total;
+  std::string data;
+  int64_t sent_at_ns;
+
+  _SnapshotPart__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_index_term(const int64_t val);
+
+  void __set_membership(const std::vector<MemberEntry> & val);
+
+  void __set_offset(const int64_t val);
+
+  void __set_total(const int64_t val);
+
+  void __set_data(const std::string& val);
+
+  void __set_sent_at_ns(const int64_t val);
+
+  bool operator == (const SnapshotPart & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(index_term == rhs.index_term))
+      return false;
+    if (!(membership == rhs.membership))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    if (!(total == rhs.total))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    if (!(sent_at_ns == rhs.sent_at_ns))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotPart &a, SnapshotPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotPart& obj);
+
+typedef struct _SnapshotReply__isset {
+  _SnapshotReply__isset() : index(false), next_offset(false), sent_at_ns(false) {}
+  bool index :1;
+  bool next_offset :1;
+  bool sent_at_ns :1;
+} _SnapshotReply__isset;
+
+class SnapshotReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotReply(const SnapshotReply&) noexcept;
+  SnapshotReply& operator=(const SnapshotReply&) noexcept;
+  SnapshotReply() noexcept
+                : index(0),
+                  next_offset(0),
+                  sent_at_ns(0) {
+  }
+
+  virtual ~SnapshotReply() noexcept;
+  int64_t index;
+  int64_t next_offset;
+  int64_t sent_at_ns;
+
+  _SnapshotReply__isset __isset;
+
+  void __set_index(const int64_t val);
+
+  void __set_next_offset(const int64_t val);
+
+  void __set_sent_at_ns(const int64_t val);
+
+  bool operator == (const SnapshotReply & rhs) const
+  {
+    if (!(index == rhs.index))
+      return false;
+    if (!(next_offset == rhs.next_offset))
+      return false;
+    if (!(sent_at_ns == rhs.sent_at_ns))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotReply &a, SnapshotReply &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotReply& obj);
+
+typedef struct _AgreementBody__isset {
+  _AgreementBody__isset() : vote_request(false), vote_reply(false), append_request(false), append_reply(false), snapshot_part(false), snapshot_reply(false) {}
+  bool vote_request :1;
+  bool vote_reply :1;
+  bool append_request :1;
+  bool append_reply :1;
+  bool snapshot_part :1;
+  bool snapshot_reply :1;
+} _AgreementBody__isset;
+
+class AgreementBody : public virtual ::apache::thrift::TBase {
+ public:
+
+  AgreementBody(const AgreementBody&);
+  AgreementBody& operator=(const AgreementBody&);
+  AgreementBody() noexcept {
+  }
+
+  virtual ~AgreementBody() noexcept;
+  VoteRequest vote_request;
+  VoteReply vote_reply;
+  AppendRequest append_request;
+  AppendReply append_reply;
+  SnapshotPart snapshot_part;
+  SnapshotReply snapshot_reply;
+
+  _AgreementBody__isset __isset;
+
+  void __set_vote_request(const VoteRequest& val);
+
+  void __set_vote_reply(const VoteReply& val);
+
+  void __set_append_request(const AppendRequest& val);
+
+  void __set_append_reply(const AppendReply& val);
+
+  void __set_snapshot_part(const SnapshotPart& val);
+
+  void __set_snapshot_reply(const SnapshotReply& val);
+
+  bool operator == (const AgreementBody & rhs) const
+  {
+    if (__isset.vote_request != rhs.__isset.vote_request)
+      return false;
+    else if (__isset.vote_request && !(vote_request == rhs.vote_request))
+      return false;
+    if (__isset.vote_reply != rhs.__isset.vote_reply)
+      return false;
+    else if (__isset.vote_reply && !(vote_reply == rhs.vote_reply))
+      return false;
+    if (__isset.append_request != rhs.__isset.append_request)
+      return false;
+    else if (__isset.append_request && !(append_request == rhs.append_request))
+      return false;
+    if (__isset.append_reply != rhs.__isset.append_reply)
+      return false;
+    else if (__isset.append_reply && !(append_reply == rhs.append_reply))
+      return false;
+    if (__isset.snapshot_part != rhs.__isset.snapshot_part)
+      return false;
+    else if (__isset.snapshot_part && !(snapshot_part == rhs.snapshot_part))
+      return false;
+    if (__isset.snapshot_reply != rhs.__isset.snapshot_reply)
+      return false;
+    else if (__isset.snapshot_reply && !(snapshot_reply == rhs.snapshot_reply))
+      return false;
+    return true;
+  }
+  bool operator != (const AgreementBody &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AgreementBody & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AgreementBody &a, AgreementBody &b);
+
+std::ostream& operator<<(std::ostream& out, const AgreementBody& obj);
+
+typedef struct _AgreementMessage__isset {
+  _AgreementMessage__isset() : sender(false), receiver(false), term(false), body(false) {}
+  bool sender :1;
+  bool receiver :1;
+  bool term :1;
+  bool body :1;
+} _AgreementMessage__isset;
+
+class AgreementMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AgreementMessage(const AgreementMessage&);
+  AgreementMessage& operator=(const AgreementMessage&);
+  AgreementMessage() noexcept
+                   : term(0) {
+  }
+
+  virtual ~AgreementMessage() noexcept;
+  ReplicaId sender;
+  ReplicaId receiver;
+  int64_t term;
+  AgreementBody body;
+
+  _AgreementMessage__isset __isset;
+
+  void __set_sender(const ReplicaId& val);
+
+  void __set_receiver(const ReplicaId& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_body(const AgreementBody& val);
+
+  bool operator == (const AgreementMessage & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(receiver == rhs.receiver))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    return true;
+  }
+  bool operator != (const AgreementMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AgreementMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AgreementMessage &a, AgreementMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const AgreementMessage& obj);
+
+typedef struct _ProposeRequest__isset {
+  _ProposeRequest__isset() : proposal(false), record(false) {}
+  bool proposal :1;
+  bool record :1;
+} _ProposeRequest__isset;
+
+class ProposeRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProposeRequest(const ProposeRequest&);
+  ProposeRequest& operator=(const ProposeRequest&);
+  ProposeRequest() noexcept
+                 : proposal(0),
+                   record() {
+  }
+
+  virtual ~ProposeRequest() noexcept;
+  int64_t proposal;
+  std::string record;
+
+  _ProposeRequest__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_record(const std::string& val);
+
+  bool operator == (const ProposeRequest & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(record == rhs.record))
+      return false;
+    return true;
+  }
+  bool operator != (const ProposeRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProposeRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProposeRequest &a, ProposeRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj);
+
+typedef struct _ProposeReply__isset {
+  _ProposeReply__isset() : proposal(false), accepted(false), status(false), revision(false), code(false), field(false), message(false) {}
+  bool proposal :1;
+  bool accepted :1;
+  bool status :1;
+  bool revision :1;
+  bool code :1;
+  bool field :1;
+  bool message :1;
+} _ProposeReply__isset;
+
+class ProposeReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProposeReply(const ProposeReply&);
+  ProposeReply& operator=(const ProposeReply&);
+  ProposeReply() noexcept
+               : proposal(0),
+                 accepted(0),
+                 status(0),
+                 revision(0),
+                 code(),
+                 field(),
+                 message() {
+  }
+
+  virtual ~ProposeReply() noexcept;
+  int64_t proposal;
+  bool accepted;
+  int16_t status;
+  int64_t revision;
+  std::string code;
+  std::string field;
+  std::string message;
+
+  _ProposeReply__isset __isset;
+
+  void __set_proposal(const int64_t val);
+
+  void __set_accepted(const bool val);
+
+  void __set_status(const int16_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_code(const std::string& val);
+
+  void __set_field(const std::string& val);
+
+  void __set_message(const std::string& val);
+
+  bool operator == (const ProposeReply & rhs) const
+  {
+    if (!(proposal == rhs.proposal))
+      return false;
+    if (!(accepted == rhs.accepted))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(code == rhs.code))
+      return false;
+    if (!(field == rhs.field))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    return true;
+  }
+  bool operator != (const ProposeReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProposeReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProposeReply &a, ProposeReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ProposeReply& obj);
+
+typedef struct _LineReport__isset {
+  _LineReport__isset() : model(false), adapter(false), replica_state(false), target_root(false), chunks_present(false), chunks_total(false), served_root(false), error(false), token_term(false), token_revision(false) {}
+  bool model :1;
+  bool adapter :1;
+  bool replica_state :1;
+  bool target_root :1;
+  bool chunks_present :1;
+  bool chunks_total :1;
+  bool served_root :1;
+  bool error :1;
+  bool token_term :1;
+  bool token_revision :1;
+} _LineReport__isset;
+
+class LineReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  LineReport(const LineReport&);
+  LineReport& operator=(const LineReport&);
+  LineReport() noexcept
+             : model(),
+               adapter(),
+               replica_state(0),
+               target_root(),
+               chunks_present(0),
+               chunks_total(0),
+               served_root(),
+               error(),
+               token_term(0),
+               token_revision(0) {
+  }
+
+  virtual ~LineReport() noexcept;
+  std::string model;
+  std::string adapter;
+  int16_t replica_state;
+  std::string target_root;
+  int32_t chunks_present;
+  int32_t chunks_total;
+  std::string served_root;
+  std::string error;
+  int64_t token_term;
+  int64_t token_revision;
+
+  _LineReport__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_adapter(const std::string& val);
+
+  void __set_replica_state(const int16_t val);
+
+  void __set_target_root(const std::string& val);
+
+  void __set_chunks_present(const int32_t val);
+
+  void __set_chunks_total(const int32_t val);
+
+  void __set_served_root(const std::string& val);
+
+  void __set_error(const std::string& val);
+
+  void __set_token_term(const int64_t val);
+
+  void __set_token_revision(const int64_t val);
+
+  bool operator == (const LineReport & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(replica_state == rhs.replica_state))
+      return false;
+    if (!(target_root == rhs.target_root))
+      return false;
+    if (!(chunks_present == rhs.chunks_present))
+      return false;
+    if (!(chunks_total == rhs.chunks_total))
+      return false;
+    if (!(served_root == rhs.served_root))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    if (!(token_term == rhs.token_term))
+      return false;
+    if (!(token_revision == rhs.token_revision))
+      return false;
+    return true;
+  }
+  bool operator != (const LineReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LineReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LineReport &a, LineReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LineReport& obj);
+
+typedef struct _EndpointReport__isset {
+  _EndpointReport__isset() : endpoint_id(false), incarnation(false), report_number(false), running(false), waiting(false), slots(false), healthy(false), lines(false) {}
+  bool endpoint_id :1;
+  bool incarnation :1;
+  bool report_number :1;
+  bool running :1;
+  bool waiting :1;
+  bool slots :1;
+  bool healthy :1;
+  bool lines :1;
+} _EndpointReport__isset;
+
+class EndpointReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointReport(const EndpointReport&);
+  EndpointReport& operator=(const EndpointReport&);
+  EndpointReport() noexcept
+                 : endpoint_id(),
+                   incarnation(0),
+                   report_number(0),
+                   running(0),
+                   waiting(0),
+                   slots(0),
+                   healthy(0) {
+  }
+
+  virtual ~EndpointReport() noexcept;
+  std::string endpoint_id;
+  int64_t incarnation;
+  int64_t report_number;
+  int32_t running;
+  int32_t waiting;
+  int32_t slots;
+  bool healthy;
+  std::vector<LineReport>  lines;
+
+  _EndpointReport__isset __isset;
+
+  void __set_endpoint_id(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_report_number(const int64_t val);
+
+  void __set_running(const int32_t val);
+
+  void __set_waiting(const int32_t val);
+
+  void __set_slots(const int32_t val);
+
+  void __set_healthy(const bool val);
+
+  void __set_lines(const std::vector<LineReport> & val);
+
+  bool operator == (const EndpointReport & rhs) const
+  {
+    if (!(endpoint_id == rhs.endpoint_id))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(report_number == rhs.report_number))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(waiting == rhs.waiting))
+      return false;
+    if (!(slots == rhs.slots))
+      return false;
+    if (!(healthy == rhs.healthy))
+      return false;
+    if (!(lines == rhs.lines))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointReport &a, EndpointReport &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointReport& obj);
+
+typedef struct _AgentHeartbeat__isset {
+  _AgentHeartbeat__isset() : endpoint(false), report(false), leaving(false), members_revision(false) {}
+  bool endpoint :1;
+  bool report :1;
+  bool leaving :1;
+  bool members_revision :1;
+} _AgentHeartbeat__isset;
+
+class AgentHeartbeat : public virtual ::apache::thrift::TBase {
+ public:
+
+  AgentHeartbeat(const AgentHeartbeat&);
+  AgentHeartbeat& operator=(const AgentHeartbeat&);
+  AgentHeartbeat() noexcept
+                 : leaving(0),
+                   members_revision(0) {
+  }
+
+  virtual ~AgentHeartbeat() noexcept;
   EndpointJoined endpoint;
   EndpointReport report;
   bool leaving;
+  int64_t members_revision;
 
   _AgentHeartbeat__isset __isset;
 
@@ -1770,6 +2505,8 @@
 
   void __set_leaving(const bool val);
 
+  void __set_members_revision(const int64_t val);
+
   bool operator == (const AgentHeartbeat & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -1778,6 +2515,8 @@
       return false;
     if (!(leaving == rhs.leaving))
       return false;
+    if (!(members_revision == rhs.members_revision))
+      return false;
     return true;
   }
   bool operator != (const AgentHeartbeat &rhs) const {
@@ -1797,17 +2536,19 @@
 std::ostream& operator<<(std::ostream& out, const AgentHeartbeat& obj);
 
 typedef struct _EndpointOrder__isset {
-  _EndpointOrder__isset() : endpoint_id(false), term(false), revision(false), model(false), version(false), kind(false), origin(false), root(false), policy(false), may_load(false), rollout_id(false) {}
+  _EndpointOrder__isset() : endpoint_id(false), incarnation(false), token_term(false), token_revision(false), model(false), adapter(false), kind(false), version(false), base_version(false), origin(false), root(false), policy(false), rollout_id(false) {}
   bool endpoint_id :1;
-  bool term :1;
-  bool revision :1;
+  bool incarnation :1;
+  bool token_term :1;
+  bool token_revision :1;
   bool model :1;
-  bool version :1;
+  bool adapter :1;
   bool kind :1;
+  bool version :1;
+  bool base_version :1;
   bool origin :1;
   bool root :1;
   bool policy :1;
-  bool may_load :1;
   bool rollout_id :1;
 } _EndpointOrder__isset;
 
@@ -1818,77 +2559,89 @@
   EndpointOrder& operator=(const EndpointOrder&);
   EndpointOrder() noexcept
                 : endpoint_id(),
-                  term(0),
-                  revision(0),
+                  incarnation(0),
+                  token_term(0),
+                  token_revision(0),
                   model(),
-                  version(),
+                  adapter(),
                   kind(0),
+                  version(),
+                  base_version(),
                   origin(),
                   root(),
                   policy(0),
-                  may_load(0),
                   rollout_id() {
   }
 
   virtual ~EndpointOrder() noexcept;
   std::string endpoint_id;
-  int64_t term;
-  int64_t revision;
+  int64_t incarnation;
+  int64_t token_term;
+  int64_t token_revision;
   std::string model;
-  std::string version;
+  std::string adapter;
   int16_t kind;
+  std::string version;
+  std::string base_version;
   std::string origin;
   std::string root;
   int16_t policy;
-  bool may_load;
   std::string rollout_id;
 
   _EndpointOrder__isset __isset;
 
   void __set_endpoint_id(const std::string& val);
 
-  void __set_term(const int64_t val);
+  void __set_incarnation(const int64_t val);
 
-  void __set_revision(const int64_t val);
+  void __set_token_term(const int64_t val);
+
+  void __set_token_revision(const int64_t val);
 
   void __set_model(const std::string& val);
 
-  void __set_version(const std::string& val);
+  void __set_adapter(const std::string& val);
 
   void __set_kind(const int16_t val);
 
+  void __set_version(const std::string& val);
+
+  void __set_base_version(const std::string& val);
+
   void __set_origin(const std::string& val);
 
   void __set_root(const std::string& val);
 
   void __set_policy(const int16_t val);
 
-  void __set_may_load(const bool val);
-
   void __set_rollout_id(const std::string& val);
 
   bool operator == (const EndpointOrder & rhs) const
   {
     if (!(endpoint_id == rhs.endpoint_id))
       return false;
-    if (!(term == rhs.term))
+    if (!(incarnation == rhs.incarnation))
       return false;
-    if (!(revision == rhs.revision))
+    if (!(token_term == rhs.token_term))
+      return false;
+    if (!(token_revision == rhs.token_revision))
       return false;
     if (!(model == rhs.model))
       return false;
-    if (!(version == rhs.version))
+    if (!(adapter == rhs.adapter))
       return false;
     if (!(kind == rhs.kind))
       return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(base_version == rhs.base_version))
+      return false;
     if (!(origin == rhs.origin))
       return false;
     if (!(root == rhs.root))
       return false;
     if (!(policy == rhs.policy))
       return false;
-    if (!(may_load == rhs.may_load))
-      return false;
     if (!(rollout_id == rhs.rollout_id))
       return false;
     return true;
@@ -2084,9 +2837,8 @@
 std::ostream& operator<<(std::ostream& out, const OrderBatch& obj);
 
 typedef struct _LoadBatch__isset {
-  _LoadBatch__isset() : reports(false), leaving(false) {}
+  _LoadBatch__isset() : reports(false) {}
   bool reports :1;
-  bool leaving :1;
 } _LoadBatch__isset;
 
 class LoadBatch : public virtual ::apache::thrift::TBase {
@@ -2094,26 +2846,20 @@
 
   LoadBatch(const LoadBatch&);
   LoadBatch& operator=(const LoadBatch&);
-  LoadBatch() noexcept
-            : leaving(0) {
+  LoadBatch() noexcept {
   }
 
   virtual ~LoadBatch() noexcept;
   std::vector<EndpointReport>  reports;
-  bool leaving;
 
   _LoadBatch__isset __isset;
 
   void __set_reports(const std::vector<EndpointReport> & val);
 
-  void __set_leaving(const bool val);
-
   bool operator == (const LoadBatch & rhs) const
   {
     if (!(reports == rhs.reports))
       return false;
-    if (!(leaving == rhs.leaving))
-      return false;
     return true;
   }
   bool operator != (const LoadBatch &rhs) const {
@@ -2132,38 +2878,44 @@
 
 std::ostream& operator<<(std::ostream& out, const LoadBatch& obj);
 
-typedef struct _AgreementMessage__isset {
-  _AgreementMessage__isset() : payload(false) {}
-  bool payload :1;
-} _AgreementMessage__isset;
+typedef struct _JoinRequest__isset {
+  _JoinRequest__isset() : id(false), has_disk(false) {}
+  bool id :1;
+  bool has_disk :1;
+} _JoinRequest__isset;
 
-class AgreementMessage : public virtual ::apache::thrift::TBase {
+class JoinRequest : public virtual ::apache::thrift::TBase {
  public:
 
-  AgreementMessage(const AgreementMessage&);
-  AgreementMessage& operator=(const AgreementMessage&);
-  AgreementMessage() noexcept
-                   : payload() {
+  JoinRequest(const JoinRequest&);
+  JoinRequest& operator=(const JoinRequest&);
+  JoinRequest() noexcept
+              : has_disk(0) {
   }
 
-  virtual ~AgreementMessage() noexcept;
-  std::string payload;
+  virtual ~JoinRequest() noexcept;
+  ReplicaId id;
+  bool has_disk;
 
-  _AgreementMessage__isset __isset;
+  _JoinRequest__isset __isset;
 
-  void __set_payload(const std::string& val);
+  void __set_id(const ReplicaId& val);
 
-  bool operator == (const AgreementMessage & rhs) const
+  void __set_has_disk(const bool val);
+
+  bool operator == (const JoinRequest & rhs) const
   {
-    if (!(payload == rhs.payload))
+    if (!(id == rhs.id))
+      return false;
+    if (!(has_disk == rhs.has_disk))
       return false;
     return true;
   }
-  bool operator != (const AgreementMessage &rhs) const {
+  bool operator != (const JoinRequest &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const AgreementMessage & ) const;
+  bool operator < (const JoinRequest & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -2171,12 +2923,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(AgreementMessage &a, AgreementMessage &b);
+void swap(JoinRequest &a, JoinRequest &b);
 
-std::ostream& operator<<(std::ostream& out, const AgreementMessage& obj);
+std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : agreement(false), propose_request(false), propose_reply(false), agent_heartbeat(false), home_reply(false), order_batch(false), load_batch(false) {}
+  _PeerMessage__isset() : agreement(false), propose_request(false), propose_reply(false), agent_heartbeat(false), home_reply(false), order_batch(false), load_batch(false), join_request(false) {}
   bool agreement :1;
   bool propose_request :1;
   bool propose_reply :1;
@@ -2184,6 +2936,7 @@
   bool home_reply :1;
   bool order_batch :1;
   bool load_batch :1;
+  bool join_request :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -2202,6 +2955,7 @@
   HomeReply home_reply;
   OrderBatch order_batch;
   LoadBatch load_batch;
+  JoinRequest join_request;
 
   _PeerMessage__isset __isset;
 
@@ -2219,6 +2973,8 @@
 
   void __set_load_batch(const LoadBatch& val);
 
+  void __set_join_request(const JoinRequest& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.agreement != rhs.__isset.agreement)
@@ -2249,6 +3005,10 @@
       return false;
     else if (__isset.load_batch && !(load_batch == rhs.load_batch))
       return false;
+    if (__isset.join_request != rhs.__isset.join_request)
+      return false;
+    else if (__isset.join_request && !(join_request == rhs.join_request))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
@@ -2268,13 +3028,14 @@
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : protocol(false), sender(false), incarnation(false), sender_address(false), sent_at_ns(false), echo_ns(false), body(false) {}
+  _Frame__isset() : protocol(false), sender(false), incarnation(false), sender_address(false), sent_at_ns(false), echo_ns(false), applied_revision(false), body(false) {}
   bool protocol :1;
   bool sender :1;
   bool incarnation :1;
   bool sender_address :1;
   bool sent_at_ns :1;
   bool echo_ns :1;
+  bool applied_revision :1;
   bool body :1;
 } _Frame__isset;
 
@@ -2289,7 +3050,8 @@
           incarnation(0),
           sender_address(),
           sent_at_ns(0),
-          echo_ns(0) {
+          echo_ns(0),
+          applied_revision(0) {
   }
 
   virtual ~Frame() noexcept;
@@ -2299,6 +3061,7 @@
   std::string sender_address;
   int64_t sent_at_ns;
   int64_t echo_ns;
+  int64_t applied_revision;
   PeerMessage body;
 
   _Frame__isset __isset;
@@ -2315,6 +3078,8 @@
 
   void __set_echo_ns(const int64_t val);
 
+  void __set_applied_revision(const int64_t val);
+
   void __set_body(const PeerMessage& val);
 
   bool operator == (const Frame & rhs) const
@@ -2331,6 +3096,8 @@
       return false;
     if (!(echo_ns == rhs.echo_ns))
       return false;
+    if (!(applied_revision == rhs.applied_revision))
+      return false;
     if (!(body == rhs.body))
       return false;
     return true;
--- a/src/codec/record_codec.cc
+++ b/src/codec/record_codec.cc
@@ -17,6 +17,7 @@
   copy(d.request_id, w.request_id);
   copy(d.base_revision, w.base_revision);
   copy(d.operator_name, w.operator_name);
+  copy(d.seen_revision, w.seen_revision);
 }
 
 template <typename C, typename D, typename W>
@@ -31,6 +32,8 @@
   copy(d.minimum_serving, w.minimum_serving);
   copy(d.batch_size, w.batch_size);
   copy(d.failure_limit, w.failure_limit);
+  copy(d.adapter, w.adapter);
+  copy(d.base_version, w.base_version);
 }
 
 template <typename C, typename D, typename W>
@@ -115,6 +118,7 @@
   copy(d.process, w.process);
   copy(d.incarnation, w.incarnation);
   copy(d.http_address, w.http_address);
+  copy(d.peer_address, w.peer_address);
   copy(d.region, w.region);
   copy(d.failure_domain, w.failure_domain);
 }
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -6,6 +6,7 @@
   1: string request_id
   2: i64 base_revision
   3: string operator_name
+  4: i64 seen_revision
 }
 
 struct CreateRollout {
@@ -19,7 +20,8 @@
   8: i32 minimum_serving
   9: i32 batch_size
   10: i32 failure_limit
-  11: string base
+  11: string adapter
+  12: string base_version
 }
 
 struct ControlRollout {
@@ -121,6 +123,7 @@
   3: string http_address
   4: string region
   5: string failure_domain
+  6: string peer_address
 }
 
 struct ProcessLeft {
@@ -148,7 +151,11 @@
   14: ProcessLeft process_left
 }
 
-// Agreement messages travel in the shape of agreement::Message.
+struct ReplicaId {
+  1: string process
+  2: i64 incarnation
+}
+
 struct AgreementEntry {
   1: i64 index
   2: i64 term
@@ -156,6 +163,71 @@
   4: binary data
 }
 
+struct MemberEntry {
+  1: ReplicaId id
+  2: i16 role
+}
+
+struct VoteRequest {
+  1: bool pre_vote
+  2: i64 last_index
+  3: i64 last_term
+}
+
+struct VoteReply {
+  1: bool pre_vote
+  2: bool granted
+}
+
+struct AppendRequest {
+  1: i64 prev_index
+  2: i64 prev_term
+  3: list<AgreementEntry> entries
+  4: i64 commit
+  5: i64 sent_at_ns
+}
+
+struct AppendReply {
+  1: bool success
+  2: i64 match
+  3: i64 prev_index
+  4: i64 hint_index
+  5: i64 hint_term
+  6: i64 sent_at_ns
+}
+
+struct SnapshotPart {
+  1: i64 index
+  2: i64 index_term
+  3: list<MemberEntry> membership
+  4: i64 offset
+  5: i64 total
+  6: binary data
+  7: i64 sent_at_ns
+}
+
+struct SnapshotReply {
+  1: i64 index
+  2: i64 next_offset
+  3: i64 sent_at_ns
+}
+
+union AgreementBody {
+  1: VoteRequest vote_request
+  2: VoteReply vote_reply
+  3: AppendRequest append_request
+  4: AppendReply append_reply
+  5: SnapshotPart snapshot_part
+  6: SnapshotReply snapshot_reply
+}
+
+struct AgreementMessage {
+  1: ReplicaId sender
+  2: ReplicaId receiver
+  3: i64 term
+  4: AgreementBody body
+}
+
 // A proposal that an entry process forwards to the leader.
 struct ProposeRequest {
   1: i64 proposal
@@ -172,45 +244,54 @@
   7: string message
 }
 
+// Progress of one endpoint with one model or adapter, as its agent reports it.
+struct LineReport {
+  1: string model
+  2: string adapter
+  3: i16 replica_state
+  4: binary target_root
+  5: i32 chunks_present
+  6: i32 chunks_total
+  7: binary served_root
+  8: string error
+  9: i64 token_term
+  10: i64 token_revision
+}
+
 // State of one endpoint as its agent reports it.
 struct EndpointReport {
   1: string endpoint_id
   2: i64 incarnation
-  3: i16 replica_state
-  4: string model
-  5: string version
-  6: binary root
-  7: i32 chunks_present
-  8: i32 chunks_total
-  9: i32 running
-  10: i32 waiting
-  11: i32 slots
-  12: string error
-  13: i64 report_number
-  14: i64 order_fencing_term
-  15: i64 order_fencing_revision
-  16: binary verified_root
+  3: i64 report_number
+  4: i32 running
+  5: i32 waiting
+  6: i32 slots
+  7: bool healthy
+  8: list<LineReport> lines
 }
 
 struct AgentHeartbeat {
   1: EndpointJoined endpoint
   2: EndpointReport report
   3: bool leaving
+  4: i64 members_revision
 }
 
-// Command of the leader to one endpoint.
+// Command of the leader to one endpoint about one model or adapter.
 struct EndpointOrder {
   1: string endpoint_id
-  2: i64 term
-  3: i64 revision
-  4: string model
-  5: string version
-  6: i16 kind
-  7: string origin
-  8: binary root
-  9: i16 policy
-  10: bool may_load
-  11: string rollout_id
+  2: i64 incarnation
+  3: i64 token_term
+  4: i64 token_revision
+  5: string model
+  6: string adapter
+  7: i16 kind
+  8: string version
+  9: string base_version
+  10: string origin
+  11: binary root
+  12: i16 policy
+  13: string rollout_id
 }
 
 struct Member {
@@ -223,6 +304,7 @@
 // Answer of the home entry process to a heartbeat.
 struct HomeReply {
   1: list<EndpointOrder> orders
+  // The member list is present only when the agent's revision of it is older.
   2: i64 members_revision
   3: list<Member> members
   4: list<string> entries
@@ -236,11 +318,12 @@
 // Relay of endpoint reports between entry processes.
 struct LoadBatch {
   1: list<EndpointReport> reports
-  2: bool leaving
 }
 
-struct AgreementMessage {
-  1: binary payload
+// A process without a part in the log asks the leader to add it as a learner or standby.
+struct JoinRequest {
+  1: ReplicaId id
+  2: bool has_disk
 }
 
 union PeerMessage {
@@ -251,6 +334,7 @@
   5: HomeReply home_reply
   6: OrderBatch order_batch
   7: LoadBatch load_batch
+  8: JoinRequest join_request
 }
 
 // Every frame between processes. sent_at_ns is the sender's monotonic clock; echo_ns returns the
@@ -262,5 +346,6 @@
   4: string sender_address
   5: i64 sent_at_ns
   6: i64 echo_ns
-  7: PeerMessage body
+  7: i64 applied_revision
+  8: PeerMessage body
 }
