Add the spread module: manifest, members and swarm session

Cause: agents need a pure decision module that names, per chunk, who fetches it from the origin and who passes it on, so that the origin's link carries about one copy.

--- /dev/null
+++ b/src/spread/session_tick.cc
@@ -0,0 +1,296 @@
+#include <algorithm>
+
+#include "session_state.h"
+
+namespace wagtailslip::spread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTakeoverCheck = milliseconds(250);
+constexpr Duration kLongestTick = milliseconds(250);
+// Time in which the neighbours must have answered once before the origin is asked, so that a
+// restarted agent does not fetch what its neighbours hold.
+constexpr Duration kSettleTime = seconds(1);
+// A request that takes this many times the mean is doubled at another source, and given up at
+// kDeadlineFactor times the mean.
+constexpr double kDuplicateFactor = 3;
+constexpr double kDeadlineFactor = 5;
+// A neighbour that offers this many wanted chunks is asked for its bitmap less often.
+constexpr int kEnoughOffers = 16;
+
+}  // namespace
+
+const Session::Waiting& Session::WaitingFor(config::SpreadPolicy policy) {
+  static const Waiting kTimeFirst{seconds(3), seconds(10), milliseconds(250), milliseconds(500), 2};
+  static const Waiting kBytesFirst{seconds(6), seconds(60), seconds(2), seconds(0), 0};
+  return policy == config::SpreadPolicy::kTimeFirst ? kTimeFirst : kBytesFirst;
+}
+
+TickResult Session::Tick(TimePoint now) {
+  TickResult result;
+  result.next = now + kLongestTick;
+  if (ended_) return result;
+  WTS_INVARIANT(started_);
+  ExpireRequests(now, result);
+  if (Complete()) return result;
+  AskAssigned(now, result);
+  AskNeighbours(now, result);
+  if (now >= next_takeover_check_) {
+    next_takeover_check_ = now + kTakeoverCheck;
+    AskTakeovers(now, result);
+    AskFallback(now, result);
+    AskExtra(now, result);
+    AskDuplicates(now, result);
+  }
+  AskBitmaps(now, result);
+  WTS_INVARIANT(requests_.size() <= limits_.outstanding);
+  for (const Request& request : requests_) result.next = std::min(result.next, request.deadline);
+  return result;
+}
+
+void Session::ExpireRequests(TimePoint now, TickResult& result) {
+  for (std::size_t i = requests_.size(); i-- > 0;) {
+    const Request request = requests_[i];
+    const bool present = have_.Test(request.chunk);
+    if (!present && now < request.deadline) continue;
+    const bool origin = request.slot == kOriginSlot;
+    const std::string source = origin ? std::string(kOrigin) : peers_[request.slot].id;
+    result.cancels.push_back({request.chunk, source});
+    if (present) {
+      EndRequest(request.chunk, request.slot, now, false);
+    } else {
+      OnFailure(source, request.chunk, FailureReason::kTimeout, Duration::zero(), now);
+    }
+  }
+  for (Peer& peer : peers_) {
+    if (peer.polling && now >= peer.poll_deadline) {
+      OnFailure(peer.id, std::nullopt, FailureReason::kTimeout, Duration::zero(), now);
+    }
+    std::erase_if(peer.refused, [&](const auto& entry) { return now >= entry.second; });
+  }
+}
+
+Duration Session::Deadline(ChunkIndex chunk) const {
+  const auto size = static_cast<double>(manifest_->chunks[chunk].size);
+  const double expected = seconds_per_byte_ > 0 ? kDeadlineFactor * seconds_per_byte_ * size
+                                                : size / static_cast<double>(limits_.lowest_rate);
+  const auto duration =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(expected, 1e6)));
+  return std::clamp(duration, limits_.min_deadline, limits_.max_deadline);
+}
+
+bool Session::MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const {
+  if (!peer.have.Test(chunk) || now < peer.blocked_until) return false;
+  if (peer.outstanding >= limits_.per_peer) return false;
+  return std::none_of(peer.refused.begin(), peer.refused.end(),
+                      [&](const auto& entry) { return entry.first == chunk; });
+}
+
+bool Session::MayAskOrigin(TimePoint now) const {
+  return origin_requests_ < limits_.to_origin && origin_.MayAsk(now) &&
+         requests_.size() < limits_.outstanding;
+}
+
+bool Session::Settled(TimePoint now) const {
+  if (now - started_at_ >= kSettleTime) return true;
+  return std::all_of(peers_.begin(), peers_.end(), [](const Peer& peer) { return peer.contacted; });
+}
+
+bool Session::Hopeless(Slot slot, TimePoint now) const {
+  if (slot >= peers_.size()) return true;
+  const Peer& peer = peers_[slot];
+  return now - peer.progress_at >= WaitingFor(policy_).takeover;
+}
+
+bool Session::Owns(ChunkIndex chunk, TimePoint now) const {
+  const ChunkPlan& plan = plan_.chunks[chunk];
+  if (plan.rank == kNoRank) return false;
+  for (std::size_t i = 0; i < plan.rank; ++i) {
+    // Each fetcher further down waits longer, so that they do not all take over at once.
+    const Duration step = WaitingFor(policy_).takeover * (plan.rank - 1) / 2;
+    if (!Hopeless(plan.order[i], now - step)) return false;
+  }
+  return true;
+}
+
+Slot Session::BestPeer(ChunkIndex chunk, TimePoint now, bool local, bool remote) const {
+  Slot best = kNoSlot;
+  double best_cost = 0;
+  const Slot only = plan_.chunks[chunk].only;
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    const Peer& peer = peers_[i];
+    if (peer.local ? !local : !remote) continue;
+    if (only != kNoSlot && i != only) continue;
+    if (!MayAsk(peer, chunk, now)) continue;
+    const double pace = peer.seconds_per_byte > 0 ? peer.seconds_per_byte : seconds_per_byte_;
+    const double cost = static_cast<double>(peer.outstanding + 1) * (pace > 0 ? pace : 1);
+    if (best == kNoSlot || cost < best_cost) {
+      best = static_cast<Slot>(i);
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+void Session::Ask(ChunkIndex chunk, Slot slot, TimePoint now, TickResult& result) {
+  WTS_INVARIANT(requests_.size() < limits_.outstanding);
+  WTS_INVARIANT(in_flight_[chunk] < limits_.sources_per_chunk);
+  WTS_INVARIANT(!have_.Test(chunk));
+  Fetch fetch{chunk,
+              manifest_->chunks[chunk].digest,
+              manifest_->chunks[chunk].size,
+              std::string(kOrigin),
+              "",
+              now + Deadline(chunk)};
+  if (slot == kOriginSlot) {
+    ++origin_requests_;
+  } else {
+    Peer& peer = peers_[slot];
+    ++peer.outstanding;
+    fetch.source = peer.id;
+    fetch.address = peer.address;
+  }
+  ++in_flight_[chunk];
+  requests_.push_back({chunk, slot, now, fetch.deadline});
+  result.fetches.push_back(std::move(fetch));
+}
+
+void Session::AskAssigned(TimePoint now, TickResult& result) {
+  std::erase_if(assigned_, [&](ChunkIndex c) { return have_.Test(c); });
+  for (const ChunkIndex c : assigned_) {
+    if (requests_.size() >= limits_.outstanding) return;
+    if (InFlight(c)) continue;
+    const Slot peer = BestPeer(c, now, true, true);
+    if (peer != kNoSlot) {
+      Ask(c, peer, now, result);
+    } else if (plan_.chunks[c].from_origin && copies_[c] == 0 && MayAskOrigin(now) &&
+               Settled(now)) {
+      Ask(c, kOriginSlot, now, result);
+    }
+  }
+}
+
+void Session::AskNeighbours(TimePoint now, TickResult& result) {
+  std::vector<std::uint64_t> offered(have_.words().size());
+  while (requests_.size() < limits_.outstanding) {
+    std::fill(offered.begin(), offered.end(), 0);
+    for (const Peer& peer : peers_) {
+      if (!peer.local || now < peer.blocked_until || peer.outstanding >= limits_.per_peer) continue;
+      for (std::size_t w = 0; w < offered.size(); ++w) offered[w] |= peer.have.words()[w];
+    }
+    ChunkIndex best = 0;
+    Slot best_slot = kNoSlot;
+    std::uint32_t best_key = ~std::uint32_t{0};
+    for (std::size_t w = 0; w < offered.size(); ++w) {
+      ForEachBit(offered[w] & ~have_.words()[w], w, [&](std::size_t c) {
+        const std::uint32_t key = std::uint32_t{copies_[c]} << 16 | priority_[c];
+        if (key >= best_key || in_flight_[c] > 0) return;
+        const Slot slot = BestPeer(static_cast<ChunkIndex>(c), now, true, false);
+        if (slot == kNoSlot) return;
+        best = static_cast<ChunkIndex>(c);
+        best_slot = slot;
+        best_key = key;
+      });
+    }
+    if (best_slot == kNoSlot) return;
+    Ask(best, best_slot, now, result);
+  }
+}
+
+void Session::AskTakeovers(TimePoint now, TickResult& result) {
+  std::erase_if(substitute_, [&](ChunkIndex c) { return have_.Test(c); });
+  for (const ChunkIndex c : substitute_) {
+    if (requests_.size() >= limits_.outstanding) return;
+    if (InFlight(c) || copies_[c] > 0 || !Owns(c, now)) continue;
+    const Slot peer = BestPeer(c, now, false, true);
+    if (peer != kNoSlot) {
+      Ask(c, peer, now, result);
+      ++stats_.takeovers;
+    } else if (plan_.chunks[c].from_origin && MayAskOrigin(now)) {
+      Ask(c, kOriginSlot, now, result);
+      ++stats_.takeovers;
+    }
+  }
+}
+
+void Session::AskFallback(TimePoint now, TickResult& result) {
+  const Waiting& waiting = WaitingFor(policy_);
+  const auto position = static_cast<std::int64_t>(
+      MixHash(Hash64(self_), PlacementKey(manifest_->root)) % members_->size());
+  if (now - progress_at_ < waiting.fallback + waiting.fallback_step * position) return;
+  if (!MayAskOrigin(now)) return;
+  ChunkIndex best = kMaxChunks;
+  for (ChunkIndex c = 0; c < have_.size(); ++c) {
+    if (have_.Test(c) || InFlight(c) || copies_[c] > 0) continue;
+    if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
+  }
+  if (best == kMaxChunks) return;
+  Ask(best, kOriginSlot, now, result);
+  ++stats_.takeovers;
+}
+
+void Session::AskExtra(TimePoint now, TickResult& result) {
+  // A session with requests under way, or with less than half of the chunks, leaves the origin to
+  // the assigned fetchers: until the first copy is out, another copy only delays it.
+  if (!requests_.empty() || present_ * 2 < have_.size()) {
+    idle_since_ = now;
+    return;
+  }
+  const Waiting& waiting = WaitingFor(policy_);
+  if (extra_taken_ >= extra_limit_ || now - idle_since_ < waiting.extra || !MayAskOrigin(now))
+    return;
+  ChunkIndex best = kMaxChunks;
+  for (ChunkIndex c = 0; c < have_.size(); ++c) {
+    if (have_.Test(c) || copies_[c] > 0) continue;
+    if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
+  }
+  if (best == kMaxChunks) return;
+  ++extra_taken_;
+  Ask(best, kOriginSlot, now, result);
+}
+
+void Session::AskDuplicates(TimePoint now, TickResult& result) {
+  for (std::size_t i = 0; i < requests_.size(); ++i) {
+    const Request request = requests_[i];
+    if (requests_.size() >= limits_.outstanding) return;
+    if (in_flight_[request.chunk] >= limits_.sources_per_chunk || seconds_per_byte_ == 0) continue;
+    const double expected =
+        seconds_per_byte_ * static_cast<double>(manifest_->chunks[request.chunk].size);
+    if (ToSeconds(now - request.started) < kDuplicateFactor * expected) continue;
+    Slot best = kNoSlot;
+    for (std::size_t s = 0; s < peers_.size(); ++s) {
+      if (s == request.slot || !peers_[s].local) continue;
+      if (plan_.chunks[request.chunk].only != kNoSlot) continue;
+      if (MayAsk(peers_[s], request.chunk, now) &&
+          (best == kNoSlot || peers_[s].outstanding < peers_[best].outstanding)) {
+        best = static_cast<Slot>(s);
+      }
+    }
+    if (best != kNoSlot) Ask(request.chunk, best, now, result);
+  }
+}
+
+void Session::AskBitmaps(TimePoint now, TickResult& result) {
+  for (Peer& peer : peers_) {
+    if (peer.polling || peer.have_count == have_.size()) continue;
+    const TimePoint due = std::max(peer.next_poll, peer.blocked_until);
+    if (now < due) {
+      result.next = std::min(result.next, due);
+      continue;
+    }
+    int offers = 0;
+    for (std::size_t w = 0; w < peer.have.words().size(); ++w) {
+      offers += std::popcount(peer.have.words()[w] & ~have_.words()[w]);
+    }
+    peer.polling = true;
+    peer.poll_deadline = now + limits_.poll_timeout;
+    peer.next_poll = now + limits_.poll_interval * (offers >= kEnoughOffers ? 3 : 1);
+    ++stats_.polls;
+    result.polls.push_back({peer.id, peer.address, peer.poll_deadline});
+    result.next = std::min(result.next, peer.poll_deadline);
+  }
+}
+
+}  // namespace wagtailslip::spread
--- /dev/null
+++ b/src/spread/strategy.cc
@@ -0,0 +1,180 @@
+#include "wagtailslip/spread/strategy.h"
+
+#include <algorithm>
+
+namespace wagtailslip::spread {
+namespace {
+
+// Distinguishes the uses of one root digest as a rendezvous key.
+constexpr std::uint64_t kFetcherSalt = 0x66657463;
+constexpr std::uint64_t kNeighbourSalt = 0x6e656967;
+constexpr std::uint64_t kOrderSalt = 0x6f726465;
+
+class OriginOnly : public Strategy {
+ public:
+  StrategyKind kind() const override { return StrategyKind::kOriginOnly; }
+
+  Plan MakePlan(const Manifest& manifest, const Members&, MemberIndex, std::size_t) const override {
+    Plan plan;
+    plan.chunks.assign(manifest.chunks.size(), ChunkPlan{.rank = 0, .from_origin = true});
+    return plan;
+  }
+};
+
+/// `stripes` trees with `fanout` children per member; chunk c belongs to the tree c % stripes. Each
+/// tree has its own member order, so that a member that is inner in one is mostly a leaf in others.
+/// A chain is one tree of fan-out 1.
+class Trees : public Strategy {
+ public:
+  Trees(StrategyKind kind, std::size_t stripes, std::size_t fanout)
+      : kind_(kind), stripes_(stripes), fanout_(fanout) {}
+
+  StrategyKind kind() const override { return kind_; }
+
+  Plan MakePlan(const Manifest& manifest, const Members& members, MemberIndex self,
+                std::size_t) const override {
+    const std::size_t n = members.size();
+    const std::uint64_t key = MixHash(PlacementKey(manifest.root), kOrderSalt);
+    std::vector<std::pair<std::uint64_t, MemberIndex>> order;
+    for (MemberIndex i = 0; i < n; ++i) order.emplace_back(members.Score(i, key), i);
+    std::sort(order.begin(), order.end());
+    std::size_t own = 0;
+    while (order[own].second != self) ++own;
+    Plan plan;
+    plan.chunks.resize(manifest.chunks.size());
+    for (std::size_t stripe = 0; stripe < stripes_; ++stripe) {
+      // Rotating one order by n / stripes makes the inner members of the trees differ.
+      const std::size_t shift = stripe * n / stripes_;
+      const std::size_t position = (own + n - shift) % n;
+      Slot parent = kNoSlot;
+      if (position > 0) {
+        const MemberIndex member = order[((position - 1) / fanout_ + shift) % n].second;
+        const auto it = std::find_if(plan.neighbours.begin(), plan.neighbours.end(),
+                                     [&](const Neighbour& p) { return p.member == member; });
+        parent = static_cast<Slot>(it - plan.neighbours.begin());
+        if (it == plan.neighbours.end()) plan.neighbours.push_back({member, true});
+      }
+      for (std::size_t c = stripe; c < plan.chunks.size(); c += stripes_) {
+        plan.chunks[c].only = parent;
+        plan.chunks[c].from_origin = true;
+        if (position == 0) plan.chunks[c].rank = 0;
+      }
+    }
+    return plan;
+  }
+
+ private:
+  StrategyKind kind_;
+  std::size_t stripes_;
+  std::size_t fanout_;
+};
+
+class Swarm : public Strategy {
+ public:
+  StrategyKind kind() const override { return StrategyKind::kSwarm; }
+
+  Plan MakePlan(const Manifest& manifest, const Members& members, MemberIndex self,
+                std::size_t neighbours) const override {
+    const std::uint64_t key = PlacementKey(manifest.root);
+    const std::uint32_t region = members.RegionOf(self);
+    std::vector<std::vector<MemberIndex>> fetchers;
+    for (std::uint32_t r = 0; r < members.regions().size(); ++r) {
+      fetchers.push_back(members.First(r, MixHash(key, kFetcherSalt), kFetchersPerRegion));
+    }
+    Plan plan;
+    const auto add = [&](MemberIndex member, bool local) {
+      if (member != self && SlotOf(plan, member) == kNoSlot && plan.neighbours.size() < kMaxSlots) {
+        plan.neighbours.push_back({member, local});
+      }
+    };
+    for (const MemberIndex member : ChooseNeighbours(members, self, key, neighbours)) {
+      add(member, true);
+    }
+    const auto& own = fetchers[region];
+    const bool fetcher = std::find(own.begin(), own.end(), self) != own.end();
+    if (fetcher) {
+      for (std::uint32_t r = 0; r < fetchers.size(); ++r) {
+        for (const MemberIndex member : fetchers[r]) add(member, r == region);
+      }
+    }
+    plan.chunks.resize(manifest.chunks.size());
+    for (std::size_t c = 0; c < plan.chunks.size(); ++c) {
+      const std::uint64_t chunk_key = PlacementKey(manifest.chunks[c].digest);
+      plan.chunks[c].from_origin = members.HomeRegion(chunk_key) == region;
+      if (fetcher) Rank(members, plan, own, self, chunk_key, plan.chunks[c]);
+    }
+    return plan;
+  }
+
+ private:
+  static Slot SlotOf(const Plan& plan, MemberIndex member) {
+    for (std::size_t i = 0; i < plan.neighbours.size(); ++i) {
+      if (plan.neighbours[i].member == member) return static_cast<Slot>(i);
+    }
+    return kNoSlot;
+  }
+
+  static void Rank(const Members& members, const Plan& plan, const std::vector<MemberIndex>& own,
+                   MemberIndex self, std::uint64_t chunk_key, ChunkPlan& chunk) {
+    std::array<std::pair<std::uint64_t, MemberIndex>, kFetchersPerRegion> scored;
+    for (std::size_t i = 0; i < own.size(); ++i) {
+      scored[i] = {members.Score(own[i], chunk_key), own[i]};
+    }
+    std::sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(own.size()),
+              std::greater<>());
+    for (std::size_t i = 0; i < own.size(); ++i) {
+      const bool is_self = scored[i].second == self;
+      if (is_self) chunk.rank = static_cast<std::uint8_t>(i);
+      chunk.order[i] = is_self ? kSelfSlot : SlotOf(plan, scored[i].second);
+    }
+  }
+
+  /// Neighbours inside the region in rendezvous order, taken from the failure domains in turn so
+  /// that the loss of one domain leaves most neighbours.
+  static std::vector<MemberIndex> ChooseNeighbours(const Members& members, MemberIndex self,
+                                                   std::uint64_t key, std::size_t count) {
+    const std::uint64_t own_key = MixHash(members.Score(self, key), kNeighbourSalt);
+    // Half from any domain in pure order, the rest with at most one more from each domain in turn.
+    std::vector<MemberIndex> order = members.First(members.RegionOf(self), own_key, count * 4 + 1);
+    std::erase(order, self);
+    std::vector<MemberIndex> chosen;
+    while (chosen.size() < count && !order.empty()) {
+      std::vector<std::string_view> used;
+      std::vector<MemberIndex> rest;
+      for (const MemberIndex member : order) {
+        const std::string_view domain = members[member].failure_domain;
+        const bool taken = std::find(used.begin(), used.end(), domain) != used.end();
+        if (!taken && chosen.size() < count) {
+          used.push_back(domain);
+          chosen.push_back(member);
+        } else {
+          rest.push_back(member);
+        }
+      }
+      order = std::move(rest);
+    }
+    return chosen;
+  }
+};
+
+}  // namespace
+
+std::shared_ptr<const Strategy> MakeStrategy(StrategyKind kind) {
+  // Fan-out 2 and 4 stripes: with fan-out 2 a tree's depth stays at log2 of the members, and 4
+  // stripes let each member's link carry about as much up as down.
+  switch (kind) {
+    case StrategyKind::kOriginOnly:
+      return std::make_shared<OriginOnly>();
+    case StrategyKind::kChain:
+      return std::make_shared<Trees>(kind, 1, 1);
+    case StrategyKind::kTree:
+      return std::make_shared<Trees>(kind, 1, 2);
+    case StrategyKind::kInterleavedTrees:
+      return std::make_shared<Trees>(kind, 4, 4);
+    case StrategyKind::kSwarm:
+      return std::make_shared<Swarm>();
+  }
+  throw SpreadError("unknown strategy");
+}
+
+}  // namespace wagtailslip::spread
