Add configuration state machine, rollout chart and controller

Cause: the entry process needs the decisions on rollouts, rules, endpoints, at-most-once calls and scheduled changes before it can be wired up. A rollout's `open` record carries a batch number, because two decisions made from the same state would otherwise open more endpoints than a batch holds.

--- a/include/wagtailslip/config/record.h
+++ b/include/wagtailslip/config/record.h
@@ -9,6 +9,7 @@
 
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/base/enum_table.h"
+#include "wagtailslip/base/error.h"
 #include "wagtailslip/base/time.h"
 
 namespace wagtailslip::config {
@@ -52,6 +53,9 @@
   std::string request_id;
   /// Revision of the named object that the operator saw; 0 for an object that must not exist yet.
   Revision base_revision = 0;
+  /// Configuration revision that the operator saw when the command was first sent; 0 if unknown.
+  /// A resend keeps it, so that a command older than the request-id memory is recognised.
+  Revision seen_revision = 0;
   /// Name of the operator, for the audit trail.
   std::string operator_name;
 };
@@ -62,6 +66,9 @@
   std::string model;
   std::string version;
   ArtifactKind kind = ArtifactKind::kModel;
+  /// Name of the adapter and the version of the model that it needs; empty for a model.
+  std::string adapter;
+  std::string base_version;
   /// Address "ip:port" of the origin that has the manifest and the chunks.
   std::string origin;
   /// Root digest of the manifest.
@@ -87,9 +94,14 @@
   std::string rollout_id;
   /// Event of the rollout state chart.
   std::string event;
-  /// Endpoints that may swap from now on.
+  /// Endpoints that may swap from now on, that have swapped, or that failed.
   std::vector<std::string> endpoints;
   std::string reason;
+  /// Number of the batch that an "open" starts. One that is not the next is stale and refused, so
+  /// that two decisions made from the same state do not open two batches.
+  std::uint32_t batch = 0;
+  /// Whether the event belongs to the way back to the last good version.
+  bool returning = false;
 };
 
 /// Priority rule for a client account and a request kind. "*" matches any.
--- /dev/null
+++ b/include/wagtailslip/rollout/chart.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wagtailslip/base/enum_table.h"
+#include "wagtailslip/base/error.h"
+
+namespace wagtailslip::rollout {
+
+/// A state chart that cannot be used.
+class ChartError : public Error {
+ public:
+  using Error::Error;
+};
+
+/// What a state does with an event.
+enum class Reaction { kMove, kIgnore, kRefuse };
+inline constexpr EnumTable<Reaction, 3> kReactions{
+    {{{Reaction::kMove, "on"}, {Reaction::kIgnore, "ignore"}, {Reaction::kRefuse, "refuse"}}}};
+
+/// Result of an event in a state.
+struct Transition {
+  Reaction reaction = Reaction::kRefuse;
+  /// State after the event; the same state unless the reaction is kMove.
+  std::string next;
+  /// Why the event is refused.
+  std::string reason;
+};
+
+/// Interprets a state chart. The format is described in charts/rollout.chart.
+class Chart {
+ public:
+  /// Parses and checks a chart: every state is reachable and reacts to every event.
+  /// @throws ChartError with the line or the state and event at fault
+  static Chart Parse(std::string_view text);
+
+  const std::string& name() const { return name_; }
+  const std::string& initial() const { return initial_; }
+  const std::set<std::string, std::less<>>& events() const { return events_; }
+  std::vector<std::string> states() const;
+
+  /// Reaction of a state to an event. An event that the chart does not declare is refused.
+  /// @throws ChartError if the state is unknown
+  const Transition& Fire(std::string_view state, std::string_view event) const;
+  /// Whether no event moves on from the state.
+  bool Final(std::string_view state) const;
+
+ private:
+  void ParseLine(std::string_view line, int number, std::string& state);
+  void Check() const;
+
+  std::string name_;
+  std::string initial_;
+  std::set<std::string, std::less<>> events_;
+  std::map<std::string, std::map<std::string, Transition, std::less<>>, std::less<>> states_;
+  Transition unknown_event_{Reaction::kRefuse, "", "the chart does not declare this event"};
+};
+
+/// Charts of charts/, embedded at build time and parsed on first use.
+/// @throws ChartError
+const Chart& RolloutChart();
+const Chart& ReplicaChart();
+
+}  // namespace wagtailslip::rollout
--- /dev/null
+++ b/src/config/calls.cc
@@ -0,0 +1,197 @@
+// At-most-once calls: intents and outcomes within a bounded window.
+#include <algorithm>
+
+#include "wagtailslip/config/state_machine.h"
+
+namespace wagtailslip::config {
+namespace {
+
+/// Oldest calls examined for a settled one when the window is full.
+constexpr int kRetireScan = 64;
+
+}  // namespace
+
+bool StateMachine::KeyForgotten(const std::string& map_key,
+                                const std::optional<UtcTime>& issued) const {
+  return issued ? *issued <= state_.call_floor : retired_.contains(Hash64(map_key));
+}
+
+ApplyResult StateMachine::On(const IntentRecorded& record) {
+  if (record.account.empty()) return Rejected("invalid", "account", "the account is missing");
+  if (record.key.empty() || record.key.size() > 256) {
+    return Rejected("invalid", "key", "an idempotency key has 1 to 256 characters");
+  }
+  const auto owner = state_.processes.find(record.owner);
+  if (owner == state_.processes.end() || !owner->second.present ||
+      owner->second.info.incarnation != record.owner_incarnation) {
+    return Rejected("owner_not_live", "owner", "the entry process is not a live incarnation");
+  }
+  const std::string map_key = CallKey(record.account, record.key);
+  const auto it = state_.calls.find(map_key);
+  if (it != state_.calls.end()) {
+    Call& call = it->second;
+    if (call.request != record.request) {
+      return Rejected("key_reused", "key", "the idempotency key was used with another request");
+    }
+    if (call.outcome != CallOutcome::kNotRun) {
+      ApplyResult result = Unchanged(record.key);
+      result.status = ApplyStatus::kRepeated;
+      return result;
+    }
+    // The earlier attempt was not run, so this one may be.
+    WTS_INVARIANT(call.runs == 0);
+    call.owner = record.owner;
+    call.owner_incarnation = record.owner_incarnation;
+    call.outcome = CallOutcome::kPending;
+    call.status = 0;
+    call.runs = 1;
+    pending_[call.owner].insert(map_key);
+    return Applied(record.key);
+  }
+  const auto issued = KeyTime(record.key);
+  const UtcTime clock = std::max(state_.call_clock, record.at);
+  if (KeyForgotten(map_key, issued) || (issued && *issued + limits_.call_age <= clock)) {
+    return Rejected("key_expired", "key", "the idempotency key is older than the window");
+  }
+  if (issued && *issued > record.at + kKeyClockSkew) {
+    return Rejected("key_from_future", "key", "the key's issue time is in the future");
+  }
+  if (record.at + limits_.call_age <= clock) {
+    return Rejected("key_expired", "at", "the record is older than the window");
+  }
+  state_.call_clock = clock;
+  ForgetCalls();
+  if (state_.calls.size() >= limits_.calls) {
+    return Rejected("window_full", "key", "too many at-most-once calls are in progress");
+  }
+  Call call;
+  call.account = record.account;
+  call.key = record.key;
+  call.request = record.request;
+  call.owner = record.owner;
+  call.owner_incarnation = record.owner_incarnation;
+  call.at = record.at;
+  call.sequence = state_.next_sequence++;
+  call.runs = 1;
+  IndexCall(call);
+  state_.calls.emplace(map_key, std::move(call));
+  return Applied(record.key);
+}
+
+ApplyResult StateMachine::On(const OutcomeRecorded& record) {
+  if (record.outcome == CallOutcome::kPending) {
+    return Rejected("invalid", "outcome", "pending is not an outcome");
+  }
+  const std::string map_key = CallKey(record.account, record.key);
+  const auto it = state_.calls.find(map_key);
+  if (it == state_.calls.end()) {
+    return Rejected("not_found", "key", "there is no intent under this key");
+  }
+  Call& call = it->second;
+  if (call.owner != record.owner || call.owner_incarnation != record.owner_incarnation) {
+    return Rejected("not_owner", "owner", "another process runs this call");
+  }
+  const Digest digest = Sha256(record.body);
+  if (call.outcome != CallOutcome::kPending) {
+    if (call.outcome == record.outcome && call.status == record.status &&
+        call.body_digest == digest) {
+      return Unchanged(record.key);
+    }
+    return Rejected("outcome_final", "outcome",
+                    "the outcome is already " + std::string(kCallOutcomes.Name(call.outcome)));
+  }
+  call.outcome = record.outcome;
+  call.status = record.status;
+  call.content_type = record.content_type;
+  call.body_digest = digest;
+  if (record.outcome == CallOutcome::kNotRun) call.runs = 0;
+  if (record.body.size() <= limits_.call_body_bytes) {
+    call.body = record.body;
+    call.body_kept = true;
+    body_bytes_ += call.body.size();
+    if (!call.body.empty()) body_order_[call.sequence] = map_key;
+    BoundBodies();
+  }
+  if (const auto owned = pending_.find(call.owner); owned != pending_.end()) {
+    owned->second.erase(map_key);
+    if (owned->second.empty()) pending_.erase(owned);
+  }
+  return Applied(record.key);
+}
+
+void StateMachine::BoundBodies() {
+  while (body_bytes_ > limits_.call_bodies_total_bytes && !body_order_.empty()) {
+    Call& call = state_.calls.at(body_order_.begin()->second);
+    body_bytes_ -= call.body.size();
+    call.body.clear();
+    call.body.shrink_to_fit();
+    call.body_kept = false;
+    body_order_.erase(body_order_.begin());
+  }
+}
+
+void StateMachine::SettleOwner(const std::string& process) {
+  const auto owned = pending_.find(process);
+  if (owned == pending_.end()) return;
+  for (const auto& map_key : owned->second) {
+    Call& call = state_.calls.at(map_key);
+    WTS_INVARIANT(call.outcome == CallOutcome::kPending);
+    call.outcome = CallOutcome::kUnknown;
+  }
+  pending_.erase(owned);
+}
+
+void StateMachine::ForgetCalls() {
+  while (!call_order_.empty()) {
+    const auto oldest = call_order_.begin();
+    if (state_.calls.at(oldest->second).at + limits_.call_age > state_.call_clock) break;
+    RetireCall(oldest->first);
+  }
+  if (state_.calls.size() < limits_.calls) return;
+  auto it = call_order_.begin();
+  for (int n = 0; n < kRetireScan && it != call_order_.end(); ++n, ++it) {
+    if (state_.calls.at(it->second).outcome == CallOutcome::kPending) continue;
+    RetireCall(it->first);
+    return;
+  }
+}
+
+void StateMachine::RetireCall(std::uint64_t sequence) {
+  const auto order = call_order_.find(sequence);
+  const std::string map_key = order->second;
+  const Call& call = state_.calls.at(map_key);
+  if (const auto issued = KeyTime(call.key)) {
+    state_.call_floor = std::max(state_.call_floor, *issued);
+  } else {
+    state_.retired_keys.push_back(Hash64(map_key));
+    ++retired_[state_.retired_keys.back()];
+    // Hashes are dropped a quarter at a time, so that erasing from the front stays cheap.
+    if (state_.retired_keys.size() > limits_.retired_keys + limits_.retired_keys / 4) {
+      const auto end =
+          state_.retired_keys.end() - static_cast<std::ptrdiff_t>(limits_.retired_keys);
+      for (auto it = state_.retired_keys.begin(); it != end; ++it) {
+        if (--retired_[*it] == 0) retired_.erase(*it);
+      }
+      state_.retired_keys.erase(state_.retired_keys.begin(), end);
+    }
+  }
+  if (body_order_.erase(sequence) > 0) body_bytes_ -= call.body.size();
+  if (const auto owned = pending_.find(call.owner); owned != pending_.end()) {
+    owned->second.erase(map_key);
+    if (owned->second.empty()) pending_.erase(owned);
+  }
+  call_order_.erase(order);
+  state_.calls.erase(map_key);
+}
+
+void StateMachine::IndexCall(const Call& call) {
+  const std::string map_key = CallKey(call.account, call.key);
+  WTS_INVARIANT(call_order_.emplace(call.sequence, map_key).second);
+  if (call.outcome == CallOutcome::kPending) pending_[call.owner].insert(map_key);
+  if (!call.body.empty()) {
+    body_bytes_ += call.body.size();
+    body_order_[call.sequence] = map_key;
+  }
+}
+
+}  // namespace wagtailslip::config
--- /dev/null
+++ b/src/config/endpoints.cc
@@ -0,0 +1,148 @@
+// Endpoints and entry processes.
+#include "wagtailslip/config/state_machine.h"
+
+namespace wagtailslip::config {
+namespace {
+
+bool SameInfo(const EndpointJoined& a, const EndpointJoined& b) {
+  return a.incarnation == b.incarnation && a.role == b.role && a.address == b.address &&
+         a.agent_address == b.agent_address && a.model == b.model && a.region == b.region &&
+         a.failure_domain == b.failure_domain && a.obeys_fencing == b.obeys_fencing &&
+         a.checks_sender == b.checks_sender;
+}
+
+bool SameInfo(const ProcessStarted& a, const ProcessStarted& b) {
+  return a.incarnation == b.incarnation && a.http_address == b.http_address &&
+         a.region == b.region && a.failure_domain == b.failure_domain;
+}
+
+}  // namespace
+
+ApplyResult StateMachine::On(const EndpointJoined& record) {
+  if (record.endpoint_id.empty()) return Rejected("invalid", "endpoint_id", "the id is missing");
+  if (record.address.empty()) return Rejected("invalid", "address", "the address is missing");
+  if (record.model.empty()) return Rejected("invalid", "model", "the model is missing");
+  const auto it = state_.endpoints.find(record.endpoint_id);
+  if (it != state_.endpoints.end()) {
+    Endpoint& endpoint = it->second;
+    if (record.incarnation < endpoint.info.incarnation) {
+      return Rejected("older_incarnation", "incarnation",
+                      "incarnation " + std::to_string(endpoint.info.incarnation) + " is known");
+    }
+    const bool same = SameInfo(record, endpoint.info);
+    if (record.incarnation == endpoint.info.incarnation && !same) {
+      return Rejected("incarnation_reused", "incarnation",
+                      "the incarnation announced other addresses before");
+    }
+    if (same && endpoint.present) return Unchanged(record.endpoint_id);
+  }
+  Endpoint& endpoint = state_.endpoints[record.endpoint_id];
+  if (endpoint.joined == 0) endpoint.command_revision = state_.revision;
+  endpoint.info = record;
+  endpoint.present = true;
+  endpoint.joined = state_.revision;
+  endpoint.left_reason.clear();
+  // A permission of an earlier rollout does not bind the new incarnation.
+  for (auto& [key, line] : state_.lines) {
+    const auto assigned = line.assigned.find(record.endpoint_id);
+    if (assigned == line.assigned.end()) continue;
+    const Rollout& newest = state_.rollouts.at(line.rollout_id);
+    const std::string target =
+        Returning(newest) && line.last_good ? line.last_good->rollout_id : newest.id;
+    if (assigned->second.artifact.rollout_id == target) {
+      assigned->second.done = false;
+    } else {
+      line.assigned.erase(assigned);
+    }
+  }
+  return Applied(record.endpoint_id);
+}
+
+ApplyResult StateMachine::On(const EndpointLeft& record) {
+  const auto it = state_.endpoints.find(record.endpoint_id);
+  if (it == state_.endpoints.end()) {
+    return Rejected("not_found", "endpoint_id", "there is no endpoint " + record.endpoint_id);
+  }
+  Endpoint& endpoint = it->second;
+  if (record.incarnation != endpoint.info.incarnation) {
+    return Rejected("older_incarnation", "incarnation",
+                    "incarnation " + std::to_string(endpoint.info.incarnation) + " is known");
+  }
+  if (!endpoint.present) return Unchanged(record.endpoint_id);
+  endpoint.present = false;
+  endpoint.left = state_.revision;
+  endpoint.left_reason = record.reason;
+  ForgetEndpoints();
+  return Applied(record.endpoint_id);
+}
+
+void StateMachine::ForgetEndpoints() {
+  std::map<Revision, std::string> absent;
+  if (state_.endpoints.size() <= limits_.absent_endpoints) return;
+  for (const auto& [id, endpoint] : state_.endpoints) {
+    if (!endpoint.present) absent.emplace(endpoint.left, id);
+  }
+  while (absent.size() > limits_.absent_endpoints) {
+    const std::string id = absent.begin()->second;
+    state_.endpoints.erase(id);
+    for (auto& [key, line] : state_.lines) line.assigned.erase(id);
+    absent.erase(absent.begin());
+  }
+}
+
+ApplyResult StateMachine::Run(const DrainEndpoint& command) {
+  const auto it = state_.endpoints.find(command.endpoint_id);
+  if (it == state_.endpoints.end() || !it->second.present) {
+    return Rejected("not_found", "endpoint_id", "there is no endpoint " + command.endpoint_id);
+  }
+  Endpoint& endpoint = it->second;
+  if (command.command.base_revision != endpoint.command_revision) {
+    return Conflict(command.endpoint_id, endpoint.request_id, endpoint.command_revision);
+  }
+  if (endpoint.draining == command.drain) return Unchanged(command.endpoint_id);
+  endpoint.draining = command.drain;
+  endpoint.command_revision = state_.revision;
+  endpoint.request_id = command.command.request_id;
+  return Applied(command.endpoint_id);
+}
+
+ApplyResult StateMachine::On(const ProcessStarted& record) {
+  if (record.process.empty()) return Rejected("invalid", "process", "the name is missing");
+  const auto it = state_.processes.find(record.process);
+  if (it != state_.processes.end()) {
+    const Process& process = it->second;
+    const std::uint64_t known = process.info.incarnation;
+    if (record.incarnation < known) {
+      return Rejected("older_incarnation", "incarnation",
+                      "incarnation " + std::to_string(known) + " is known");
+    }
+    if (record.incarnation == known) {
+      if (process.present && SameInfo(record, process.info)) return Unchanged(record.process);
+      // Its calls were settled as unknown when it left, so it may not go on under the same number.
+      return Rejected("incarnation_reused", "incarnation",
+                      "the process needs a new incarnation to start again");
+    }
+    SettleOwner(record.process);
+  }
+  state_.processes[record.process] = {record, true, state_.revision};
+  return Applied(record.process);
+}
+
+ApplyResult StateMachine::On(const ProcessLeft& record) {
+  const auto it = state_.processes.find(record.process);
+  if (it == state_.processes.end()) {
+    return Rejected("not_found", "process", "there is no process " + record.process);
+  }
+  Process& process = it->second;
+  if (record.incarnation != process.info.incarnation) {
+    return Rejected("older_incarnation", "incarnation",
+                    "incarnation " + std::to_string(process.info.incarnation) + " is known");
+  }
+  if (!process.present) return Unchanged(record.process);
+  process.present = false;
+  process.revision = state_.revision;
+  SettleOwner(record.process);
+  return Applied(record.process);
+}
+
+}  // namespace wagtailslip::config
--- /dev/null
+++ b/src/config/schedule.cc
@@ -0,0 +1,69 @@
+// Scheduled changes of the planners' sheet.
+#include <algorithm>
+
+#include "wagtailslip/config/state_machine.h"
+
+namespace wagtailslip::config {
+
+ApplyResult StateMachine::Run(const SubmitSheet& command) {
+  Sheet& sheet = state_.sheet;
+  if (sheet.command_revision != 0 && sheet.content == command.content) return Unchanged("sheet");
+  if (command.command.base_revision != sheet.command_revision) {
+    return Conflict("sheet", sheet.request_id, sheet.command_revision);
+  }
+  std::set<Digest> effected;
+  for (const auto& change : sheet.effected) effected.insert(change.content);
+  std::vector<PendingChange> pending;
+  for (std::size_t i = 0; i < command.changes.size(); ++i) {
+    // A sheet is exported whole each morning, so it repeats rows that have taken effect.
+    if (effected.contains(ContentDigest(command.changes[i]))) continue;
+    pending.push_back(
+        {command.changes[i], command.command.request_id + "#" + std::to_string(i + 1)});
+  }
+  std::stable_sort(pending.begin(), pending.end(), [](const auto& a, const auto& b) {
+    return a.change.effective_at < b.change.effective_at;
+  });
+  sheet.pending = std::move(pending);
+  sheet.content = command.content;
+  sheet.command_revision = state_.revision;
+  sheet.request_id = command.command.request_id;
+  return Applied("sheet");
+}
+
+ApplyResult StateMachine::On(const ApplySchedule& record) {
+  Sheet& sheet = state_.sheet;
+  // A change takes effect once because it leaves `pending`; a leader whose clock was ahead must not
+  // hold up those after it, so an earlier time than before is accepted.
+  sheet.clock = std::max(sheet.clock, record.now);
+  const auto end = std::find_if(sheet.pending.begin(), sheet.pending.end(),
+                                [&](const auto& p) { return p.change.effective_at > record.now; });
+  if (end == sheet.pending.begin()) return Unchanged("sheet");
+  const std::vector<PendingChange> due(sheet.pending.begin(), end);
+  sheet.pending.erase(sheet.pending.begin(), end);
+  for (const auto& change : due) EffectChange(change, record.now);
+  if (sheet.effected.size() > limits_.effected_changes) {
+    sheet.effected.erase(
+        sheet.effected.begin(),
+        sheet.effected.end() - static_cast<std::ptrdiff_t>(limits_.effected_changes));
+  }
+  return Applied("sheet");
+}
+
+void StateMachine::EffectChange(const PendingChange& pending, UtcTime now) {
+  const ScheduledChange& scheduled = pending.change;
+  const ApplyResult result = std::visit(
+      [&](auto change) {
+        change.command.request_id = pending.id;
+        return Run(change, false);
+      },
+      scheduled.change);
+  state_.sheet.effected.push_back({pending.id, ContentDigest(scheduled), scheduled.effective_at,
+                                   now, now - scheduled.effective_at > kScheduleLateness, result});
+}
+
+std::optional<UtcTime> StateMachine::NextScheduled() const {
+  if (state_.sheet.pending.empty()) return std::nullopt;
+  return state_.sheet.pending.front().change.effective_at;
+}
+
+}  // namespace wagtailslip::config
--- /dev/null
+++ b/src/rollout/controller.cc
@@ -0,0 +1,336 @@
+#include "wagtailslip/rollout/controller.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+#include "wagtailslip/config/state_machine.h"
+
+namespace wagtailslip::rollout {
+namespace {
+
+using config::AdvanceRollout;
+using config::Artifact;
+using config::Assignment;
+using config::Endpoint;
+using config::Line;
+using config::Rollout;
+
+/// One endpoint of a line as the controller sees it.
+struct Member {
+  const std::string* id = nullptr;
+  const Endpoint* endpoint = nullptr;
+  /// Null if the endpoint has not reported lately.
+  const Progress* progress = nullptr;
+  const Assignment* assignment = nullptr;
+  bool opened = false;
+  bool failed = false;
+  bool at_target = false;
+  bool serving = false;
+
+  /// Serves the target but was allowed to swap to something else, and may be about to.
+  bool Diverted() const { return at_target && !opened && assignment != nullptr; }
+};
+
+const Assignment* FindAssignment(const Line& line, const std::string& id) {
+  const auto it = line.assigned.find(id);
+  return it == line.assigned.end() ? nullptr : &it->second;
+}
+
+bool Serves(const Progress* progress, const Digest& root) {
+  return progress != nullptr && progress->state != ReplicaState::kExcluded &&
+         progress->served_root == root;
+}
+
+/// Roots that an endpoint may serve at present; empty if nothing is known about it.
+std::vector<Digest> AllowedRoots(const Line& line, const Assignment* assignment) {
+  if (assignment != nullptr) {
+    std::vector<Digest> roots{assignment->artifact.root};
+    if (!assignment->done) roots.push_back(assignment->previous);
+    return roots;
+  }
+  std::vector<Digest> roots = line.tolerated;
+  if (line.last_good) roots.push_back(line.last_good->root);
+  return roots;
+}
+
+/// Decisions for one line.
+class LineDecision {
+ public:
+  LineDecision(const config::State& state, const std::string& key, const Line& line,
+               const Rollout& rollout, std::uint64_t term, Decision& out)
+      : state_(state), key_(key), line_(line), rollout_(rollout), term_(term), out_(out) {
+    running_ = config::Running(rollout);
+    back_ = config::Returning(rollout);
+    if (running_ && !back_) {
+      target_ = config::ArtifactOf(rollout);
+    } else {
+      target_ = line.last_good;
+    }
+  }
+
+  using LineReports = std::map<std::string, Progress>;
+
+  /// @param base_reports reports on the model that an adapter needs; null for a model
+  void Run(const LineReports* reports, const LineReports* base_reports, TimePoint now,
+           Duration timeout) {
+    Collect(reports, base_reports, now, timeout);
+    for (const auto& member : members_) Exclude(member);
+    if (!target_) {
+      if (back_) Propose("returned", {}, rollout_.reason + "; there is no earlier version");
+      return;
+    }
+    if (running_) Advance();
+    for (const auto& member : members_) GiveOrder(member);
+  }
+
+ private:
+  void Collect(const LineReports* reports, const LineReports* base_reports, TimePoint now,
+               Duration timeout) {
+    const auto& failed = back_ ? rollout_.return_failed : rollout_.failed;
+    const std::set<std::string> failed_ids(failed.begin(), failed.end());
+    for (const auto& [id, endpoint] : state_.endpoints) {
+      if (!endpoint.present || endpoint.info.role != config::EndpointRole::kEngine ||
+          endpoint.info.model != line_.model) {
+        continue;
+      }
+      if (!line_.adapter.empty() && !HasBase(base_reports, id)) continue;
+      Member member{.id = &id, .endpoint = &endpoint};
+      if (reports != nullptr) {
+        const auto it = reports->find(id);
+        if (it != reports->end() && it->second.incarnation == endpoint.info.incarnation &&
+            now - it->second.at <= timeout) {
+          member.progress = &it->second;
+        }
+      }
+      member.assignment = FindAssignment(line_, id);
+      member.opened = target_ && member.assignment != nullptr &&
+                      member.assignment->artifact.rollout_id == target_->rollout_id;
+      member.failed = failed_ids.contains(id);
+      const bool working =
+          member.progress != nullptr && (member.progress->state == ReplicaState::kDraining ||
+                                         member.progress->state == ReplicaState::kLoading ||
+                                         member.progress->state == ReplicaState::kChecking);
+      member.at_target = target_ && !working && Serves(member.progress, target_->root);
+      member.serving =
+          !endpoint.draining && !working && RouteOf(line_, endpoint, member.progress).allowed;
+      members_.push_back(member);
+    }
+  }
+
+  /// Whether an endpoint serves the model version that the adapter needs.
+  bool HasBase(const LineReports* base_reports, const std::string& id) const {
+    const auto base = state_.lines.find(line_.model);
+    if (base_reports == nullptr || base == state_.lines.end() || !base->second.last_good) {
+      return false;
+    }
+    const auto it = base_reports->find(id);
+    return it != base_reports->end() && Serves(&it->second, base->second.last_good->root);
+  }
+
+  void Exclude(const Member& member) {
+    const Route route = RouteOf(line_, *member.endpoint, member.progress);
+    if (!route.allowed) out_.excluded.push_back({*member.id, key_, route.reason});
+  }
+
+  void Propose(const std::string& event, std::vector<std::string> endpoints,
+               std::string reason = {}) {
+    out_.records.emplace_back(AdvanceRollout{rollout_.id, event, std::move(endpoints),
+                                             std::move(reason), rollout_.batches + 1, back_});
+  }
+
+  void Advance() {
+    RolloutStatus status;
+    status.rollout_id = rollout_.id;
+    status.members = members_.size();
+    std::vector<std::string> done;
+    std::vector<std::string> failed;
+    std::string error;
+    std::size_t unfinished = 0;
+    for (auto& member : members_) {
+      const Progress* progress = member.progress;
+      if (member.serving) ++status.serving;
+      if (progress == nullptr) continue;
+      if (progress->Verified() && progress->target_root == target_->root) ++status.verified;
+      if (member.at_target) {
+        ++status.serving_target;
+        if (member.opened && !member.assignment->done) done.push_back(*member.id);
+        if (member.Diverted()) ++unfinished;
+        continue;
+      }
+      if (!member.failed && progress->state == ReplicaState::kFailed &&
+          progress->target_root == target_->root) {
+        failed.push_back(*member.id);
+        error = progress->error;
+        member.failed = true;
+      }
+      if (member.failed) {
+        ++status.failed;
+        continue;
+      }
+      ++unfinished;
+      if (member.opened) ++status.swapping;
+    }
+    if (rollout_.state == "pending") Propose("start", {});
+    if (!done.empty()) Propose("swapped", done);
+    if (!failed.empty()) Propose("fail", failed, failed.front() + ": " + error);
+    if (!back_ && rollout_.failed.size() + failed.size() >= rollout_.spec.failure_limit) {
+      Propose("halt", {},
+              std::to_string(rollout_.failed.size() + failed.size()) +
+                  " replicas failed, the limit is " + std::to_string(rollout_.spec.failure_limit) +
+                  "; last: " + (failed.empty() ? rollout_.reason : failed.front() + ": " + error));
+    } else if (rollout_.state == "distributing" || rollout_.state == "swapping" || back_) {
+      if (unfinished == 0 && (back_ || status.serving_target > 0)) {
+        Propose(back_ ? "returned" : "complete", {});
+      } else {
+        OpenBatch(status);
+      }
+    } else {
+      status.waiting = rollout_.state;
+    }
+    out_.status.push_back(std::move(status));
+  }
+
+  /// Chooses endpoints that may swap next. A serving one may go only while the rest keeps the
+  /// minimum; one that serves nothing costs nothing. The last serving replica of a failure domain
+  /// waits while another one of the domain swaps.
+  void OpenBatch(RolloutStatus& status) {
+    std::map<std::string, std::size_t> domain_serving;
+    std::map<std::string, std::size_t> domain_out;
+    std::map<std::string, std::vector<const Member*>> candidates;
+    std::size_t waiting_chunks = 0;
+    for (const auto& member : members_) {
+      const std::string& domain = member.endpoint->info.failure_domain;
+      if (member.serving) ++domain_serving[domain];
+      if (member.opened && !member.at_target && !member.failed && member.progress != nullptr) {
+        ++domain_out[domain];
+      }
+      if (member.opened || member.failed || member.progress == nullptr) continue;
+      if (member.at_target && !member.Diverted()) continue;
+      if (!member.at_target &&
+          (!member.progress->Verified() || member.progress->target_root != target_->root)) {
+        ++waiting_chunks;
+        continue;
+      }
+      candidates[domain].push_back(&member);
+    }
+    for (auto& [domain, list] : candidates) {
+      // Endpoints that serve nothing go first: they add capacity and cost none.
+      std::stable_partition(list.begin(), list.end(), [](const auto* m) { return !m->serving; });
+    }
+    std::vector<std::string> batch;
+    std::size_t serving = status.serving;
+    std::size_t out = status.swapping;
+    bool held_by_minimum = false;
+    while (out < rollout_.spec.batch_size) {
+      const Member* next = nullptr;
+      std::size_t fewest = 0;
+      for (auto& [domain, list] : candidates) {
+        if (list.empty()) continue;
+        const Member* first = list.front();
+        if (first->serving && (serving <= rollout_.spec.minimum_serving ||
+                               (domain_serving[domain] <= 1 && domain_out[domain] > 0))) {
+          held_by_minimum = true;
+          continue;
+        }
+        if (next == nullptr || domain_out[domain] < fewest) {
+          next = first;
+          fewest = domain_out[domain];
+        }
+      }
+      if (next == nullptr) break;
+      const std::string& domain = next->endpoint->info.failure_domain;
+      if (next->serving) {
+        --serving;
+        --domain_serving[domain];
+      }
+      WTS_INVARIANT(!next->serving || serving >= rollout_.spec.minimum_serving);
+      ++domain_out[domain];
+      ++out;
+      batch.push_back(*next->id);
+      candidates[domain].erase(candidates[domain].begin());
+    }
+    if (!batch.empty()) {
+      Propose("open", std::move(batch));
+    } else if (out >= rollout_.spec.batch_size) {
+      status.waiting = "a batch is swapping";
+    } else if (held_by_minimum) {
+      status.waiting = "only " + std::to_string(serving) + " replicas serve, the minimum is " +
+                       std::to_string(rollout_.spec.minimum_serving);
+    } else if (waiting_chunks > 0) {
+      status.waiting = std::to_string(waiting_chunks) + " endpoints are fetching chunks";
+    }
+  }
+
+  void GiveOrder(const Member& member) {
+    if (member.progress == nullptr) return;
+    const bool opened = running_ && member.opened;
+    Order order;
+    order.endpoint_id = *member.id;
+    order.incarnation = member.endpoint->info.incarnation;
+    order.model = line_.model;
+    order.adapter = line_.adapter;
+    order.artifact = *target_;
+    config::Revision revision = rollout_.turned;
+    if (!running_) {
+      // No rollout runs: everything serves the last good version.
+      order.kind = OrderKind::kSwap;
+      revision = std::max(line_.last_good_revision, member.endpoint->joined);
+    } else if (opened) {
+      order.kind = OrderKind::kSwap;
+      revision = member.assignment->revision;
+    } else {
+      if (rollout_.state == "paused") return;
+      if (member.assignment != nullptr) revision = std::max(revision, member.assignment->revision);
+    }
+    order.token = {term_, std::max(revision, member.endpoint->joined)};
+    out_.orders.push_back(std::move(order));
+  }
+
+  const config::State& state_;
+  const std::string& key_;
+  const Line& line_;
+  const Rollout& rollout_;
+  std::uint64_t term_;
+  Decision& out_;
+  bool running_ = false;
+  bool back_ = false;
+  std::optional<Artifact> target_;
+  std::vector<Member> members_;
+};
+
+}  // namespace
+
+Route RouteOf(const config::Line& line, const config::Endpoint& endpoint,
+              const Progress* progress) {
+  if (!endpoint.present) return {false, "left"};
+  if (endpoint.draining) return {false, "drained by an operator"};
+  if (progress == nullptr || progress->served_root == Digest{}) return {false, "serves nothing"};
+  if (progress->state == ReplicaState::kExcluded) return {false, "excluded by its agent"};
+  const Assignment* assignment = FindAssignment(line, endpoint.info.endpoint_id);
+  const auto allowed = AllowedRoots(line, assignment);
+  if (!allowed.empty() &&
+      std::find(allowed.begin(), allowed.end(), progress->served_root) == allowed.end()) {
+    return {false, "serves something else than ordered"};
+  }
+  if (assignment != nullptr && !assignment->done &&
+      progress->served_root != assignment->artifact.root) {
+    return {false, "swapping"};
+  }
+  return {};
+}
+
+Decision Controller::Decide(const config::State& state, const Reports& reports, std::uint64_t term,
+                            TimePoint now) const {
+  Decision decision;
+  for (const auto& [key, line] : state.lines) {
+    const auto it = reports.find(key);
+    const auto base = line.adapter.empty() ? reports.end() : reports.find(line.model);
+    LineDecision(state, key, line, state.rollouts.at(line.rollout_id), term, decision)
+        .Run(it == reports.end() ? nullptr : &it->second,
+             base == reports.end() ? nullptr : &base->second, now, options_.report_timeout);
+  }
+  return decision;
+}
+
+}  // namespace wagtailslip::rollout
--- /dev/null
+++ b/tests/config_fixture.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <string>
+
+#include "wagtailslip/config/state_machine.h"
+
+namespace wagtailslip::config {
+
+/// UTC time of a test, in seconds since the epoch.
+inline UtcTime Utc(std::int64_t seconds) { return UtcTime(std::chrono::seconds(seconds)); }
+
+inline CreateRollout MakeRollout(const std::string& request, Revision base,
+                                 const std::string& version, const std::string& model = "m") {
+  CreateRollout record;
+  record.command = {.request_id = request, .base_revision = base, .operator_name = "op"};
+  record.model = model;
+  record.version = version;
+  record.origin = "127.0.0.1:1";
+  record.root = Sha256(model + version);
+  return record;
+}
+
+inline EndpointJoined MakeEndpoint(const std::string& id, std::uint64_t incarnation = 1,
+                                   const std::string& domain = "a") {
+  EndpointJoined record;
+  record.endpoint_id = id;
+  record.incarnation = incarnation;
+  record.address = "127.0.0.1:2";
+  record.agent_address = "127.0.0.1:3";
+  record.model = "m";
+  record.region = "r";
+  record.failure_domain = domain;
+  return record;
+}
+
+/// State machine with an index that counts up.
+struct Log {
+  explicit Log(Limits limits = {}) : machine(limits) {}
+  StateMachine machine;
+  Revision index = 0;
+
+  ApplyResult Apply(const Record& record) {
+    const ApplyResult result = machine.Apply(record, ++index);
+    machine.CheckInvariants();
+    return result;
+  }
+  Revision LineRevision(const std::string& model = "m") const {
+    const Line* line = machine.FindLine(model);
+    return line == nullptr ? 0 : line->command_revision;
+  }
+};
+
+}  // namespace wagtailslip::config
