--- a/include/wagtailslip/cli/api_client.h
+++ b/include/wagtailslip/cli/api_client.h
@@ -38,8 +38,8 @@
   std::string GetText(const std::string& target);
 
  private:
-  net::HttpResponse Call(net::http::verb method, const std::string& target,
-                         const std::string& body, const std::string& content_type);
+  net::HttpResponse Call(net::http::verb method, const std::string& target, const std::string& body,
+                         const std::string& content_type);
 
   std::vector<std::string> entries_;
   std::string token_;
--- a/include/wagtailslip/process/access.h
+++ b/include/wagtailslip/process/access.h
@@ -20,10 +20,9 @@
 
 /// What an operator may do. Each role includes those before it.
 enum class OperatorRole { kViewer, kOperator, kAdmin };
-inline constexpr EnumTable<OperatorRole, 3> kOperatorRoles{
-    {{{OperatorRole::kViewer, "viewer"},
-      {OperatorRole::kOperator, "operator"},
-      {OperatorRole::kAdmin, "admin"}}}};
+inline constexpr EnumTable<OperatorRole, 3> kOperatorRoles{{{{OperatorRole::kViewer, "viewer"},
+                                                             {OperatorRole::kOperator, "operator"},
+                                                             {OperatorRole::kAdmin, "admin"}}}};
 
 struct Operator {
   std::string name;
--- a/include/wagtailslip/process/rate_gate.h
+++ b/include/wagtailslip/process/rate_gate.h
@@ -23,8 +23,8 @@
 
  private:
   Duration TimeFor(std::uint64_t bytes) const {
-    return Duration(static_cast<std::int64_t>(1e9 * static_cast<double>(bytes) /
-                                              static_cast<double>(rate_)));
+    return Duration(
+        static_cast<std::int64_t>(1e9 * static_cast<double>(bytes) / static_cast<double>(rate_)));
   }
 
   std::uint64_t rate_;
--- a/include/wagtailslip/process/signal_wait.h
+++ b/include/wagtailslip/process/signal_wait.h
@@ -25,8 +25,10 @@
 [[noreturn]] void ExitOnControlFailure(const std::exception& e);
 
 /// Runs a question on a control thread and waits for its answer.
-template <typename Answer, typename State>
-Answer Ask(ControlThread<State>& control, std::function<Answer(State&, TimePoint)> question) {
+/// @param question called with the state and the time
+template <typename State, typename F>
+auto Ask(ControlThread<State>& control, F question) {
+  using Answer = std::invoke_result_t<F, State&, TimePoint>;
   auto promise = std::make_shared<std::promise<Answer>>();
   auto future = promise->get_future();
   control.Post([promise, question = std::move(question)](State& state, TimePoint now) {
--- a/src/cli/api_client.cc
+++ b/src/cli/api_client.cc
@@ -51,14 +51,13 @@
     net::asio::io_context context(1);
     std::exception_ptr problem;
     net::HttpResponse response;
-    net::asio::co_spawn(
-        context,
-        net::CallOnce(net::ParseAddress(entry), net::MakeRequest(method, target, body, headers),
-                      timeout_),
-        [&](std::exception_ptr e, net::HttpResponse result) {
-          problem = e;
-          response = std::move(result);
-        });
+    net::asio::co_spawn(context,
+                        net::CallOnce(net::ParseAddress(entry),
+                                      net::MakeRequest(method, target, body, headers), timeout_),
+                        [&](std::exception_ptr e, net::HttpResponse result) {
+                          problem = e;
+                          response = std::move(result);
+                        });
     context.run();
     try {
       if (problem) std::rethrow_exception(problem);
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -48,7 +48,9 @@
       .substr(0, 32);
 }
 
-std::string Cell(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
+std::string Cell(const json& value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
 
 /// Prints an array of objects as a table of the named members, or as JSON.
 void PrintRows(const Common& common, const json& rows, const std::vector<std::string>& columns) {
@@ -167,9 +169,10 @@
   while (true) {
     const json rollout = common.Client().Get("/v1/rollouts/" + id);
     const std::string state = rollout.value("state", "");
-    std::string line = FormatProgress(rollout.value("serving", 0U), rollout.value("endpoints", 0U)) +
-                       " " + state;
-    if (const auto reason = rollout.value("reason", ""); !reason.empty()) line += " (" + reason + ")";
+    std::string line =
+        FormatProgress(rollout.value("serving", 0U), rollout.value("endpoints", 0U)) + " " + state;
+    if (const auto reason = rollout.value("reason", ""); !reason.empty())
+      line += " (" + reason + ")";
     if (common.as_json) {
       std::cout << rollout.dump() << std::endl;
     } else if (terminal) {
@@ -192,7 +195,8 @@
   rollout->require_subcommand(1);
   const auto flags = std::make_shared<RolloutFlags>();
 
-  auto* create = rollout->add_subcommand("create", "Distribute a version to all endpoints of a model");
+  auto* create =
+      rollout->add_subcommand("create", "Distribute a version to all endpoints of a model");
   AddCommon(*create, *common);
   AddRequestId(*create, *common);
   create->add_option("--model", flags->model, "Model name")->required();
@@ -209,14 +213,16 @@
   create->add_option("--policy", flags->policy, "Measure that the distribution favours")
       ->check(CLI::IsMember(Names(config::kSpreadPolicies)))
       ->capture_default_str();
-  create->add_option("--minimum-serving", flags->minimum_serving,
-                     "Replicas that keep serving during a swap")
+  create
+      ->add_option("--minimum-serving", flags->minimum_serving,
+                   "Replicas that keep serving during a swap")
       ->capture_default_str();
   create->add_option("--batch-size", flags->batch_size, "Replicas that swap at the same time")
       ->check(CLI::Range(1, 100000))
       ->capture_default_str();
-  create->add_option("--failure-limit", flags->failure_limit,
-                     "Failed replicas at which the rollout returns to the last good version")
+  create
+      ->add_option("--failure-limit", flags->failure_limit,
+                   "Failed replicas at which the rollout returns to the last good version")
       ->check(CLI::Range(1, 100000))
       ->capture_default_str();
   create->callback([=, &run] { run = [=] { return CreateRolloutCommand(*common, *flags); }; });
@@ -319,9 +325,9 @@
   AddCommon(*list, *common);
   list->callback([=, &run] {
     run = [=] {
-      PrintRows(*common, common->Client().Get("/v1/rules")["rules"],
-                {"account", "kind", "call_class", "priority", "weight", "rate_limit",
-                 "deadline_ms"});
+      PrintRows(
+          *common, common->Client().Get("/v1/rules")["rules"],
+          {"account", "kind", "call_class", "priority", "weight", "rate_limit", "deadline_ms"});
       return 0;
     };
   });
@@ -334,8 +340,8 @@
 };
 
 int SheetCommand(const Common& common, const SheetFlags& flags, const std::string& mode) {
-  std::string target = "/v1/sheets?mode=" + mode + "&zone=" + flags.zone + "&dates=" +
-                       flags.date_form;
+  std::string target =
+      "/v1/sheets?mode=" + mode + "&zone=" + flags.zone + "&dates=" + flags.date_form;
   if (mode == "submit") {
     const json body = CommandBody(common, RevisionAt(common, "/v1/sheets"));
     target += "&request_id=" + body["request_id"].get<std::string>() +
--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -66,7 +66,8 @@
       ->required();
   command->add_option("--data", s.data_folder, "Data folder; makes the process a control replica")
       ->envname("WAGTAILSLIP_DATA");
-  command->add_option("--voter", flags->voters, "First voter as id=ip:port; the same list everywhere")
+  command
+      ->add_option("--voter", flags->voters, "First voter as id=ip:port; the same list everywhere")
       ->envname("WAGTAILSLIP_VOTERS")
       ->delimiter(',')
       ->required();
@@ -87,8 +88,9 @@
   command->add_option("--max-body-bytes", s.max_body_bytes, "Largest request body")
       ->envname("WAGTAILSLIP_MAX_BODY_BYTES")
       ->check(CLI::Range(1024, 64 * 1024 * 1024));
-  command->add_option("--default-deadline-ms", flags->deadline_ms,
-                      "Deadline of requests that name none")
+  command
+      ->add_option("--default-deadline-ms", flags->deadline_ms,
+                   "Deadline of requests that name none")
       ->envname("WAGTAILSLIP_DEFAULT_DEADLINE_MS")
       ->check(CLI::Range(10, 3600000));
   command->add_option("--snapshot-entries", s.snapshot_entries, "Log entries between snapshots")
@@ -156,8 +158,9 @@
       ->envname("WAGTAILSLIP_STORE_BYTES");
   command->add_option("--upload-rate", s.upload_rate, "Bytes per second to peers; 0 for no limit")
       ->envname("WAGTAILSLIP_UPLOAD_RATE");
-  command->add_option("--download-rate", s.download_rate,
-                      "Bytes per second from peers and origin; 0 for no limit")
+  command
+      ->add_option("--download-rate", s.download_rate,
+                   "Bytes per second from peers and origin; 0 for no limit")
       ->envname("WAGTAILSLIP_DOWNLOAD_RATE");
   AddLogLevel(*command, s.log_level);
   command->callback([flags, &run] {
--- a/src/codec/agreement_codec.cc
+++ b/src/codec/agreement_codec.cc
@@ -145,7 +145,8 @@
     const auto& v = w.vote_request;
     return agreement::VoteRequest{v.pre_vote, Unsigned(v.last_index), Unsigned(v.last_term)};
   }
-  if (w.__isset.vote_reply) return agreement::VoteReply{w.vote_reply.pre_vote, w.vote_reply.granted};
+  if (w.__isset.vote_reply)
+    return agreement::VoteReply{w.vote_reply.pre_vote, w.vote_reply.granted};
   if (w.__isset.snapshot_part) return SnapshotFromWire(w.snapshot_part);
   if (w.__isset.snapshot_reply) {
     const auto& v = w.snapshot_reply;
--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -629,6 +629,14 @@
 void AdvanceRollout::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void AdvanceRollout::__set_batch(const int32_t val) {
+  this->batch = val;
+}
+
+void AdvanceRollout::__set_returning(const bool val) {
+  this->returning = val;
+}
 std::ostream& operator<<(std::ostream& out, const AdvanceRollout& obj)
 {
   obj.printTo(out);
@@ -701,6 +709,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->batch);
+          this->__isset.batch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->returning);
+          this->__isset.returning = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -742,6 +766,14 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("batch", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->batch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("returning", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->returning);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -753,6 +785,8 @@
   swap(a.event, b.event);
   swap(a.endpoints, b.endpoints);
   swap(a.reason, b.reason);
+  swap(a.batch, b.batch);
+  swap(a.returning, b.returning);
   swap(a.__isset, b.__isset);
 }
 
@@ -761,6 +795,8 @@
   event = other12.event;
   endpoints = other12.endpoints;
   reason = other12.reason;
+  batch = other12.batch;
+  returning = other12.returning;
   __isset = other12.__isset;
 }
 AdvanceRollout& AdvanceRollout::operator=(const AdvanceRollout& other13) {
@@ -768,6 +804,8 @@
   event = other13.event;
   endpoints = other13.endpoints;
   reason = other13.reason;
+  batch = other13.batch;
+  returning = other13.returning;
   __isset = other13.__isset;
   return *this;
 }
@@ -778,6 +816,8 @@
   out << ", " << "event=" << to_string(event);
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "batch=" << to_string(batch);
+  out << ", " << "returning=" << to_string(returning);
   out << ")";
 }
 
@@ -3061,64 +3101,3231 @@
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->apply_schedule.read(iprot);
-          this->__isset.apply_schedule = true;
+          xfer += this->apply_schedule.read(iprot);
+          this->__isset.apply_schedule = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpoint_joined.read(iprot);
+          this->__isset.endpoint_joined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->endpoint_left.read(iprot);
+          this->__isset.endpoint_left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->drain_endpoint.read(iprot);
+          this->__isset.drain_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->intent_recorded.read(iprot);
+          this->__isset.intent_recorded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->outcome_recorded.read(iprot);
+          this->__isset.outcome_recorded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->process_started.read(iprot);
+          this->__isset.process_started = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->process_left.read(iprot);
+          this->__isset.process_left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Record");
+
+  if (this->__isset.no_op) {
+    xfer += oprot->writeFieldBegin("no_op", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->no_op.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.create_rollout) {
+    xfer += oprot->writeFieldBegin("create_rollout", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->create_rollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.control_rollout) {
+    xfer += oprot->writeFieldBegin("control_rollout", ::apache::thrift::protocol::T_STRUCT, 3);
+    xfer += this->control_rollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.advance_rollout) {
+    xfer += oprot->writeFieldBegin("advance_rollout", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->advance_rollout.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.set_rule) {
+    xfer += oprot->writeFieldBegin("set_rule", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->set_rule.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.submit_sheet) {
+    xfer += oprot->writeFieldBegin("submit_sheet", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->submit_sheet.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.apply_schedule) {
+    xfer += oprot->writeFieldBegin("apply_schedule", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->apply_schedule.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpoint_joined) {
+    xfer += oprot->writeFieldBegin("endpoint_joined", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->endpoint_joined.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.endpoint_left) {
+    xfer += oprot->writeFieldBegin("endpoint_left", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->endpoint_left.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.drain_endpoint) {
+    xfer += oprot->writeFieldBegin("drain_endpoint", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->drain_endpoint.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.intent_recorded) {
+    xfer += oprot->writeFieldBegin("intent_recorded", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->intent_recorded.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.outcome_recorded) {
+    xfer += oprot->writeFieldBegin("outcome_recorded", ::apache::thrift::protocol::T_STRUCT, 12);
+    xfer += this->outcome_recorded.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.process_started) {
+    xfer += oprot->writeFieldBegin("process_started", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->process_started.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.process_left) {
+    xfer += oprot->writeFieldBegin("process_left", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->process_left.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Record &a, Record &b) {
+  using ::std::swap;
+  swap(a.no_op, b.no_op);
+  swap(a.create_rollout, b.create_rollout);
+  swap(a.control_rollout, b.control_rollout);
+  swap(a.advance_rollout, b.advance_rollout);
+  swap(a.set_rule, b.set_rule);
+  swap(a.submit_sheet, b.submit_sheet);
+  swap(a.apply_schedule, b.apply_schedule);
+  swap(a.endpoint_joined, b.endpoint_joined);
+  swap(a.endpoint_left, b.endpoint_left);
+  swap(a.drain_endpoint, b.drain_endpoint);
+  swap(a.intent_recorded, b.intent_recorded);
+  swap(a.outcome_recorded, b.outcome_recorded);
+  swap(a.process_started, b.process_started);
+  swap(a.process_left, b.process_left);
+  swap(a.__isset, b.__isset);
+}
+
+Record::Record(const Record& other48) {
+  no_op = other48.no_op;
+  create_rollout = other48.create_rollout;
+  control_rollout = other48.control_rollout;
+  advance_rollout = other48.advance_rollout;
+  set_rule = other48.set_rule;
+  submit_sheet = other48.submit_sheet;
+  apply_schedule = other48.apply_schedule;
+  endpoint_joined = other48.endpoint_joined;
+  endpoint_left = other48.endpoint_left;
+  drain_endpoint = other48.drain_endpoint;
+  intent_recorded = other48.intent_recorded;
+  outcome_recorded = other48.outcome_recorded;
+  process_started = other48.process_started;
+  process_left = other48.process_left;
+  __isset = other48.__isset;
+}
+Record& Record::operator=(const Record& other49) {
+  no_op = other49.no_op;
+  create_rollout = other49.create_rollout;
+  control_rollout = other49.control_rollout;
+  advance_rollout = other49.advance_rollout;
+  set_rule = other49.set_rule;
+  submit_sheet = other49.submit_sheet;
+  apply_schedule = other49.apply_schedule;
+  endpoint_joined = other49.endpoint_joined;
+  endpoint_left = other49.endpoint_left;
+  drain_endpoint = other49.drain_endpoint;
+  intent_recorded = other49.intent_recorded;
+  outcome_recorded = other49.outcome_recorded;
+  process_started = other49.process_started;
+  process_left = other49.process_left;
+  __isset = other49.__isset;
+  return *this;
+}
+void Record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Record(";
+  out << "no_op="; (__isset.no_op ? (out << to_string(no_op)) : (out << "<null>"));
+  out << ", " << "create_rollout="; (__isset.create_rollout ? (out << to_string(create_rollout)) : (out << "<null>"));
+  out << ", " << "control_rollout="; (__isset.control_rollout ? (out << to_string(control_rollout)) : (out << "<null>"));
+  out << ", " << "advance_rollout="; (__isset.advance_rollout ? (out << to_string(advance_rollout)) : (out << "<null>"));
+  out << ", " << "set_rule="; (__isset.set_rule ? (out << to_string(set_rule)) : (out << "<null>"));
+  out << ", " << "submit_sheet="; (__isset.submit_sheet ? (out << to_string(submit_sheet)) : (out << "<null>"));
+  out << ", " << "apply_schedule="; (__isset.apply_schedule ? (out << to_string(apply_schedule)) : (out << "<null>"));
+  out << ", " << "endpoint_joined="; (__isset.endpoint_joined ? (out << to_string(endpoint_joined)) : (out << "<null>"));
+  out << ", " << "endpoint_left="; (__isset.endpoint_left ? (out << to_string(endpoint_left)) : (out << "<null>"));
+  out << ", " << "drain_endpoint="; (__isset.drain_endpoint ? (out << to_string(drain_endpoint)) : (out << "<null>"));
+  out << ", " << "intent_recorded="; (__isset.intent_recorded ? (out << to_string(intent_recorded)) : (out << "<null>"));
+  out << ", " << "outcome_recorded="; (__isset.outcome_recorded ? (out << to_string(outcome_recorded)) : (out << "<null>"));
+  out << ", " << "process_started="; (__isset.process_started ? (out << to_string(process_started)) : (out << "<null>"));
+  out << ", " << "process_left="; (__isset.process_left ? (out << to_string(process_left)) : (out << "<null>"));
+  out << ")";
+}
+
+
+ApplyResult::~ApplyResult() noexcept {
+}
+
+
+void ApplyResult::__set_status(const int16_t val) {
+  this->status = val;
+}
+
+void ApplyResult::__set_first_status(const int16_t val) {
+  this->first_status = val;
+}
+
+void ApplyResult::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ApplyResult::__set_winner(const std::string& val) {
+  this->winner = val;
+}
+
+void ApplyResult::__set_object_revision(const int64_t val) {
+  this->object_revision = val;
+}
+
+void ApplyResult::__set_code(const std::string& val) {
+  this->code = val;
+}
+
+void ApplyResult::__set_field(const std::string& val) {
+  this->field = val;
+}
+
+void ApplyResult::__set_message(const std::string& val) {
+  this->message = val;
+}
+
+void ApplyResult::__set_object(const std::string& val) {
+  this->object = val;
+}
+std::ostream& operator<<(std::ostream& out, const ApplyResult& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ApplyResult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->first_status);
+          this->__isset.first_status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->winner);
+          this->__isset.winner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->object_revision);
+          this->__isset.object_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->field);
+          this->__isset.field = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->message);
+          this->__isset.message = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->object);
+          this->__isset.object = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ApplyResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ApplyResult");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I16, 1);
+  xfer += oprot->writeI16(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_status", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->first_status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("winner", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->winner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("object_revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->object_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("field", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->field);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("object", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->object);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ApplyResult &a, ApplyResult &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.first_status, b.first_status);
+  swap(a.revision, b.revision);
+  swap(a.winner, b.winner);
+  swap(a.object_revision, b.object_revision);
+  swap(a.code, b.code);
+  swap(a.field, b.field);
+  swap(a.message, b.message);
+  swap(a.object, b.object);
+  swap(a.__isset, b.__isset);
+}
+
+ApplyResult::ApplyResult(const ApplyResult& other50) {
+  status = other50.status;
+  first_status = other50.first_status;
+  revision = other50.revision;
+  winner = other50.winner;
+  object_revision = other50.object_revision;
+  code = other50.code;
+  field = other50.field;
+  message = other50.message;
+  object = other50.object;
+  __isset = other50.__isset;
+}
+ApplyResult& ApplyResult::operator=(const ApplyResult& other51) {
+  status = other51.status;
+  first_status = other51.first_status;
+  revision = other51.revision;
+  winner = other51.winner;
+  object_revision = other51.object_revision;
+  code = other51.code;
+  field = other51.field;
+  message = other51.message;
+  object = other51.object;
+  __isset = other51.__isset;
+  return *this;
+}
+void ApplyResult::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ApplyResult(";
+  out << "status=" << to_string(status);
+  out << ", " << "first_status=" << to_string(first_status);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "winner=" << to_string(winner);
+  out << ", " << "object_revision=" << to_string(object_revision);
+  out << ", " << "code=" << to_string(code);
+  out << ", " << "field=" << to_string(field);
+  out << ", " << "message=" << to_string(message);
+  out << ", " << "object=" << to_string(object);
+  out << ")";
+}
+
+
+RememberedCommand::~RememberedCommand() noexcept {
+}
+
+
+void RememberedCommand::__set_content(const std::string& val) {
+  this->content = val;
+}
+
+void RememberedCommand::__set_answer(const ApplyResult& val) {
+  this->answer = val;
+}
+std::ostream& operator<<(std::ostream& out, const RememberedCommand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RememberedCommand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->answer.read(iprot);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RememberedCommand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RememberedCommand");
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->answer.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RememberedCommand &a, RememberedCommand &b) {
+  using ::std::swap;
+  swap(a.content, b.content);
+  swap(a.answer, b.answer);
+  swap(a.__isset, b.__isset);
+}
+
+RememberedCommand::RememberedCommand(const RememberedCommand& other52) {
+  content = other52.content;
+  answer = other52.answer;
+  __isset = other52.__isset;
+}
+RememberedCommand& RememberedCommand::operator=(const RememberedCommand& other53) {
+  content = other53.content;
+  answer = other53.answer;
+  __isset = other53.__isset;
+  return *this;
+}
+void RememberedCommand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RememberedCommand(";
+  out << "content=" << to_string(content);
+  out << ", " << "answer=" << to_string(answer);
+  out << ")";
+}
+
+
+Artifact::~Artifact() noexcept {
+}
+
+
+void Artifact::__set_version(const std::string& val) {
+  this->version = val;
+}
+
+void Artifact::__set_base_version(const std::string& val) {
+  this->base_version = val;
+}
+
+void Artifact::__set_root(const std::string& val) {
+  this->root = val;
+}
+
+void Artifact::__set_origin(const std::string& val) {
+  this->origin = val;
+}
+
+void Artifact::__set_policy(const int16_t val) {
+  this->policy = val;
+}
+
+void Artifact::__set_rollout_id(const std::string& val) {
+  this->rollout_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const Artifact& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Artifact::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->base_version);
+          this->__isset.base_version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->root);
+          this->__isset.root = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->origin);
+          this->__isset.origin = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->policy);
+          this->__isset.policy = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rollout_id);
+          this->__isset.rollout_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Artifact::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Artifact");
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("base_version", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->base_version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("root", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->root);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origin", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->origin);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("policy", ::apache::thrift::protocol::T_I16, 5);
+  xfer += oprot->writeI16(this->policy);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rollout_id", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->rollout_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Artifact &a, Artifact &b) {
+  using ::std::swap;
+  swap(a.version, b.version);
+  swap(a.base_version, b.base_version);
+  swap(a.root, b.root);
+  swap(a.origin, b.origin);
+  swap(a.policy, b.policy);
+  swap(a.rollout_id, b.rollout_id);
+  swap(a.__isset, b.__isset);
+}
+
+Artifact::Artifact(const Artifact& other54) {
+  version = other54.version;
+  base_version = other54.base_version;
+  root = other54.root;
+  origin = other54.origin;
+  policy = other54.policy;
+  rollout_id = other54.rollout_id;
+  __isset = other54.__isset;
+}
+Artifact& Artifact::operator=(const Artifact& other55) {
+  version = other55.version;
+  base_version = other55.base_version;
+  root = other55.root;
+  origin = other55.origin;
+  policy = other55.policy;
+  rollout_id = other55.rollout_id;
+  __isset = other55.__isset;
+  return *this;
+}
+void Artifact::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Artifact(";
+  out << "version=" << to_string(version);
+  out << ", " << "base_version=" << to_string(base_version);
+  out << ", " << "root=" << to_string(root);
+  out << ", " << "origin=" << to_string(origin);
+  out << ", " << "policy=" << to_string(policy);
+  out << ", " << "rollout_id=" << to_string(rollout_id);
+  out << ")";
+}
+
+
+Rollout::~Rollout() noexcept {
+}
+
+
+void Rollout::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Rollout::__set_spec(const CreateRollout& val) {
+  this->spec = val;
+}
+
+void Rollout::__set_state(const std::string& val) {
+  this->state = val;
+}
+
+void Rollout::__set_created(const int64_t val) {
+  this->created = val;
+}
+
+void Rollout::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void Rollout::__set_failed(const std::vector<std::string> & val) {
+  this->failed = val;
+}
+
+void Rollout::__set_return_failed(const std::vector<std::string> & val) {
+  this->return_failed = val;
+}
+
+void Rollout::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const Rollout& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Rollout::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->spec.read(iprot);
+          this->__isset.spec = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->created);
+          this->__isset.created = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failed.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->failed.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              xfer += iprot->readString(this->failed[_i60]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->return_failed.clear();
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->return_failed.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
+            {
+              xfer += iprot->readString(this->return_failed[_i65]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.return_failed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Rollout::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Rollout");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("spec", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->spec.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("created", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->created);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failed", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failed.size()));
+    std::vector<std::string> ::const_iterator _iter66;
+    for (_iter66 = this->failed.begin(); _iter66 != this->failed.end(); ++_iter66)
+    {
+      xfer += oprot->writeString((*_iter66));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("return_failed", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->return_failed.size()));
+    std::vector<std::string> ::const_iterator _iter67;
+    for (_iter67 = this->return_failed.begin(); _iter67 != this->return_failed.end(); ++_iter67)
+    {
+      xfer += oprot->writeString((*_iter67));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Rollout &a, Rollout &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.spec, b.spec);
+  swap(a.state, b.state);
+  swap(a.created, b.created);
+  swap(a.revision, b.revision);
+  swap(a.failed, b.failed);
+  swap(a.return_failed, b.return_failed);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+Rollout::Rollout(const Rollout& other68) {
+  id = other68.id;
+  spec = other68.spec;
+  state = other68.state;
+  created = other68.created;
+  revision = other68.revision;
+  failed = other68.failed;
+  return_failed = other68.return_failed;
+  reason = other68.reason;
+  __isset = other68.__isset;
+}
+Rollout& Rollout::operator=(const Rollout& other69) {
+  id = other69.id;
+  spec = other69.spec;
+  state = other69.state;
+  created = other69.created;
+  revision = other69.revision;
+  failed = other69.failed;
+  return_failed = other69.return_failed;
+  reason = other69.reason;
+  __isset = other69.__isset;
+  return *this;
+}
+void Rollout::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Rollout(";
+  out << "id=" << to_string(id);
+  out << ", " << "spec=" << to_string(spec);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "created=" << to_string(created);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "failed=" << to_string(failed);
+  out << ", " << "return_failed=" << to_string(return_failed);
+  out << ", " << "reason=" << to_string(reason);
+  out << ")";
+}
+
+
+Assignment::~Assignment() noexcept {
+}
+
+
+void Assignment::__set_artifact(const Artifact& val) {
+  this->artifact = val;
+}
+
+void Assignment::__set_previous(const std::string& val) {
+  this->previous = val;
+}
+
+void Assignment::__set_done(const bool val) {
+  this->done = val;
+}
+
+void Assignment::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const Assignment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Assignment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->artifact.read(iprot);
+          this->__isset.artifact = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->previous);
+          this->__isset.previous = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->done);
+          this->__isset.done = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Assignment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Assignment");
+
+  xfer += oprot->writeFieldBegin("artifact", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->artifact.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("previous", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->previous);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("done", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->done);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Assignment &a, Assignment &b) {
+  using ::std::swap;
+  swap(a.artifact, b.artifact);
+  swap(a.previous, b.previous);
+  swap(a.done, b.done);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+Assignment::Assignment(const Assignment& other70) {
+  artifact = other70.artifact;
+  previous = other70.previous;
+  done = other70.done;
+  revision = other70.revision;
+  __isset = other70.__isset;
+}
+Assignment& Assignment::operator=(const Assignment& other71) {
+  artifact = other71.artifact;
+  previous = other71.previous;
+  done = other71.done;
+  revision = other71.revision;
+  __isset = other71.__isset;
+  return *this;
+}
+void Assignment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Assignment(";
+  out << "artifact=" << to_string(artifact);
+  out << ", " << "previous=" << to_string(previous);
+  out << ", " << "done=" << to_string(done);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+Line::~Line() noexcept {
+}
+
+
+void Line::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void Line::__set_adapter(const std::string& val) {
+  this->adapter = val;
+}
+
+void Line::__set_command_revision(const int64_t val) {
+  this->command_revision = val;
+}
+
+void Line::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void Line::__set_rollout_id(const std::string& val) {
+  this->rollout_id = val;
+}
+
+void Line::__set_last_good(const Artifact& val) {
+  this->last_good = val;
+__isset.last_good = true;
+}
+
+void Line::__set_last_good_revision(const int64_t val) {
+  this->last_good_revision = val;
+}
+
+void Line::__set_previous_good(const Artifact& val) {
+  this->previous_good = val;
+__isset.previous_good = true;
+}
+
+void Line::__set_tolerated(const std::vector<std::string> & val) {
+  this->tolerated = val;
+}
+
+void Line::__set_assigned(const std::map<std::string, Assignment> & val) {
+  this->assigned = val;
+}
+std::ostream& operator<<(std::ostream& out, const Line& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Line::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->adapter);
+          this->__isset.adapter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->command_revision);
+          this->__isset.command_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->rollout_id);
+          this->__isset.rollout_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->last_good.read(iprot);
+          this->__isset.last_good = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_good_revision);
+          this->__isset.last_good_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->previous_good.read(iprot);
+          this->__isset.previous_good = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->tolerated.clear();
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->tolerated.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
+            {
+              xfer += iprot->readBinary(this->tolerated[_i76]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.tolerated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->assigned.clear();
+            uint32_t _size77;
+            ::apache::thrift::protocol::TType _ktype78;
+            ::apache::thrift::protocol::TType _vtype79;
+            xfer += iprot->readMapBegin(_ktype78, _vtype79, _size77);
+            uint32_t _i81;
+            for (_i81 = 0; _i81 < _size77; ++_i81)
+            {
+              std::string _key82;
+              xfer += iprot->readString(_key82);
+              Assignment& _val83 = this->assigned[_key82];
+              xfer += _val83.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.assigned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Line::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Line");
+
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("adapter", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->adapter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command_revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->command_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rollout_id", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->rollout_id);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.last_good) {
+    xfer += oprot->writeFieldBegin("last_good", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->last_good.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("last_good_revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->last_good_revision);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.previous_good) {
+    xfer += oprot->writeFieldBegin("previous_good", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->previous_good.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("tolerated", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->tolerated.size()));
+    std::vector<std::string> ::const_iterator _iter84;
+    for (_iter84 = this->tolerated.begin(); _iter84 != this->tolerated.end(); ++_iter84)
+    {
+      xfer += oprot->writeBinary((*_iter84));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("assigned", ::apache::thrift::protocol::T_MAP, 10);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->assigned.size()));
+    std::map<std::string, Assignment> ::const_iterator _iter85;
+    for (_iter85 = this->assigned.begin(); _iter85 != this->assigned.end(); ++_iter85)
+    {
+      xfer += oprot->writeString(_iter85->first);
+      xfer += _iter85->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Line &a, Line &b) {
+  using ::std::swap;
+  swap(a.model, b.model);
+  swap(a.adapter, b.adapter);
+  swap(a.command_revision, b.command_revision);
+  swap(a.request_id, b.request_id);
+  swap(a.rollout_id, b.rollout_id);
+  swap(a.last_good, b.last_good);
+  swap(a.last_good_revision, b.last_good_revision);
+  swap(a.previous_good, b.previous_good);
+  swap(a.tolerated, b.tolerated);
+  swap(a.assigned, b.assigned);
+  swap(a.__isset, b.__isset);
+}
+
+Line::Line(const Line& other86) {
+  model = other86.model;
+  adapter = other86.adapter;
+  command_revision = other86.command_revision;
+  request_id = other86.request_id;
+  rollout_id = other86.rollout_id;
+  last_good = other86.last_good;
+  last_good_revision = other86.last_good_revision;
+  previous_good = other86.previous_good;
+  tolerated = other86.tolerated;
+  assigned = other86.assigned;
+  __isset = other86.__isset;
+}
+Line& Line::operator=(const Line& other87) {
+  model = other87.model;
+  adapter = other87.adapter;
+  command_revision = other87.command_revision;
+  request_id = other87.request_id;
+  rollout_id = other87.rollout_id;
+  last_good = other87.last_good;
+  last_good_revision = other87.last_good_revision;
+  previous_good = other87.previous_good;
+  tolerated = other87.tolerated;
+  assigned = other87.assigned;
+  __isset = other87.__isset;
+  return *this;
+}
+void Line::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Line(";
+  out << "model=" << to_string(model);
+  out << ", " << "adapter=" << to_string(adapter);
+  out << ", " << "command_revision=" << to_string(command_revision);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "rollout_id=" << to_string(rollout_id);
+  out << ", " << "last_good="; (__isset.last_good ? (out << to_string(last_good)) : (out << "<null>"));
+  out << ", " << "last_good_revision=" << to_string(last_good_revision);
+  out << ", " << "previous_good="; (__isset.previous_good ? (out << to_string(previous_good)) : (out << "<null>"));
+  out << ", " << "tolerated=" << to_string(tolerated);
+  out << ", " << "assigned=" << to_string(assigned);
+  out << ")";
+}
+
+
+RuleEntry::~RuleEntry() noexcept {
+}
+
+
+void RuleEntry::__set_rule(const SetRule& val) {
+  this->rule = val;
+}
+
+void RuleEntry::__set_command_revision(const int64_t val) {
+  this->command_revision = val;
+}
+
+void RuleEntry::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const RuleEntry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RuleEntry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->rule.read(iprot);
+          this->__isset.rule = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->command_revision);
+          this->__isset.command_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RuleEntry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RuleEntry");
+
+  xfer += oprot->writeFieldBegin("rule", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->rule.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command_revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->command_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RuleEntry &a, RuleEntry &b) {
+  using ::std::swap;
+  swap(a.rule, b.rule);
+  swap(a.command_revision, b.command_revision);
+  swap(a.request_id, b.request_id);
+  swap(a.__isset, b.__isset);
+}
+
+RuleEntry::RuleEntry(const RuleEntry& other88) {
+  rule = other88.rule;
+  command_revision = other88.command_revision;
+  request_id = other88.request_id;
+  __isset = other88.__isset;
+}
+RuleEntry& RuleEntry::operator=(const RuleEntry& other89) {
+  rule = other89.rule;
+  command_revision = other89.command_revision;
+  request_id = other89.request_id;
+  __isset = other89.__isset;
+  return *this;
+}
+void RuleEntry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RuleEntry(";
+  out << "rule=" << to_string(rule);
+  out << ", " << "command_revision=" << to_string(command_revision);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ")";
+}
+
+
+PendingChange::~PendingChange() noexcept {
+}
+
+
+void PendingChange::__set_change(const ScheduledChange& val) {
+  this->change = val;
+}
+
+void PendingChange::__set_id(const std::string& val) {
+  this->id = val;
+}
+std::ostream& operator<<(std::ostream& out, const PendingChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PendingChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->change.read(iprot);
+          this->__isset.change = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PendingChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PendingChange");
+
+  xfer += oprot->writeFieldBegin("change", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->change.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PendingChange &a, PendingChange &b) {
+  using ::std::swap;
+  swap(a.change, b.change);
+  swap(a.id, b.id);
+  swap(a.__isset, b.__isset);
+}
+
+PendingChange::PendingChange(const PendingChange& other90) {
+  change = other90.change;
+  id = other90.id;
+  __isset = other90.__isset;
+}
+PendingChange& PendingChange::operator=(const PendingChange& other91) {
+  change = other91.change;
+  id = other91.id;
+  __isset = other91.__isset;
+  return *this;
+}
+void PendingChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PendingChange(";
+  out << "change=" << to_string(change);
+  out << ", " << "id=" << to_string(id);
+  out << ")";
+}
+
+
+EffectedChange::~EffectedChange() noexcept {
+}
+
+
+void EffectedChange::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void EffectedChange::__set_content(const std::string& val) {
+  this->content = val;
+}
+
+void EffectedChange::__set_effective_at_ns(const int64_t val) {
+  this->effective_at_ns = val;
+}
+
+void EffectedChange::__set_applied_at_ns(const int64_t val) {
+  this->applied_at_ns = val;
+}
+
+void EffectedChange::__set_late(const bool val) {
+  this->late = val;
+}
+
+void EffectedChange::__set_result(const ApplyResult& val) {
+  this->result = val;
+}
+std::ostream& operator<<(std::ostream& out, const EffectedChange& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EffectedChange::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->effective_at_ns);
+          this->__isset.effective_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->applied_at_ns);
+          this->__isset.applied_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->late);
+          this->__isset.late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->result.read(iprot);
+          this->__isset.result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EffectedChange::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EffectedChange");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("effective_at_ns", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->effective_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("applied_at_ns", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->applied_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("late", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->late);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 6);
+  xfer += this->result.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EffectedChange &a, EffectedChange &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.content, b.content);
+  swap(a.effective_at_ns, b.effective_at_ns);
+  swap(a.applied_at_ns, b.applied_at_ns);
+  swap(a.late, b.late);
+  swap(a.result, b.result);
+  swap(a.__isset, b.__isset);
+}
+
+EffectedChange::EffectedChange(const EffectedChange& other92) {
+  id = other92.id;
+  content = other92.content;
+  effective_at_ns = other92.effective_at_ns;
+  applied_at_ns = other92.applied_at_ns;
+  late = other92.late;
+  result = other92.result;
+  __isset = other92.__isset;
+}
+EffectedChange& EffectedChange::operator=(const EffectedChange& other93) {
+  id = other93.id;
+  content = other93.content;
+  effective_at_ns = other93.effective_at_ns;
+  applied_at_ns = other93.applied_at_ns;
+  late = other93.late;
+  result = other93.result;
+  __isset = other93.__isset;
+  return *this;
+}
+void EffectedChange::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EffectedChange(";
+  out << "id=" << to_string(id);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "effective_at_ns=" << to_string(effective_at_ns);
+  out << ", " << "applied_at_ns=" << to_string(applied_at_ns);
+  out << ", " << "late=" << to_string(late);
+  out << ", " << "result=" << to_string(result);
+  out << ")";
+}
+
+
+Sheet::~Sheet() noexcept {
+}
+
+
+void Sheet::__set_command_revision(const int64_t val) {
+  this->command_revision = val;
+}
+
+void Sheet::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+
+void Sheet::__set_content(const std::string& val) {
+  this->content = val;
+}
+
+void Sheet::__set_pending(const std::vector<PendingChange> & val) {
+  this->pending = val;
+}
+
+void Sheet::__set_effected(const std::vector<EffectedChange> & val) {
+  this->effected = val;
+}
+
+void Sheet::__set_clock_ns(const int64_t val) {
+  this->clock_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const Sheet& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Sheet::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->command_revision);
+          this->__isset.command_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->content);
+          this->__isset.content = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->pending.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->pending.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->pending[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.pending = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->effected.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->effected.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->effected[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.effected = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ns);
+          this->__isset.clock_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Sheet::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Sheet");
+
+  xfer += oprot->writeFieldBegin("command_revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->command_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->content);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pending", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->pending.size()));
+    std::vector<PendingChange> ::const_iterator _iter104;
+    for (_iter104 = this->pending.begin(); _iter104 != this->pending.end(); ++_iter104)
+    {
+      xfer += (*_iter104).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("effected", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->effected.size()));
+    std::vector<EffectedChange> ::const_iterator _iter105;
+    for (_iter105 = this->effected.begin(); _iter105 != this->effected.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clock_ns", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->clock_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Sheet &a, Sheet &b) {
+  using ::std::swap;
+  swap(a.command_revision, b.command_revision);
+  swap(a.request_id, b.request_id);
+  swap(a.content, b.content);
+  swap(a.pending, b.pending);
+  swap(a.effected, b.effected);
+  swap(a.clock_ns, b.clock_ns);
+  swap(a.__isset, b.__isset);
+}
+
+Sheet::Sheet(const Sheet& other106) {
+  command_revision = other106.command_revision;
+  request_id = other106.request_id;
+  content = other106.content;
+  pending = other106.pending;
+  effected = other106.effected;
+  clock_ns = other106.clock_ns;
+  __isset = other106.__isset;
+}
+Sheet& Sheet::operator=(const Sheet& other107) {
+  command_revision = other107.command_revision;
+  request_id = other107.request_id;
+  content = other107.content;
+  pending = other107.pending;
+  effected = other107.effected;
+  clock_ns = other107.clock_ns;
+  __isset = other107.__isset;
+  return *this;
+}
+void Sheet::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Sheet(";
+  out << "command_revision=" << to_string(command_revision);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ", " << "content=" << to_string(content);
+  out << ", " << "pending=" << to_string(pending);
+  out << ", " << "effected=" << to_string(effected);
+  out << ", " << "clock_ns=" << to_string(clock_ns);
+  out << ")";
+}
+
+
+Endpoint::~Endpoint() noexcept {
+}
+
+
+void Endpoint::__set_info(const EndpointJoined& val) {
+  this->info = val;
+}
+
+void Endpoint::__set_present(const bool val) {
+  this->present = val;
+}
+
+void Endpoint::__set_draining(const bool val) {
+  this->draining = val;
+}
+
+void Endpoint::__set_joined(const int64_t val) {
+  this->joined = val;
+}
+
+void Endpoint::__set_left(const int64_t val) {
+  this->left = val;
+}
+
+void Endpoint::__set_left_reason(const std::string& val) {
+  this->left_reason = val;
+}
+
+void Endpoint::__set_command_revision(const int64_t val) {
+  this->command_revision = val;
+}
+
+void Endpoint::__set_request_id(const std::string& val) {
+  this->request_id = val;
+}
+std::ostream& operator<<(std::ostream& out, const Endpoint& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Endpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->info.read(iprot);
+          this->__isset.info = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->present);
+          this->__isset.present = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->draining);
+          this->__isset.draining = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->joined);
+          this->__isset.joined = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left);
+          this->__isset.left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->left_reason);
+          this->__isset.left_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->command_revision);
+          this->__isset.command_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request_id);
+          this->__isset.request_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Endpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Endpoint");
+
+  xfer += oprot->writeFieldBegin("info", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->info.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("present", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->present);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("draining", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->draining);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("joined", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->joined);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_reason", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->left_reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("command_revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->command_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request_id", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->request_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Endpoint &a, Endpoint &b) {
+  using ::std::swap;
+  swap(a.info, b.info);
+  swap(a.present, b.present);
+  swap(a.draining, b.draining);
+  swap(a.joined, b.joined);
+  swap(a.left, b.left);
+  swap(a.left_reason, b.left_reason);
+  swap(a.command_revision, b.command_revision);
+  swap(a.request_id, b.request_id);
+  swap(a.__isset, b.__isset);
+}
+
+Endpoint::Endpoint(const Endpoint& other108) {
+  info = other108.info;
+  present = other108.present;
+  draining = other108.draining;
+  joined = other108.joined;
+  left = other108.left;
+  left_reason = other108.left_reason;
+  command_revision = other108.command_revision;
+  request_id = other108.request_id;
+  __isset = other108.__isset;
+}
+Endpoint& Endpoint::operator=(const Endpoint& other109) {
+  info = other109.info;
+  present = other109.present;
+  draining = other109.draining;
+  joined = other109.joined;
+  left = other109.left;
+  left_reason = other109.left_reason;
+  command_revision = other109.command_revision;
+  request_id = other109.request_id;
+  __isset = other109.__isset;
+  return *this;
+}
+void Endpoint::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Endpoint(";
+  out << "info=" << to_string(info);
+  out << ", " << "present=" << to_string(present);
+  out << ", " << "draining=" << to_string(draining);
+  out << ", " << "joined=" << to_string(joined);
+  out << ", " << "left=" << to_string(left);
+  out << ", " << "left_reason=" << to_string(left_reason);
+  out << ", " << "command_revision=" << to_string(command_revision);
+  out << ", " << "request_id=" << to_string(request_id);
+  out << ")";
+}
+
+
+Process::~Process() noexcept {
+}
+
+
+void Process::__set_info(const ProcessStarted& val) {
+  this->info = val;
+}
+
+void Process::__set_present(const bool val) {
+  this->present = val;
+}
+
+void Process::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const Process& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Process::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->info.read(iprot);
+          this->__isset.info = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->present);
+          this->__isset.present = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Process::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Process");
+
+  xfer += oprot->writeFieldBegin("info", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->info.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("present", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->present);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Process &a, Process &b) {
+  using ::std::swap;
+  swap(a.info, b.info);
+  swap(a.present, b.present);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+Process::Process(const Process& other110) {
+  info = other110.info;
+  present = other110.present;
+  revision = other110.revision;
+  __isset = other110.__isset;
+}
+Process& Process::operator=(const Process& other111) {
+  info = other111.info;
+  present = other111.present;
+  revision = other111.revision;
+  __isset = other111.__isset;
+  return *this;
+}
+void Process::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Process(";
+  out << "info=" << to_string(info);
+  out << ", " << "present=" << to_string(present);
+  out << ", " << "revision=" << to_string(revision);
+  out << ")";
+}
+
+
+Call::~Call() noexcept {
+}
+
+
+void Call::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void Call::__set_key(const std::string& val) {
+  this->key = val;
+}
+
+void Call::__set_request(const std::string& val) {
+  this->request = val;
+}
+
+void Call::__set_owner(const std::string& val) {
+  this->owner = val;
+}
+
+void Call::__set_owner_incarnation(const int64_t val) {
+  this->owner_incarnation = val;
+}
+
+void Call::__set_at_ns(const int64_t val) {
+  this->at_ns = val;
+}
+
+void Call::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void Call::__set_runs(const int32_t val) {
+  this->runs = val;
+}
+
+void Call::__set_outcome(const int16_t val) {
+  this->outcome = val;
+}
+
+void Call::__set_status(const int32_t val) {
+  this->status = val;
+}
+
+void Call::__set_content_type(const std::string& val) {
+  this->content_type = val;
+}
+
+void Call::__set_body(const std::string& val) {
+  this->body = val;
+}
+
+void Call::__set_body_kept(const bool val) {
+  this->body_kept = val;
+}
+
+void Call::__set_body_digest(const std::string& val) {
+  this->body_digest = val;
+}
+std::ostream& operator<<(std::ostream& out, const Call& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Call::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->owner_incarnation);
+          this->__isset.owner_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ns);
+          this->__isset.at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->runs);
+          this->__isset.runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->status);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->content_type);
+          this->__isset.content_type = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body);
+          this->__isset.body = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->body_kept);
+          this->__isset.body_kept = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->body_digest);
+          this->__isset.body_digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Call::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Call");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->owner);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("owner_incarnation", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->owner_incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at_ns", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->runs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I16, 9);
+  xfer += oprot->writeI16(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->status);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("content_type", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->content_type);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeBinary(this->body);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_kept", ::apache::thrift::protocol::T_BOOL, 13);
+  xfer += oprot->writeBool(this->body_kept);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("body_digest", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeBinary(this->body_digest);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Call &a, Call &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.key, b.key);
+  swap(a.request, b.request);
+  swap(a.owner, b.owner);
+  swap(a.owner_incarnation, b.owner_incarnation);
+  swap(a.at_ns, b.at_ns);
+  swap(a.sequence, b.sequence);
+  swap(a.runs, b.runs);
+  swap(a.outcome, b.outcome);
+  swap(a.status, b.status);
+  swap(a.content_type, b.content_type);
+  swap(a.body, b.body);
+  swap(a.body_kept, b.body_kept);
+  swap(a.body_digest, b.body_digest);
+  swap(a.__isset, b.__isset);
+}
+
+Call::Call(const Call& other112) {
+  account = other112.account;
+  key = other112.key;
+  request = other112.request;
+  owner = other112.owner;
+  owner_incarnation = other112.owner_incarnation;
+  at_ns = other112.at_ns;
+  sequence = other112.sequence;
+  runs = other112.runs;
+  outcome = other112.outcome;
+  status = other112.status;
+  content_type = other112.content_type;
+  body = other112.body;
+  body_kept = other112.body_kept;
+  body_digest = other112.body_digest;
+  __isset = other112.__isset;
+}
+Call& Call::operator=(const Call& other113) {
+  account = other113.account;
+  key = other113.key;
+  request = other113.request;
+  owner = other113.owner;
+  owner_incarnation = other113.owner_incarnation;
+  at_ns = other113.at_ns;
+  sequence = other113.sequence;
+  runs = other113.runs;
+  outcome = other113.outcome;
+  status = other113.status;
+  content_type = other113.content_type;
+  body = other113.body;
+  body_kept = other113.body_kept;
+  body_digest = other113.body_digest;
+  __isset = other113.__isset;
+  return *this;
+}
+void Call::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Call(";
+  out << "account=" << to_string(account);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "owner=" << to_string(owner);
+  out << ", " << "owner_incarnation=" << to_string(owner_incarnation);
+  out << ", " << "at_ns=" << to_string(at_ns);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "runs=" << to_string(runs);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "status=" << to_string(status);
+  out << ", " << "content_type=" << to_string(content_type);
+  out << ", " << "body=" << to_string(body);
+  out << ", " << "body_kept=" << to_string(body_kept);
+  out << ", " << "body_digest=" << to_string(body_digest);
+  out << ")";
+}
+
+
+State::~State() noexcept {
+}
+
+
+void State::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void State::__set_commands(const std::map<std::string, RememberedCommand> & val) {
+  this->commands = val;
+}
+
+void State::__set_forgotten(const int64_t val) {
+  this->forgotten = val;
+}
+
+void State::__set_lines(const std::map<std::string, Line> & val) {
+  this->lines = val;
+}
+
+void State::__set_rollouts(const std::map<std::string, Rollout> & val) {
+  this->rollouts = val;
+}
+
+void State::__set_rules(const std::map<std::string, RuleEntry> & val) {
+  this->rules = val;
+}
+
+void State::__set_sheet(const Sheet& val) {
+  this->sheet = val;
+}
+
+void State::__set_endpoints(const std::map<std::string, Endpoint> & val) {
+  this->endpoints = val;
+}
+
+void State::__set_processes(const std::map<std::string, Process> & val) {
+  this->processes = val;
+}
+
+void State::__set_calls(const std::map<std::string, Call> & val) {
+  this->calls = val;
+}
+
+void State::__set_next_sequence(const int64_t val) {
+  this->next_sequence = val;
+}
+
+void State::__set_call_clock_ns(const int64_t val) {
+  this->call_clock_ns = val;
+}
+
+void State::__set_call_floor_ns(const int64_t val) {
+  this->call_floor_ns = val;
+}
+
+void State::__set_retired_keys(const std::vector<int64_t> & val) {
+  this->retired_keys = val;
+}
+std::ostream& operator<<(std::ostream& out, const State& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t State::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->commands.clear();
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _ktype115;
+            ::apache::thrift::protocol::TType _vtype116;
+            xfer += iprot->readMapBegin(_ktype115, _vtype116, _size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
+            {
+              std::string _key119;
+              xfer += iprot->readString(_key119);
+              RememberedCommand& _val120 = this->commands[_key119];
+              xfer += _val120.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.commands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->forgotten);
+          this->__isset.forgotten = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->lines.clear();
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _ktype122;
+            ::apache::thrift::protocol::TType _vtype123;
+            xfer += iprot->readMapBegin(_ktype122, _vtype123, _size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
+            {
+              std::string _key126;
+              xfer += iprot->readString(_key126);
+              Line& _val127 = this->lines[_key126];
+              xfer += _val127.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.lines = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->rollouts.clear();
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _ktype129;
+            ::apache::thrift::protocol::TType _vtype130;
+            xfer += iprot->readMapBegin(_ktype129, _vtype130, _size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
+            {
+              std::string _key133;
+              xfer += iprot->readString(_key133);
+              Rollout& _val134 = this->rollouts[_key133];
+              xfer += _val134.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.rollouts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->rules.clear();
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _ktype136;
+            ::apache::thrift::protocol::TType _vtype137;
+            xfer += iprot->readMapBegin(_ktype136, _vtype137, _size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
+            {
+              std::string _key140;
+              xfer += iprot->readString(_key140);
+              RuleEntry& _val141 = this->rules[_key140];
+              xfer += _val141.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.rules = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sheet.read(iprot);
+          this->__isset.sheet = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->endpoint_joined.read(iprot);
-          this->__isset.endpoint_joined = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->endpoints.clear();
+            uint32_t _size142;
+            ::apache::thrift::protocol::TType _ktype143;
+            ::apache::thrift::protocol::TType _vtype144;
+            xfer += iprot->readMapBegin(_ktype143, _vtype144, _size142);
+            uint32_t _i146;
+            for (_i146 = 0; _i146 < _size142; ++_i146)
+            {
+              std::string _key147;
+              xfer += iprot->readString(_key147);
+              Endpoint& _val148 = this->endpoints[_key147];
+              xfer += _val148.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.endpoints = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->endpoint_left.read(iprot);
-          this->__isset.endpoint_left = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->processes.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _ktype150;
+            ::apache::thrift::protocol::TType _vtype151;
+            xfer += iprot->readMapBegin(_ktype150, _vtype151, _size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
+            {
+              std::string _key154;
+              xfer += iprot->readString(_key154);
+              Process& _val155 = this->processes[_key154];
+              xfer += _val155.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.processes = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->drain_endpoint.read(iprot);
-          this->__isset.drain_endpoint = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->calls.clear();
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _ktype157;
+            ::apache::thrift::protocol::TType _vtype158;
+            xfer += iprot->readMapBegin(_ktype157, _vtype158, _size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
+            {
+              std::string _key161;
+              xfer += iprot->readString(_key161);
+              Call& _val162 = this->calls[_key161];
+              xfer += _val162.read(iprot);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.calls = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 11:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->intent_recorded.read(iprot);
-          this->__isset.intent_recorded = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_sequence);
+          this->__isset.next_sequence = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 12:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->outcome_recorded.read(iprot);
-          this->__isset.outcome_recorded = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_clock_ns);
+          this->__isset.call_clock_ns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 13:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->process_started.read(iprot);
-          this->__isset.process_started = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->call_floor_ns);
+          this->__isset.call_floor_ns = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->process_left.read(iprot);
-          this->__isset.process_left = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->retired_keys.clear();
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->retired_keys.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
+            {
+              xfer += iprot->readI64(this->retired_keys[_i167]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.retired_keys = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3135,157 +6342,214 @@
   return xfer;
 }
 
-uint32_t Record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t State::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Record");
+  xfer += oprot->writeStructBegin("State");
 
-  if (this->__isset.no_op) {
-    xfer += oprot->writeFieldBegin("no_op", ::apache::thrift::protocol::T_STRUCT, 1);
-    xfer += this->no_op.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.create_rollout) {
-    xfer += oprot->writeFieldBegin("create_rollout", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->create_rollout.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.control_rollout) {
-    xfer += oprot->writeFieldBegin("control_rollout", ::apache::thrift::protocol::T_STRUCT, 3);
-    xfer += this->control_rollout.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.advance_rollout) {
-    xfer += oprot->writeFieldBegin("advance_rollout", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->advance_rollout.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.set_rule) {
-    xfer += oprot->writeFieldBegin("set_rule", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->set_rule.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.submit_sheet) {
-    xfer += oprot->writeFieldBegin("submit_sheet", ::apache::thrift::protocol::T_STRUCT, 6);
-    xfer += this->submit_sheet.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.apply_schedule) {
-    xfer += oprot->writeFieldBegin("apply_schedule", ::apache::thrift::protocol::T_STRUCT, 7);
-    xfer += this->apply_schedule.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
+    std::map<std::string, RememberedCommand> ::const_iterator _iter168;
+    for (_iter168 = this->commands.begin(); _iter168 != this->commands.end(); ++_iter168)
+    {
+      xfer += oprot->writeString(_iter168->first);
+      xfer += _iter168->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.endpoint_joined) {
-    xfer += oprot->writeFieldBegin("endpoint_joined", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->endpoint_joined.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("forgotten", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->forgotten);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lines", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lines.size()));
+    std::map<std::string, Line> ::const_iterator _iter169;
+    for (_iter169 = this->lines.begin(); _iter169 != this->lines.end(); ++_iter169)
+    {
+      xfer += oprot->writeString(_iter169->first);
+      xfer += _iter169->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.endpoint_left) {
-    xfer += oprot->writeFieldBegin("endpoint_left", ::apache::thrift::protocol::T_STRUCT, 9);
-    xfer += this->endpoint_left.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rollouts", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rollouts.size()));
+    std::map<std::string, Rollout> ::const_iterator _iter170;
+    for (_iter170 = this->rollouts.begin(); _iter170 != this->rollouts.end(); ++_iter170)
+    {
+      xfer += oprot->writeString(_iter170->first);
+      xfer += _iter170->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.drain_endpoint) {
-    xfer += oprot->writeFieldBegin("drain_endpoint", ::apache::thrift::protocol::T_STRUCT, 10);
-    xfer += this->drain_endpoint.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rules", ::apache::thrift::protocol::T_MAP, 6);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rules.size()));
+    std::map<std::string, RuleEntry> ::const_iterator _iter171;
+    for (_iter171 = this->rules.begin(); _iter171 != this->rules.end(); ++_iter171)
+    {
+      xfer += oprot->writeString(_iter171->first);
+      xfer += _iter171->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.intent_recorded) {
-    xfer += oprot->writeFieldBegin("intent_recorded", ::apache::thrift::protocol::T_STRUCT, 11);
-    xfer += this->intent_recorded.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sheet", ::apache::thrift::protocol::T_STRUCT, 7);
+  xfer += this->sheet.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_MAP, 8);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
+    std::map<std::string, Endpoint> ::const_iterator _iter172;
+    for (_iter172 = this->endpoints.begin(); _iter172 != this->endpoints.end(); ++_iter172)
+    {
+      xfer += oprot->writeString(_iter172->first);
+      xfer += _iter172->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.outcome_recorded) {
-    xfer += oprot->writeFieldBegin("outcome_recorded", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->outcome_recorded.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("processes", ::apache::thrift::protocol::T_MAP, 9);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->processes.size()));
+    std::map<std::string, Process> ::const_iterator _iter173;
+    for (_iter173 = this->processes.begin(); _iter173 != this->processes.end(); ++_iter173)
+    {
+      xfer += oprot->writeString(_iter173->first);
+      xfer += _iter173->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.process_started) {
-    xfer += oprot->writeFieldBegin("process_started", ::apache::thrift::protocol::T_STRUCT, 13);
-    xfer += this->process_started.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_MAP, 10);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
+    std::map<std::string, Call> ::const_iterator _iter174;
+    for (_iter174 = this->calls.begin(); _iter174 != this->calls.end(); ++_iter174)
+    {
+      xfer += oprot->writeString(_iter174->first);
+      xfer += _iter174->second.write(oprot);
+    }
+    xfer += oprot->writeMapEnd();
   }
-  if (this->__isset.process_left) {
-    xfer += oprot->writeFieldBegin("process_left", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->process_left.write(oprot);
-    xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_sequence", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->next_sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call_clock_ns", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->call_clock_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("call_floor_ns", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->call_floor_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retired_keys", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->retired_keys.size()));
+    std::vector<int64_t> ::const_iterator _iter175;
+    for (_iter175 = this->retired_keys.begin(); _iter175 != this->retired_keys.end(); ++_iter175)
+    {
+      xfer += oprot->writeI64((*_iter175));
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(Record &a, Record &b) {
+void swap(State &a, State &b) {
   using ::std::swap;
-  swap(a.no_op, b.no_op);
-  swap(a.create_rollout, b.create_rollout);
-  swap(a.control_rollout, b.control_rollout);
-  swap(a.advance_rollout, b.advance_rollout);
-  swap(a.set_rule, b.set_rule);
-  swap(a.submit_sheet, b.submit_sheet);
-  swap(a.apply_schedule, b.apply_schedule);
-  swap(a.endpoint_joined, b.endpoint_joined);
-  swap(a.endpoint_left, b.endpoint_left);
-  swap(a.drain_endpoint, b.drain_endpoint);
-  swap(a.intent_recorded, b.intent_recorded);
-  swap(a.outcome_recorded, b.outcome_recorded);
-  swap(a.process_started, b.process_started);
-  swap(a.process_left, b.process_left);
+  swap(a.revision, b.revision);
+  swap(a.commands, b.commands);
+  swap(a.forgotten, b.forgotten);
+  swap(a.lines, b.lines);
+  swap(a.rollouts, b.rollouts);
+  swap(a.rules, b.rules);
+  swap(a.sheet, b.sheet);
+  swap(a.endpoints, b.endpoints);
+  swap(a.processes, b.processes);
+  swap(a.calls, b.calls);
+  swap(a.next_sequence, b.next_sequence);
+  swap(a.call_clock_ns, b.call_clock_ns);
+  swap(a.call_floor_ns, b.call_floor_ns);
+  swap(a.retired_keys, b.retired_keys);
   swap(a.__isset, b.__isset);
 }
 
-Record::Record(const Record& other48) {
-  no_op = other48.no_op;
-  create_rollout = other48.create_rollout;
-  control_rollout = other48.control_rollout;
-  advance_rollout = other48.advance_rollout;
-  set_rule = other48.set_rule;
-  submit_sheet = other48.submit_sheet;
-  apply_schedule = other48.apply_schedule;
-  endpoint_joined = other48.endpoint_joined;
-  endpoint_left = other48.endpoint_left;
-  drain_endpoint = other48.drain_endpoint;
-  intent_recorded = other48.intent_recorded;
-  outcome_recorded = other48.outcome_recorded;
-  process_started = other48.process_started;
-  process_left = other48.process_left;
-  __isset = other48.__isset;
-}
-Record& Record::operator=(const Record& other49) {
-  no_op = other49.no_op;
-  create_rollout = other49.create_rollout;
-  control_rollout = other49.control_rollout;
-  advance_rollout = other49.advance_rollout;
-  set_rule = other49.set_rule;
-  submit_sheet = other49.submit_sheet;
-  apply_schedule = other49.apply_schedule;
-  endpoint_joined = other49.endpoint_joined;
-  endpoint_left = other49.endpoint_left;
-  drain_endpoint = other49.drain_endpoint;
-  intent_recorded = other49.intent_recorded;
-  outcome_recorded = other49.outcome_recorded;
-  process_started = other49.process_started;
-  process_left = other49.process_left;
-  __isset = other49.__isset;
+State::State(const State& other176) {
+  revision = other176.revision;
+  commands = other176.commands;
+  forgotten = other176.forgotten;
+  lines = other176.lines;
+  rollouts = other176.rollouts;
+  rules = other176.rules;
+  sheet = other176.sheet;
+  endpoints = other176.endpoints;
+  processes = other176.processes;
+  calls = other176.calls;
+  next_sequence = other176.next_sequence;
+  call_clock_ns = other176.call_clock_ns;
+  call_floor_ns = other176.call_floor_ns;
+  retired_keys = other176.retired_keys;
+  __isset = other176.__isset;
+}
+State& State::operator=(const State& other177) {
+  revision = other177.revision;
+  commands = other177.commands;
+  forgotten = other177.forgotten;
+  lines = other177.lines;
+  rollouts = other177.rollouts;
+  rules = other177.rules;
+  sheet = other177.sheet;
+  endpoints = other177.endpoints;
+  processes = other177.processes;
+  calls = other177.calls;
+  next_sequence = other177.next_sequence;
+  call_clock_ns = other177.call_clock_ns;
+  call_floor_ns = other177.call_floor_ns;
+  retired_keys = other177.retired_keys;
+  __isset = other177.__isset;
   return *this;
 }
-void Record::printTo(std::ostream& out) const {
+void State::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "Record(";
-  out << "no_op="; (__isset.no_op ? (out << to_string(no_op)) : (out << "<null>"));
-  out << ", " << "create_rollout="; (__isset.create_rollout ? (out << to_string(create_rollout)) : (out << "<null>"));
-  out << ", " << "control_rollout="; (__isset.control_rollout ? (out << to_string(control_rollout)) : (out << "<null>"));
-  out << ", " << "advance_rollout="; (__isset.advance_rollout ? (out << to_string(advance_rollout)) : (out << "<null>"));
-  out << ", " << "set_rule="; (__isset.set_rule ? (out << to_string(set_rule)) : (out << "<null>"));
-  out << ", " << "submit_sheet="; (__isset.submit_sheet ? (out << to_string(submit_sheet)) : (out << "<null>"));
-  out << ", " << "apply_schedule="; (__isset.apply_schedule ? (out << to_string(apply_schedule)) : (out << "<null>"));
-  out << ", " << "endpoint_joined="; (__isset.endpoint_joined ? (out << to_string(endpoint_joined)) : (out << "<null>"));
-  out << ", " << "endpoint_left="; (__isset.endpoint_left ? (out << to_string(endpoint_left)) : (out << "<null>"));
-  out << ", " << "drain_endpoint="; (__isset.drain_endpoint ? (out << to_string(drain_endpoint)) : (out << "<null>"));
-  out << ", " << "intent_recorded="; (__isset.intent_recorded ? (out << to_string(intent_recorded)) : (out << "<null>"));
-  out << ", " << "outcome_recorded="; (__isset.outcome_recorded ? (out << to_string(outcome_recorded)) : (out << "<null>"));
-  out << ", " << "process_started="; (__isset.process_started ? (out << to_string(process_started)) : (out << "<null>"));
-  out << ", " << "process_left="; (__isset.process_left ? (out << to_string(process_left)) : (out << "<null>"));
+  out << "State(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "commands=" << to_string(commands);
+  out << ", " << "forgotten=" << to_string(forgotten);
+  out << ", " << "lines=" << to_string(lines);
+  out << ", " << "rollouts=" << to_string(rollouts);
+  out << ", " << "rules=" << to_string(rules);
+  out << ", " << "sheet=" << to_string(sheet);
+  out << ", " << "endpoints=" << to_string(endpoints);
+  out << ", " << "processes=" << to_string(processes);
+  out << ", " << "calls=" << to_string(calls);
+  out << ", " << "next_sequence=" << to_string(next_sequence);
+  out << ", " << "call_clock_ns=" << to_string(call_clock_ns);
+  out << ", " << "call_floor_ns=" << to_string(call_floor_ns);
+  out << ", " << "retired_keys=" << to_string(retired_keys);
   out << ")";
 }
 
@@ -3382,15 +6646,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaId::ReplicaId(const ReplicaId& other50) {
-  process = other50.process;
-  incarnation = other50.incarnation;
-  __isset = other50.__isset;
+ReplicaId::ReplicaId(const ReplicaId& other178) {
+  process = other178.process;
+  incarnation = other178.incarnation;
+  __isset = other178.__isset;
 }
-ReplicaId& ReplicaId::operator=(const ReplicaId& other51) {
-  process = other51.process;
-  incarnation = other51.incarnation;
-  __isset = other51.__isset;
+ReplicaId& ReplicaId::operator=(const ReplicaId& other179) {
+  process = other179.process;
+  incarnation = other179.incarnation;
+  __isset = other179.__isset;
   return *this;
 }
 void ReplicaId::printTo(std::ostream& out) const {
@@ -3528,19 +6792,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AgreementEntry::AgreementEntry(const AgreementEntry& other52) {
-  index = other52.index;
-  term = other52.term;
-  kind = other52.kind;
-  data = other52.data;
-  __isset = other52.__isset;
+AgreementEntry::AgreementEntry(const AgreementEntry& other180) {
+  index = other180.index;
+  term = other180.term;
+  kind = other180.kind;
+  data = other180.data;
+  __isset = other180.__isset;
 }
-AgreementEntry& AgreementEntry::operator=(const AgreementEntry& other53) {
-  index = other53.index;
-  term = other53.term;
-  kind = other53.kind;
-  data = other53.data;
-  __isset = other53.__isset;
+AgreementEntry& AgreementEntry::operator=(const AgreementEntry& other181) {
+  index = other181.index;
+  term = other181.term;
+  kind = other181.kind;
+  data = other181.data;
+  __isset = other181.__isset;
   return *this;
 }
 void AgreementEntry::printTo(std::ostream& out) const {
@@ -3646,15 +6910,15 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberEntry::MemberEntry(const MemberEntry& other54) {
-  id = other54.id;
-  role = other54.role;
-  __isset = other54.__isset;
+MemberEntry::MemberEntry(const MemberEntry& other182) {
+  id = other182.id;
+  role = other182.role;
+  __isset = other182.__isset;
 }
-MemberEntry& MemberEntry::operator=(const MemberEntry& other55) {
-  id = other55.id;
-  role = other55.role;
-  __isset = other55.__isset;
+MemberEntry& MemberEntry::operator=(const MemberEntry& other183) {
+  id = other183.id;
+  role = other183.role;
+  __isset = other183.__isset;
   return *this;
 }
 void MemberEntry::printTo(std::ostream& out) const {
@@ -3775,17 +7039,17 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other56) noexcept {
-  pre_vote = other56.pre_vote;
-  last_index = other56.last_index;
-  last_term = other56.last_term;
-  __isset = other56.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other184) noexcept {
+  pre_vote = other184.pre_vote;
+  last_index = other184.last_index;
+  last_term = other184.last_term;
+  __isset = other184.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other57) noexcept {
-  pre_vote = other57.pre_vote;
-  last_index = other57.last_index;
-  last_term = other57.last_term;
-  __isset = other57.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other185) noexcept {
+  pre_vote = other185.pre_vote;
+  last_index = other185.last_index;
+  last_term = other185.last_term;
+  __isset = other185.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -3890,15 +7154,15 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other58) noexcept {
-  pre_vote = other58.pre_vote;
-  granted = other58.granted;
-  __isset = other58.__isset;
+VoteReply::VoteReply(const VoteReply& other186) noexcept {
+  pre_vote = other186.pre_vote;
+  granted = other186.granted;
+  __isset = other186.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other59) noexcept {
-  pre_vote = other59.pre_vote;
-  granted = other59.granted;
-  __isset = other59.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other187) noexcept {
+  pre_vote = other187.pre_vote;
+  granted = other187.granted;
+  __isset = other187.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -3981,14 +7245,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->entries.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->entries.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->entries[_i64].read(iprot);
+              xfer += this->entries[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4041,10 +7305,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<AgreementEntry> ::const_iterator _iter65;
-    for (_iter65 = this->entries.begin(); _iter65 != this->entries.end(); ++_iter65)
+    std::vector<AgreementEntry> ::const_iterator _iter193;
+    for (_iter193 = this->entries.begin(); _iter193 != this->entries.end(); ++_iter193)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4073,21 +7337,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other66) {
-  prev_index = other66.prev_index;
-  prev_term = other66.prev_term;
-  entries = other66.entries;
-  commit = other66.commit;
-  sent_at_ns = other66.sent_at_ns;
-  __isset = other66.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other67) {
-  prev_index = other67.prev_index;
-  prev_term = other67.prev_term;
-  entries = other67.entries;
-  commit = other67.commit;
-  sent_at_ns = other67.sent_at_ns;
-  __isset = other67.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other194) {
+  prev_index = other194.prev_index;
+  prev_term = other194.prev_term;
+  entries = other194.entries;
+  commit = other194.commit;
+  sent_at_ns = other194.sent_at_ns;
+  __isset = other194.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other195) {
+  prev_index = other195.prev_index;
+  prev_term = other195.prev_term;
+  entries = other195.entries;
+  commit = other195.commit;
+  sent_at_ns = other195.sent_at_ns;
+  __isset = other195.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -4262,23 +7526,23 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other68) noexcept {
-  success = other68.success;
-  match = other68.match;
-  prev_index = other68.prev_index;
-  hint_index = other68.hint_index;
-  hint_term = other68.hint_term;
-  sent_at_ns = other68.sent_at_ns;
-  __isset = other68.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other69) noexcept {
-  success = other69.success;
-  match = other69.match;
-  prev_index = other69.prev_index;
-  hint_index = other69.hint_index;
-  hint_term = other69.hint_term;
-  sent_at_ns = other69.sent_at_ns;
-  __isset = other69.__isset;
+AppendReply::AppendReply(const AppendReply& other196) noexcept {
+  success = other196.success;
+  match = other196.match;
+  prev_index = other196.prev_index;
+  hint_index = other196.hint_index;
+  hint_term = other196.hint_term;
+  sent_at_ns = other196.sent_at_ns;
+  __isset = other196.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other197) noexcept {
+  success = other197.success;
+  match = other197.match;
+  prev_index = other197.prev_index;
+  hint_index = other197.hint_index;
+  hint_term = other197.hint_term;
+  sent_at_ns = other197.sent_at_ns;
+  __isset = other197.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -4373,14 +7637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->membership.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->membership.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->membership.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->membership[_i74].read(iprot);
+              xfer += this->membership[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4449,10 +7713,10 @@
   xfer += oprot->writeFieldBegin("membership", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->membership.size()));
-    std::vector<MemberEntry> ::const_iterator _iter75;
-    for (_iter75 = this->membership.begin(); _iter75 != this->membership.end(); ++_iter75)
+    std::vector<MemberEntry> ::const_iterator _iter203;
+    for (_iter203 = this->membership.begin(); _iter203 != this->membership.end(); ++_iter203)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4491,25 +7755,25 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotPart::SnapshotPart(const SnapshotPart& other76) {
-  index = other76.index;
-  index_term = other76.index_term;
-  membership = other76.membership;
-  offset = other76.offset;
-  total = other76.total;
-  data = other76.data;
-  sent_at_ns = other76.sent_at_ns;
-  __isset = other76.__isset;
-}
-SnapshotPart& SnapshotPart::operator=(const SnapshotPart& other77) {
-  index = other77.index;
-  index_term = other77.index_term;
-  membership = other77.membership;
-  offset = other77.offset;
-  total = other77.total;
-  data = other77.data;
-  sent_at_ns = other77.sent_at_ns;
-  __isset = other77.__isset;
+SnapshotPart::SnapshotPart(const SnapshotPart& other204) {
+  index = other204.index;
+  index_term = other204.index_term;
+  membership = other204.membership;
+  offset = other204.offset;
+  total = other204.total;
+  data = other204.data;
+  sent_at_ns = other204.sent_at_ns;
+  __isset = other204.__isset;
+}
+SnapshotPart& SnapshotPart::operator=(const SnapshotPart& other205) {
+  index = other205.index;
+  index_term = other205.index_term;
+  membership = other205.membership;
+  offset = other205.offset;
+  total = other205.total;
+  data = other205.data;
+  sent_at_ns = other205.sent_at_ns;
+  __isset = other205.__isset;
   return *this;
 }
 void SnapshotPart::printTo(std::ostream& out) const {
@@ -4635,17 +7899,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other78) noexcept {
-  index = other78.index;
-  next_offset = other78.next_offset;
-  sent_at_ns = other78.sent_at_ns;
-  __isset = other78.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other206) noexcept {
+  index = other206.index;
+  next_offset = other206.next_offset;
+  sent_at_ns = other206.sent_at_ns;
+  __isset = other206.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other79) noexcept {
-  index = other79.index;
-  next_offset = other79.next_offset;
-  sent_at_ns = other79.sent_at_ns;
-  __isset = other79.__isset;
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other207) noexcept {
+  index = other207.index;
+  next_offset = other207.next_offset;
+  sent_at_ns = other207.sent_at_ns;
+  __isset = other207.__isset;
   return *this;
 }
 void SnapshotReply::printTo(std::ostream& out) const {
@@ -4830,23 +8094,23 @@
   swap(a.__isset, b.__isset);
 }
 
-AgreementBody::AgreementBody(const AgreementBody& other80) {
-  vote_request = other80.vote_request;
-  vote_reply = other80.vote_reply;
-  append_request = other80.append_request;
-  append_reply = other80.append_reply;
-  snapshot_part = other80.snapshot_part;
-  snapshot_reply = other80.snapshot_reply;
-  __isset = other80.__isset;
-}
-AgreementBody& AgreementBody::operator=(const AgreementBody& other81) {
-  vote_request = other81.vote_request;
-  vote_reply = other81.vote_reply;
-  append_request = other81.append_request;
-  append_reply = other81.append_reply;
-  snapshot_part = other81.snapshot_part;
-  snapshot_reply = other81.snapshot_reply;
-  __isset = other81.__isset;
+AgreementBody::AgreementBody(const AgreementBody& other208) {
+  vote_request = other208.vote_request;
+  vote_reply = other208.vote_reply;
+  append_request = other208.append_request;
+  append_reply = other208.append_reply;
+  snapshot_part = other208.snapshot_part;
+  snapshot_reply = other208.snapshot_reply;
+  __isset = other208.__isset;
+}
+AgreementBody& AgreementBody::operator=(const AgreementBody& other209) {
+  vote_request = other209.vote_request;
+  vote_reply = other209.vote_reply;
+  append_request = other209.append_request;
+  append_reply = other209.append_reply;
+  snapshot_part = other209.snapshot_part;
+  snapshot_reply = other209.snapshot_reply;
+  __isset = other209.__isset;
   return *this;
 }
 void AgreementBody::printTo(std::ostream& out) const {
@@ -4988,19 +8252,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AgreementMessage::AgreementMessage(const AgreementMessage& other82) {
-  sender = other82.sender;
-  receiver = other82.receiver;
-  term = other82.term;
-  body = other82.body;
-  __isset = other82.__isset;
+AgreementMessage::AgreementMessage(const AgreementMessage& other210) {
+  sender = other210.sender;
+  receiver = other210.receiver;
+  term = other210.term;
+  body = other210.body;
+  __isset = other210.__isset;
 }
-AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other83) {
-  sender = other83.sender;
-  receiver = other83.receiver;
-  term = other83.term;
-  body = other83.body;
-  __isset = other83.__isset;
+AgreementMessage& AgreementMessage::operator=(const AgreementMessage& other211) {
+  sender = other211.sender;
+  receiver = other211.receiver;
+  term = other211.term;
+  body = other211.body;
+  __isset = other211.__isset;
   return *this;
 }
 void AgreementMessage::printTo(std::ostream& out) const {
@@ -5106,15 +8370,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeRequest::ProposeRequest(const ProposeRequest& other84) {
-  proposal = other84.proposal;
-  record = other84.record;
-  __isset = other84.__isset;
+ProposeRequest::ProposeRequest(const ProposeRequest& other212) {
+  proposal = other212.proposal;
+  record = other212.record;
+  __isset = other212.__isset;
 }
-ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other85) {
-  proposal = other85.proposal;
-  record = other85.record;
-  __isset = other85.__isset;
+ProposeRequest& ProposeRequest::operator=(const ProposeRequest& other213) {
+  proposal = other213.proposal;
+  record = other213.record;
+  __isset = other213.__isset;
   return *this;
 }
 void ProposeRequest::printTo(std::ostream& out) const {
@@ -5303,25 +8567,25 @@
   swap(a.__isset, b.__isset);
 }
 
-ProposeReply::ProposeReply(const ProposeReply& other86) {
-  proposal = other86.proposal;
-  accepted = other86.accepted;
-  status = other86.status;
-  revision = other86.revision;
-  code = other86.code;
-  field = other86.field;
-  message = other86.message;
-  __isset = other86.__isset;
-}
-ProposeReply& ProposeReply::operator=(const ProposeReply& other87) {
-  proposal = other87.proposal;
-  accepted = other87.accepted;
-  status = other87.status;
-  revision = other87.revision;
-  code = other87.code;
-  field = other87.field;
-  message = other87.message;
-  __isset = other87.__isset;
+ProposeReply::ProposeReply(const ProposeReply& other214) {
+  proposal = other214.proposal;
+  accepted = other214.accepted;
+  status = other214.status;
+  revision = other214.revision;
+  code = other214.code;
+  field = other214.field;
+  message = other214.message;
+  __isset = other214.__isset;
+}
+ProposeReply& ProposeReply::operator=(const ProposeReply& other215) {
+  proposal = other215.proposal;
+  accepted = other215.accepted;
+  status = other215.status;
+  revision = other215.revision;
+  code = other215.code;
+  field = other215.field;
+  message = other215.message;
+  __isset = other215.__isset;
   return *this;
 }
 void ProposeReply::printTo(std::ostream& out) const {
@@ -5566,31 +8830,31 @@
   swap(a.__isset, b.__isset);
 }
 
-LineReport::LineReport(const LineReport& other88) {
-  model = other88.model;
-  adapter = other88.adapter;
-  replica_state = other88.replica_state;
-  target_root = other88.target_root;
-  chunks_present = other88.chunks_present;
-  chunks_total = other88.chunks_total;
-  served_root = other88.served_root;
-  error = other88.error;
-  token_term = other88.token_term;
-  token_revision = other88.token_revision;
-  __isset = other88.__isset;
-}
-LineReport& LineReport::operator=(const LineReport& other89) {
-  model = other89.model;
-  adapter = other89.adapter;
-  replica_state = other89.replica_state;
-  target_root = other89.target_root;
-  chunks_present = other89.chunks_present;
-  chunks_total = other89.chunks_total;
-  served_root = other89.served_root;
-  error = other89.error;
-  token_term = other89.token_term;
-  token_revision = other89.token_revision;
-  __isset = other89.__isset;
+LineReport::LineReport(const LineReport& other216) {
+  model = other216.model;
+  adapter = other216.adapter;
+  replica_state = other216.replica_state;
+  target_root = other216.target_root;
+  chunks_present = other216.chunks_present;
+  chunks_total = other216.chunks_total;
+  served_root = other216.served_root;
+  error = other216.error;
+  token_term = other216.token_term;
+  token_revision = other216.token_revision;
+  __isset = other216.__isset;
+}
+LineReport& LineReport::operator=(const LineReport& other217) {
+  model = other217.model;
+  adapter = other217.adapter;
+  replica_state = other217.replica_state;
+  target_root = other217.target_root;
+  chunks_present = other217.chunks_present;
+  chunks_total = other217.chunks_total;
+  served_root = other217.served_root;
+  error = other217.error;
+  token_term = other217.token_term;
+  token_revision = other217.token_revision;
+  __isset = other217.__isset;
   return *this;
 }
 void LineReport::printTo(std::ostream& out) const {
@@ -5733,14 +8997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lines.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->lines.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->lines.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->lines[_i94].read(iprot);
+              xfer += this->lines[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5797,10 +9061,10 @@
   xfer += oprot->writeFieldBegin("lines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lines.size()));
-    std::vector<LineReport> ::const_iterator _iter95;
-    for (_iter95 = this->lines.begin(); _iter95 != this->lines.end(); ++_iter95)
+    std::vector<LineReport> ::const_iterator _iter223;
+    for (_iter223 = this->lines.begin(); _iter223 != this->lines.end(); ++_iter223)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter223).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5824,27 +9088,27 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointReport::EndpointReport(const EndpointReport& other96) {
-  endpoint_id = other96.endpoint_id;
-  incarnation = other96.incarnation;
-  report_number = other96.report_number;
-  running = other96.running;
-  waiting = other96.waiting;
-  slots = other96.slots;
-  healthy = other96.healthy;
-  lines = other96.lines;
-  __isset = other96.__isset;
-}
-EndpointReport& EndpointReport::operator=(const EndpointReport& other97) {
-  endpoint_id = other97.endpoint_id;
-  incarnation = other97.incarnation;
-  report_number = other97.report_number;
-  running = other97.running;
-  waiting = other97.waiting;
-  slots = other97.slots;
-  healthy = other97.healthy;
-  lines = other97.lines;
-  __isset = other97.__isset;
+EndpointReport::EndpointReport(const EndpointReport& other224) {
+  endpoint_id = other224.endpoint_id;
+  incarnation = other224.incarnation;
+  report_number = other224.report_number;
+  running = other224.running;
+  waiting = other224.waiting;
+  slots = other224.slots;
+  healthy = other224.healthy;
+  lines = other224.lines;
+  __isset = other224.__isset;
+}
+EndpointReport& EndpointReport::operator=(const EndpointReport& other225) {
+  endpoint_id = other225.endpoint_id;
+  incarnation = other225.incarnation;
+  report_number = other225.report_number;
+  running = other225.running;
+  waiting = other225.waiting;
+  slots = other225.slots;
+  healthy = other225.healthy;
+  lines = other225.lines;
+  __isset = other225.__isset;
   return *this;
 }
 void EndpointReport::printTo(std::ostream& out) const {
@@ -5988,19 +9252,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AgentHeartbeat::AgentHeartbeat(const AgentHeartbeat& other98) {
-  endpoint = other98.endpoint;
-  report = other98.report;
-  leaving = other98.leaving;
-  members_revision = other98.members_revision;
-  __isset = other98.__isset;
+AgentHeartbeat::AgentHeartbeat(const AgentHeartbeat& other226) {
+  endpoint = other226.endpoint;
+  report = other226.report;
+  leaving = other226.leaving;
+  members_revision = other226.members_revision;
+  __isset = other226.__isset;
 }
-AgentHeartbeat& AgentHeartbeat::operator=(const AgentHeartbeat& other99) {
-  endpoint = other99.endpoint;
-  report = other99.report;
-  leaving = other99.leaving;
-  members_revision = other99.members_revision;
-  __isset = other99.__isset;
+AgentHeartbeat& AgentHeartbeat::operator=(const AgentHeartbeat& other227) {
+  endpoint = other227.endpoint;
+  report = other227.report;
+  leaving = other227.leaving;
+  members_revision = other227.members_revision;
+  __isset = other227.__isset;
   return *this;
 }
 void AgentHeartbeat::printTo(std::ostream& out) const {
@@ -6293,37 +9557,37 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointOrder::EndpointOrder(const EndpointOrder& other100) {
-  endpoint_id = other100.endpoint_id;
-  incarnation = other100.incarnation;
-  token_term = other100.token_term;
-  token_revision = other100.token_revision;
-  model = other100.model;
-  adapter = other100.adapter;
-  kind = other100.kind;
-  version = other100.version;
-  base_version = other100.base_version;
-  origin = other100.origin;
-  root = other100.root;
-  policy = other100.policy;
-  rollout_id = other100.rollout_id;
-  __isset = other100.__isset;
-}
-EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other101) {
-  endpoint_id = other101.endpoint_id;
-  incarnation = other101.incarnation;
-  token_term = other101.token_term;
-  token_revision = other101.token_revision;
-  model = other101.model;
-  adapter = other101.adapter;
-  kind = other101.kind;
-  version = other101.version;
-  base_version = other101.base_version;
-  origin = other101.origin;
-  root = other101.root;
-  policy = other101.policy;
-  rollout_id = other101.rollout_id;
-  __isset = other101.__isset;
+EndpointOrder::EndpointOrder(const EndpointOrder& other228) {
+  endpoint_id = other228.endpoint_id;
+  incarnation = other228.incarnation;
+  token_term = other228.token_term;
+  token_revision = other228.token_revision;
+  model = other228.model;
+  adapter = other228.adapter;
+  kind = other228.kind;
+  version = other228.version;
+  base_version = other228.base_version;
+  origin = other228.origin;
+  root = other228.root;
+  policy = other228.policy;
+  rollout_id = other228.rollout_id;
+  __isset = other228.__isset;
+}
+EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other229) {
+  endpoint_id = other229.endpoint_id;
+  incarnation = other229.incarnation;
+  token_term = other229.token_term;
+  token_revision = other229.token_revision;
+  model = other229.model;
+  adapter = other229.adapter;
+  kind = other229.kind;
+  version = other229.version;
+  base_version = other229.base_version;
+  origin = other229.origin;
+  root = other229.root;
+  policy = other229.policy;
+  rollout_id = other229.rollout_id;
+  __isset = other229.__isset;
   return *this;
 }
 void EndpointOrder::printTo(std::ostream& out) const {
@@ -6472,19 +9736,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other102) {
-  endpoint_id = other102.endpoint_id;
-  agent_address = other102.agent_address;
-  region = other102.region;
-  failure_domain = other102.failure_domain;
-  __isset = other102.__isset;
+Member::Member(const Member& other230) {
+  endpoint_id = other230.endpoint_id;
+  agent_address = other230.agent_address;
+  region = other230.region;
+  failure_domain = other230.failure_domain;
+  __isset = other230.__isset;
 }
-Member& Member::operator=(const Member& other103) {
-  endpoint_id = other103.endpoint_id;
-  agent_address = other103.agent_address;
-  region = other103.region;
-  failure_domain = other103.failure_domain;
-  __isset = other103.__isset;
+Member& Member::operator=(const Member& other231) {
+  endpoint_id = other231.endpoint_id;
+  agent_address = other231.agent_address;
+  region = other231.region;
+  failure_domain = other231.failure_domain;
+  __isset = other231.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -6549,14 +9813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->orders.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->orders.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += this->orders[_i108].read(iprot);
+              xfer += this->orders[_i236].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6577,14 +9841,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->members.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->members.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += this->members[_i113].read(iprot);
+              xfer += this->members[_i241].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6597,14 +9861,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->entries.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->entries.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += iprot->readString(this->entries[_i118]);
+              xfer += iprot->readString(this->entries[_i246]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6633,10 +9897,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<EndpointOrder> ::const_iterator _iter119;
-    for (_iter119 = this->orders.begin(); _iter119 != this->orders.end(); ++_iter119)
+    std::vector<EndpointOrder> ::const_iterator _iter247;
+    for (_iter247 = this->orders.begin(); _iter247 != this->orders.end(); ++_iter247)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter247).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6649,10 +9913,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter120;
-    for (_iter120 = this->members.begin(); _iter120 != this->members.end(); ++_iter120)
+    std::vector<Member> ::const_iterator _iter248;
+    for (_iter248 = this->members.begin(); _iter248 != this->members.end(); ++_iter248)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter248).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6661,10 +9925,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->entries.size()));
-    std::vector<std::string> ::const_iterator _iter121;
-    for (_iter121 = this->entries.begin(); _iter121 != this->entries.end(); ++_iter121)
+    std::vector<std::string> ::const_iterator _iter249;
+    for (_iter249 = this->entries.begin(); _iter249 != this->entries.end(); ++_iter249)
     {
-      xfer += oprot->writeString((*_iter121));
+      xfer += oprot->writeString((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6684,19 +9948,19 @@
   swap(a.__isset, b.__isset);
 }
 
-HomeReply::HomeReply(const HomeReply& other122) {
-  orders = other122.orders;
-  members_revision = other122.members_revision;
-  members = other122.members;
-  entries = other122.entries;
-  __isset = other122.__isset;
+HomeReply::HomeReply(const HomeReply& other250) {
+  orders = other250.orders;
+  members_revision = other250.members_revision;
+  members = other250.members;
+  entries = other250.entries;
+  __isset = other250.__isset;
 }
-HomeReply& HomeReply::operator=(const HomeReply& other123) {
-  orders = other123.orders;
-  members_revision = other123.members_revision;
-  members = other123.members;
-  entries = other123.entries;
-  __isset = other123.__isset;
+HomeReply& HomeReply::operator=(const HomeReply& other251) {
+  orders = other251.orders;
+  members_revision = other251.members_revision;
+  members = other251.members;
+  entries = other251.entries;
+  __isset = other251.__isset;
   return *this;
 }
 void HomeReply::printTo(std::ostream& out) const {
@@ -6761,14 +10025,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size124;
-            ::apache::thrift::protocol::TType _etype127;
-            xfer += iprot->readListBegin(_etype127, _size124);
-            this->orders.resize(_size124);
-            uint32_t _i128;
-            for (_i128 = 0; _i128 < _size124; ++_i128)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->orders.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += this->orders[_i128].read(iprot);
+              xfer += this->orders[_i256].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6801,10 +10065,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<EndpointOrder> ::const_iterator _iter129;
-    for (_iter129 = this->orders.begin(); _iter129 != this->orders.end(); ++_iter129)
+    std::vector<EndpointOrder> ::const_iterator _iter257;
+    for (_iter257 = this->orders.begin(); _iter257 != this->orders.end(); ++_iter257)
     {
-      xfer += (*_iter129).write(oprot);
+      xfer += (*_iter257).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6822,15 +10086,15 @@
   swap(a.__isset, b.__isset);
 }
 
-OrderBatch::OrderBatch(const OrderBatch& other130) {
-  term = other130.term;
-  orders = other130.orders;
-  __isset = other130.__isset;
+OrderBatch::OrderBatch(const OrderBatch& other258) {
+  term = other258.term;
+  orders = other258.orders;
+  __isset = other258.__isset;
 }
-OrderBatch& OrderBatch::operator=(const OrderBatch& other131) {
-  term = other131.term;
-  orders = other131.orders;
-  __isset = other131.__isset;
+OrderBatch& OrderBatch::operator=(const OrderBatch& other259) {
+  term = other259.term;
+  orders = other259.orders;
+  __isset = other259.__isset;
   return *this;
 }
 void OrderBatch::printTo(std::ostream& out) const {
@@ -6881,14 +10145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->reports.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size260;
+            ::apache::thrift::protocol::TType _etype263;
+            xfer += iprot->readListBegin(_etype263, _size260);
+            this->reports.resize(_size260);
+            uint32_t _i264;
+            for (_i264 = 0; _i264 < _size260; ++_i264)
             {
-              xfer += this->reports[_i136].read(iprot);
+              xfer += this->reports[_i264].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6917,10 +10181,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<EndpointReport> ::const_iterator _iter137;
-    for (_iter137 = this->reports.begin(); _iter137 != this->reports.end(); ++_iter137)
+    std::vector<EndpointReport> ::const_iterator _iter265;
+    for (_iter265 = this->reports.begin(); _iter265 != this->reports.end(); ++_iter265)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter265).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6937,13 +10201,13 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadBatch::LoadBatch(const LoadBatch& other138) {
-  reports = other138.reports;
-  __isset = other138.__isset;
+LoadBatch::LoadBatch(const LoadBatch& other266) {
+  reports = other266.reports;
+  __isset = other266.__isset;
 }
-LoadBatch& LoadBatch::operator=(const LoadBatch& other139) {
-  reports = other139.reports;
-  __isset = other139.__isset;
+LoadBatch& LoadBatch::operator=(const LoadBatch& other267) {
+  reports = other267.reports;
+  __isset = other267.__isset;
   return *this;
 }
 void LoadBatch::printTo(std::ostream& out) const {
@@ -7046,15 +10310,15 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other140) {
-  id = other140.id;
-  has_disk = other140.has_disk;
-  __isset = other140.__isset;
+JoinRequest::JoinRequest(const JoinRequest& other268) {
+  id = other268.id;
+  has_disk = other268.has_disk;
+  __isset = other268.__isset;
 }
-JoinRequest& JoinRequest::operator=(const JoinRequest& other141) {
-  id = other141.id;
-  has_disk = other141.has_disk;
-  __isset = other141.__isset;
+JoinRequest& JoinRequest::operator=(const JoinRequest& other269) {
+  id = other269.id;
+  has_disk = other269.has_disk;
+  __isset = other269.__isset;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -7276,27 +10540,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other142) {
-  agreement = other142.agreement;
-  propose_request = other142.propose_request;
-  propose_reply = other142.propose_reply;
-  agent_heartbeat = other142.agent_heartbeat;
-  home_reply = other142.home_reply;
-  order_batch = other142.order_batch;
-  load_batch = other142.load_batch;
-  join_request = other142.join_request;
-  __isset = other142.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other143) {
-  agreement = other143.agreement;
-  propose_request = other143.propose_request;
-  propose_reply = other143.propose_reply;
-  agent_heartbeat = other143.agent_heartbeat;
-  home_reply = other143.home_reply;
-  order_batch = other143.order_batch;
-  load_batch = other143.load_batch;
-  join_request = other143.join_request;
-  __isset = other143.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other270) {
+  agreement = other270.agreement;
+  propose_request = other270.propose_request;
+  propose_reply = other270.propose_reply;
+  agent_heartbeat = other270.agent_heartbeat;
+  home_reply = other270.home_reply;
+  order_batch = other270.order_batch;
+  load_batch = other270.load_batch;
+  join_request = other270.join_request;
+  __isset = other270.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other271) {
+  agreement = other271.agreement;
+  propose_request = other271.propose_request;
+  propose_reply = other271.propose_reply;
+  agent_heartbeat = other271.agent_heartbeat;
+  home_reply = other271.home_reply;
+  order_batch = other271.order_batch;
+  load_batch = other271.load_batch;
+  join_request = other271.join_request;
+  __isset = other271.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -7508,27 +10772,27 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other144) {
-  protocol = other144.protocol;
-  sender = other144.sender;
-  incarnation = other144.incarnation;
-  sender_address = other144.sender_address;
-  sent_at_ns = other144.sent_at_ns;
-  echo_ns = other144.echo_ns;
-  applied_revision = other144.applied_revision;
-  body = other144.body;
-  __isset = other144.__isset;
-}
-Frame& Frame::operator=(const Frame& other145) {
-  protocol = other145.protocol;
-  sender = other145.sender;
-  incarnation = other145.incarnation;
-  sender_address = other145.sender_address;
-  sent_at_ns = other145.sent_at_ns;
-  echo_ns = other145.echo_ns;
-  applied_revision = other145.applied_revision;
-  body = other145.body;
-  __isset = other145.__isset;
+Frame::Frame(const Frame& other272) {
+  protocol = other272.protocol;
+  sender = other272.sender;
+  incarnation = other272.incarnation;
+  sender_address = other272.sender_address;
+  sent_at_ns = other272.sent_at_ns;
+  echo_ns = other272.echo_ns;
+  applied_revision = other272.applied_revision;
+  body = other272.body;
+  __isset = other272.__isset;
+}
+Frame& Frame::operator=(const Frame& other273) {
+  protocol = other273.protocol;
+  sender = other273.sender;
+  incarnation = other273.incarnation;
+  sender_address = other273.sender_address;
+  sent_at_ns = other273.sent_at_ns;
+  echo_ns = other273.echo_ns;
+  applied_revision = other273.applied_revision;
+  body = other273.body;
+  __isset = other273.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
