--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -59,6 +59,34 @@
 
 class Record;
 
+class ApplyResult;
+
+class RememberedCommand;
+
+class Artifact;
+
+class Rollout;
+
+class Assignment;
+
+class Line;
+
+class RuleEntry;
+
+class PendingChange;
+
+class EffectedChange;
+
+class Sheet;
+
+class Endpoint;
+
+class Process;
+
+class Call;
+
+class State;
+
 class ReplicaId;
 
 class AgreementEntry;
@@ -347,11 +375,13 @@
 std::ostream& operator<<(std::ostream& out, const ControlRollout& obj);
 
 typedef struct _AdvanceRollout__isset {
-  _AdvanceRollout__isset() : rollout_id(false), event(false), endpoints(false), reason(false) {}
+  _AdvanceRollout__isset() : rollout_id(false), event(false), endpoints(false), reason(false), batch(false), returning(false) {}
   bool rollout_id :1;
   bool event :1;
   bool endpoints :1;
   bool reason :1;
+  bool batch :1;
+  bool returning :1;
 } _AdvanceRollout__isset;
 
 class AdvanceRollout : public virtual ::apache::thrift::TBase {
@@ -362,7 +392,9 @@
   AdvanceRollout() noexcept
                  : rollout_id(),
                    event(),
-                   reason() {
+                   reason(),
+                   batch(0),
+                   returning(0) {
   }
 
   virtual ~AdvanceRollout() noexcept;
@@ -370,6 +402,8 @@
   std::string event;
   std::vector<std::string>  endpoints;
   std::string reason;
+  int32_t batch;
+  bool returning;
 
   _AdvanceRollout__isset __isset;
 
@@ -381,6 +415,10 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_batch(const int32_t val);
+
+  void __set_returning(const bool val);
+
   bool operator == (const AdvanceRollout & rhs) const
   {
     if (!(rollout_id == rhs.rollout_id))
@@ -391,6 +429,10 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(batch == rhs.batch))
+      return false;
+    if (!(returning == rhs.returning))
+      return false;
     return true;
   }
   bool operator != (const AdvanceRollout &rhs) const {
@@ -1437,6 +1479,1154 @@
 
 std::ostream& operator<<(std::ostream& out, const Record& obj);
 
+typedef struct _ApplyResult__isset {
+  _ApplyResult__isset() : status(false), first_status(false), revision(false), winner(false), object_revision(false), code(false), field(false), message(false), object(false) {}
+  bool status :1;
+  bool first_status :1;
+  bool revision :1;
+  bool winner :1;
+  bool object_revision :1;
+  bool code :1;
+  bool field :1;
+  bool message :1;
+  bool object :1;
+} _ApplyResult__isset;
+
+class ApplyResult : public virtual ::apache::thrift::TBase {
+ public:
+
+  ApplyResult(const ApplyResult&);
+  ApplyResult& operator=(const ApplyResult&);
+  ApplyResult() noexcept
+              : status(0),
+                first_status(0),
+                revision(0),
+                winner(),
+                object_revision(0),
+                code(),
+                field(),
+                message(),
+                object() {
+  }
+
+  virtual ~ApplyResult() noexcept;
+  int16_t status;
+  int16_t first_status;
+  int64_t revision;
+  std::string winner;
+  int64_t object_revision;
+  std::string code;
+  std::string field;
+  std::string message;
+  std::string object;
+
+  _ApplyResult__isset __isset;
+
+  void __set_status(const int16_t val);
+
+  void __set_first_status(const int16_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_winner(const std::string& val);
+
+  void __set_object_revision(const int64_t val);
+
+  void __set_code(const std::string& val);
+
+  void __set_field(const std::string& val);
+
+  void __set_message(const std::string& val);
+
+  void __set_object(const std::string& val);
+
+  bool operator == (const ApplyResult & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(first_status == rhs.first_status))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(winner == rhs.winner))
+      return false;
+    if (!(object_revision == rhs.object_revision))
+      return false;
+    if (!(code == rhs.code))
+      return false;
+    if (!(field == rhs.field))
+      return false;
+    if (!(message == rhs.message))
+      return false;
+    if (!(object == rhs.object))
+      return false;
+    return true;
+  }
+  bool operator != (const ApplyResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ApplyResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ApplyResult &a, ApplyResult &b);
+
+std::ostream& operator<<(std::ostream& out, const ApplyResult& obj);
+
+typedef struct _RememberedCommand__isset {
+  _RememberedCommand__isset() : content(false), answer(false) {}
+  bool content :1;
+  bool answer :1;
+} _RememberedCommand__isset;
+
+class RememberedCommand : public virtual ::apache::thrift::TBase {
+ public:
+
+  RememberedCommand(const RememberedCommand&);
+  RememberedCommand& operator=(const RememberedCommand&);
+  RememberedCommand() noexcept
+                    : content() {
+  }
+
+  virtual ~RememberedCommand() noexcept;
+  std::string content;
+  ApplyResult answer;
+
+  _RememberedCommand__isset __isset;
+
+  void __set_content(const std::string& val);
+
+  void __set_answer(const ApplyResult& val);
+
+  bool operator == (const RememberedCommand & rhs) const
+  {
+    if (!(content == rhs.content))
+      return false;
+    if (!(answer == rhs.answer))
+      return false;
+    return true;
+  }
+  bool operator != (const RememberedCommand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RememberedCommand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RememberedCommand &a, RememberedCommand &b);
+
+std::ostream& operator<<(std::ostream& out, const RememberedCommand& obj);
+
+typedef struct _Artifact__isset {
+  _Artifact__isset() : version(false), base_version(false), root(false), origin(false), policy(false), rollout_id(false) {}
+  bool version :1;
+  bool base_version :1;
+  bool root :1;
+  bool origin :1;
+  bool policy :1;
+  bool rollout_id :1;
+} _Artifact__isset;
+
+class Artifact : public virtual ::apache::thrift::TBase {
+ public:
+
+  Artifact(const Artifact&);
+  Artifact& operator=(const Artifact&);
+  Artifact() noexcept
+           : version(),
+             base_version(),
+             root(),
+             origin(),
+             policy(0),
+             rollout_id() {
+  }
+
+  virtual ~Artifact() noexcept;
+  std::string version;
+  std::string base_version;
+  std::string root;
+  std::string origin;
+  int16_t policy;
+  std::string rollout_id;
+
+  _Artifact__isset __isset;
+
+  void __set_version(const std::string& val);
+
+  void __set_base_version(const std::string& val);
+
+  void __set_root(const std::string& val);
+
+  void __set_origin(const std::string& val);
+
+  void __set_policy(const int16_t val);
+
+  void __set_rollout_id(const std::string& val);
+
+  bool operator == (const Artifact & rhs) const
+  {
+    if (!(version == rhs.version))
+      return false;
+    if (!(base_version == rhs.base_version))
+      return false;
+    if (!(root == rhs.root))
+      return false;
+    if (!(origin == rhs.origin))
+      return false;
+    if (!(policy == rhs.policy))
+      return false;
+    if (!(rollout_id == rhs.rollout_id))
+      return false;
+    return true;
+  }
+  bool operator != (const Artifact &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Artifact & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Artifact &a, Artifact &b);
+
+std::ostream& operator<<(std::ostream& out, const Artifact& obj);
+
+typedef struct _Rollout__isset {
+  _Rollout__isset() : id(false), spec(false), state(false), created(false), revision(false), failed(false), return_failed(false), reason(false) {}
+  bool id :1;
+  bool spec :1;
+  bool state :1;
+  bool created :1;
+  bool revision :1;
+  bool failed :1;
+  bool return_failed :1;
+  bool reason :1;
+} _Rollout__isset;
+
+class Rollout : public virtual ::apache::thrift::TBase {
+ public:
+
+  Rollout(const Rollout&);
+  Rollout& operator=(const Rollout&);
+  Rollout() noexcept
+          : id(),
+            state(),
+            created(0),
+            revision(0),
+            reason() {
+  }
+
+  virtual ~Rollout() noexcept;
+  std::string id;
+  CreateRollout spec;
+  std::string state;
+  int64_t created;
+  int64_t revision;
+  std::vector<std::string>  failed;
+  std::vector<std::string>  return_failed;
+  std::string reason;
+
+  _Rollout__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_spec(const CreateRollout& val);
+
+  void __set_state(const std::string& val);
+
+  void __set_created(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_failed(const std::vector<std::string> & val);
+
+  void __set_return_failed(const std::vector<std::string> & val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const Rollout & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(spec == rhs.spec))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(created == rhs.created))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(failed == rhs.failed))
+      return false;
+    if (!(return_failed == rhs.return_failed))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const Rollout &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Rollout & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Rollout &a, Rollout &b);
+
+std::ostream& operator<<(std::ostream& out, const Rollout& obj);
+
+typedef struct _Assignment__isset {
+  _Assignment__isset() : artifact(false), previous(false), done(false), revision(false) {}
+  bool artifact :1;
+  bool previous :1;
+  bool done :1;
+  bool revision :1;
+} _Assignment__isset;
+
+class Assignment : public virtual ::apache::thrift::TBase {
+ public:
+
+  Assignment(const Assignment&);
+  Assignment& operator=(const Assignment&);
+  Assignment() noexcept
+             : previous(),
+               done(0),
+               revision(0) {
+  }
+
+  virtual ~Assignment() noexcept;
+  Artifact artifact;
+  std::string previous;
+  bool done;
+  int64_t revision;
+
+  _Assignment__isset __isset;
+
+  void __set_artifact(const Artifact& val);
+
+  void __set_previous(const std::string& val);
+
+  void __set_done(const bool val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const Assignment & rhs) const
+  {
+    if (!(artifact == rhs.artifact))
+      return false;
+    if (!(previous == rhs.previous))
+      return false;
+    if (!(done == rhs.done))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const Assignment &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Assignment & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Assignment &a, Assignment &b);
+
+std::ostream& operator<<(std::ostream& out, const Assignment& obj);
+
+typedef struct _Line__isset {
+  _Line__isset() : model(false), adapter(false), command_revision(false), request_id(false), rollout_id(false), last_good(false), last_good_revision(false), previous_good(false), tolerated(false), assigned(false) {}
+  bool model :1;
+  bool adapter :1;
+  bool command_revision :1;
+  bool request_id :1;
+  bool rollout_id :1;
+  bool last_good :1;
+  bool last_good_revision :1;
+  bool previous_good :1;
+  bool tolerated :1;
+  bool assigned :1;
+} _Line__isset;
+
+class Line : public virtual ::apache::thrift::TBase {
+ public:
+
+  Line(const Line&);
+  Line& operator=(const Line&);
+  Line() noexcept
+       : model(),
+         adapter(),
+         command_revision(0),
+         request_id(),
+         rollout_id(),
+         last_good_revision(0) {
+  }
+
+  virtual ~Line() noexcept;
+  std::string model;
+  std::string adapter;
+  int64_t command_revision;
+  std::string request_id;
+  std::string rollout_id;
+  Artifact last_good;
+  int64_t last_good_revision;
+  Artifact previous_good;
+  std::vector<std::string>  tolerated;
+  std::map<std::string, Assignment>  assigned;
+
+  _Line__isset __isset;
+
+  void __set_model(const std::string& val);
+
+  void __set_adapter(const std::string& val);
+
+  void __set_command_revision(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_rollout_id(const std::string& val);
+
+  void __set_last_good(const Artifact& val);
+
+  void __set_last_good_revision(const int64_t val);
+
+  void __set_previous_good(const Artifact& val);
+
+  void __set_tolerated(const std::vector<std::string> & val);
+
+  void __set_assigned(const std::map<std::string, Assignment> & val);
+
+  bool operator == (const Line & rhs) const
+  {
+    if (!(model == rhs.model))
+      return false;
+    if (!(adapter == rhs.adapter))
+      return false;
+    if (!(command_revision == rhs.command_revision))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(rollout_id == rhs.rollout_id))
+      return false;
+    if (__isset.last_good != rhs.__isset.last_good)
+      return false;
+    else if (__isset.last_good && !(last_good == rhs.last_good))
+      return false;
+    if (!(last_good_revision == rhs.last_good_revision))
+      return false;
+    if (__isset.previous_good != rhs.__isset.previous_good)
+      return false;
+    else if (__isset.previous_good && !(previous_good == rhs.previous_good))
+      return false;
+    if (!(tolerated == rhs.tolerated))
+      return false;
+    if (!(assigned == rhs.assigned))
+      return false;
+    return true;
+  }
+  bool operator != (const Line &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Line & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Line &a, Line &b);
+
+std::ostream& operator<<(std::ostream& out, const Line& obj);
+
+typedef struct _RuleEntry__isset {
+  _RuleEntry__isset() : rule(false), command_revision(false), request_id(false) {}
+  bool rule :1;
+  bool command_revision :1;
+  bool request_id :1;
+} _RuleEntry__isset;
+
+class RuleEntry : public virtual ::apache::thrift::TBase {
+ public:
+
+  RuleEntry(const RuleEntry&);
+  RuleEntry& operator=(const RuleEntry&);
+  RuleEntry() noexcept
+            : command_revision(0),
+              request_id() {
+  }
+
+  virtual ~RuleEntry() noexcept;
+  SetRule rule;
+  int64_t command_revision;
+  std::string request_id;
+
+  _RuleEntry__isset __isset;
+
+  void __set_rule(const SetRule& val);
+
+  void __set_command_revision(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  bool operator == (const RuleEntry & rhs) const
+  {
+    if (!(rule == rhs.rule))
+      return false;
+    if (!(command_revision == rhs.command_revision))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    return true;
+  }
+  bool operator != (const RuleEntry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RuleEntry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RuleEntry &a, RuleEntry &b);
+
+std::ostream& operator<<(std::ostream& out, const RuleEntry& obj);
+
+typedef struct _PendingChange__isset {
+  _PendingChange__isset() : change(false), id(false) {}
+  bool change :1;
+  bool id :1;
+} _PendingChange__isset;
+
+class PendingChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  PendingChange(const PendingChange&);
+  PendingChange& operator=(const PendingChange&);
+  PendingChange() noexcept
+                : id() {
+  }
+
+  virtual ~PendingChange() noexcept;
+  ScheduledChange change;
+  std::string id;
+
+  _PendingChange__isset __isset;
+
+  void __set_change(const ScheduledChange& val);
+
+  void __set_id(const std::string& val);
+
+  bool operator == (const PendingChange & rhs) const
+  {
+    if (!(change == rhs.change))
+      return false;
+    if (!(id == rhs.id))
+      return false;
+    return true;
+  }
+  bool operator != (const PendingChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PendingChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PendingChange &a, PendingChange &b);
+
+std::ostream& operator<<(std::ostream& out, const PendingChange& obj);
+
+typedef struct _EffectedChange__isset {
+  _EffectedChange__isset() : id(false), content(false), effective_at_ns(false), applied_at_ns(false), late(false), result(false) {}
+  bool id :1;
+  bool content :1;
+  bool effective_at_ns :1;
+  bool applied_at_ns :1;
+  bool late :1;
+  bool result :1;
+} _EffectedChange__isset;
+
+class EffectedChange : public virtual ::apache::thrift::TBase {
+ public:
+
+  EffectedChange(const EffectedChange&);
+  EffectedChange& operator=(const EffectedChange&);
+  EffectedChange() noexcept
+                 : id(),
+                   content(),
+                   effective_at_ns(0),
+                   applied_at_ns(0),
+                   late(0) {
+  }
+
+  virtual ~EffectedChange() noexcept;
+  std::string id;
+  std::string content;
+  int64_t effective_at_ns;
+  int64_t applied_at_ns;
+  bool late;
+  ApplyResult result;
+
+  _EffectedChange__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_content(const std::string& val);
+
+  void __set_effective_at_ns(const int64_t val);
+
+  void __set_applied_at_ns(const int64_t val);
+
+  void __set_late(const bool val);
+
+  void __set_result(const ApplyResult& val);
+
+  bool operator == (const EffectedChange & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(effective_at_ns == rhs.effective_at_ns))
+      return false;
+    if (!(applied_at_ns == rhs.applied_at_ns))
+      return false;
+    if (!(late == rhs.late))
+      return false;
+    if (!(result == rhs.result))
+      return false;
+    return true;
+  }
+  bool operator != (const EffectedChange &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EffectedChange & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EffectedChange &a, EffectedChange &b);
+
+std::ostream& operator<<(std::ostream& out, const EffectedChange& obj);
+
+typedef struct _Sheet__isset {
+  _Sheet__isset() : command_revision(false), request_id(false), content(false), pending(false), effected(false), clock_ns(false) {}
+  bool command_revision :1;
+  bool request_id :1;
+  bool content :1;
+  bool pending :1;
+  bool effected :1;
+  bool clock_ns :1;
+} _Sheet__isset;
+
+class Sheet : public virtual ::apache::thrift::TBase {
+ public:
+
+  Sheet(const Sheet&);
+  Sheet& operator=(const Sheet&);
+  Sheet() noexcept
+        : command_revision(0),
+          request_id(),
+          content(),
+          clock_ns(0) {
+  }
+
+  virtual ~Sheet() noexcept;
+  int64_t command_revision;
+  std::string request_id;
+  std::string content;
+  std::vector<PendingChange>  pending;
+  std::vector<EffectedChange>  effected;
+  int64_t clock_ns;
+
+  _Sheet__isset __isset;
+
+  void __set_command_revision(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  void __set_content(const std::string& val);
+
+  void __set_pending(const std::vector<PendingChange> & val);
+
+  void __set_effected(const std::vector<EffectedChange> & val);
+
+  void __set_clock_ns(const int64_t val);
+
+  bool operator == (const Sheet & rhs) const
+  {
+    if (!(command_revision == rhs.command_revision))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    if (!(content == rhs.content))
+      return false;
+    if (!(pending == rhs.pending))
+      return false;
+    if (!(effected == rhs.effected))
+      return false;
+    if (!(clock_ns == rhs.clock_ns))
+      return false;
+    return true;
+  }
+  bool operator != (const Sheet &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Sheet & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Sheet &a, Sheet &b);
+
+std::ostream& operator<<(std::ostream& out, const Sheet& obj);
+
+typedef struct _Endpoint__isset {
+  _Endpoint__isset() : info(false), present(false), draining(false), joined(false), left(false), left_reason(false), command_revision(false), request_id(false) {}
+  bool info :1;
+  bool present :1;
+  bool draining :1;
+  bool joined :1;
+  bool left :1;
+  bool left_reason :1;
+  bool command_revision :1;
+  bool request_id :1;
+} _Endpoint__isset;
+
+class Endpoint : public virtual ::apache::thrift::TBase {
+ public:
+
+  Endpoint(const Endpoint&);
+  Endpoint& operator=(const Endpoint&);
+  Endpoint() noexcept
+           : present(0),
+             draining(0),
+             joined(0),
+             left(0),
+             left_reason(),
+             command_revision(0),
+             request_id() {
+  }
+
+  virtual ~Endpoint() noexcept;
+  EndpointJoined info;
+  bool present;
+  bool draining;
+  int64_t joined;
+  int64_t left;
+  std::string left_reason;
+  int64_t command_revision;
+  std::string request_id;
+
+  _Endpoint__isset __isset;
+
+  void __set_info(const EndpointJoined& val);
+
+  void __set_present(const bool val);
+
+  void __set_draining(const bool val);
+
+  void __set_joined(const int64_t val);
+
+  void __set_left(const int64_t val);
+
+  void __set_left_reason(const std::string& val);
+
+  void __set_command_revision(const int64_t val);
+
+  void __set_request_id(const std::string& val);
+
+  bool operator == (const Endpoint & rhs) const
+  {
+    if (!(info == rhs.info))
+      return false;
+    if (!(present == rhs.present))
+      return false;
+    if (!(draining == rhs.draining))
+      return false;
+    if (!(joined == rhs.joined))
+      return false;
+    if (!(left == rhs.left))
+      return false;
+    if (!(left_reason == rhs.left_reason))
+      return false;
+    if (!(command_revision == rhs.command_revision))
+      return false;
+    if (!(request_id == rhs.request_id))
+      return false;
+    return true;
+  }
+  bool operator != (const Endpoint &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Endpoint & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Endpoint &a, Endpoint &b);
+
+std::ostream& operator<<(std::ostream& out, const Endpoint& obj);
+
+typedef struct _Process__isset {
+  _Process__isset() : info(false), present(false), revision(false) {}
+  bool info :1;
+  bool present :1;
+  bool revision :1;
+} _Process__isset;
+
+class Process : public virtual ::apache::thrift::TBase {
+ public:
+
+  Process(const Process&);
+  Process& operator=(const Process&);
+  Process() noexcept
+          : present(0),
+            revision(0) {
+  }
+
+  virtual ~Process() noexcept;
+  ProcessStarted info;
+  bool present;
+  int64_t revision;
+
+  _Process__isset __isset;
+
+  void __set_info(const ProcessStarted& val);
+
+  void __set_present(const bool val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const Process & rhs) const
+  {
+    if (!(info == rhs.info))
+      return false;
+    if (!(present == rhs.present))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const Process &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Process & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Process &a, Process &b);
+
+std::ostream& operator<<(std::ostream& out, const Process& obj);
+
+typedef struct _Call__isset {
+  _Call__isset() : account(false), key(false), request(false), owner(false), owner_incarnation(false), at_ns(false), sequence(false), runs(false), outcome(false), status(false), content_type(false), body(false), body_kept(false), body_digest(false) {}
+  bool account :1;
+  bool key :1;
+  bool request :1;
+  bool owner :1;
+  bool owner_incarnation :1;
+  bool at_ns :1;
+  bool sequence :1;
+  bool runs :1;
+  bool outcome :1;
+  bool status :1;
+  bool content_type :1;
+  bool body :1;
+  bool body_kept :1;
+  bool body_digest :1;
+} _Call__isset;
+
+class Call : public virtual ::apache::thrift::TBase {
+ public:
+
+  Call(const Call&);
+  Call& operator=(const Call&);
+  Call() noexcept
+       : account(),
+         key(),
+         request(),
+         owner(),
+         owner_incarnation(0),
+         at_ns(0),
+         sequence(0),
+         runs(0),
+         outcome(0),
+         status(0),
+         content_type(),
+         body(),
+         body_kept(0),
+         body_digest() {
+  }
+
+  virtual ~Call() noexcept;
+  std::string account;
+  std::string key;
+  std::string request;
+  std::string owner;
+  int64_t owner_incarnation;
+  int64_t at_ns;
+  int64_t sequence;
+  int32_t runs;
+  int16_t outcome;
+  int32_t status;
+  std::string content_type;
+  std::string body;
+  bool body_kept;
+  std::string body_digest;
+
+  _Call__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_request(const std::string& val);
+
+  void __set_owner(const std::string& val);
+
+  void __set_owner_incarnation(const int64_t val);
+
+  void __set_at_ns(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_runs(const int32_t val);
+
+  void __set_outcome(const int16_t val);
+
+  void __set_status(const int32_t val);
+
+  void __set_content_type(const std::string& val);
+
+  void __set_body(const std::string& val);
+
+  void __set_body_kept(const bool val);
+
+  void __set_body_digest(const std::string& val);
+
+  bool operator == (const Call & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(owner == rhs.owner))
+      return false;
+    if (!(owner_incarnation == rhs.owner_incarnation))
+      return false;
+    if (!(at_ns == rhs.at_ns))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(runs == rhs.runs))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(status == rhs.status))
+      return false;
+    if (!(content_type == rhs.content_type))
+      return false;
+    if (!(body == rhs.body))
+      return false;
+    if (!(body_kept == rhs.body_kept))
+      return false;
+    if (!(body_digest == rhs.body_digest))
+      return false;
+    return true;
+  }
+  bool operator != (const Call &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Call & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Call &a, Call &b);
+
+std::ostream& operator<<(std::ostream& out, const Call& obj);
+
+typedef struct _State__isset {
+  _State__isset() : revision(false), commands(false), forgotten(false), lines(false), rollouts(false), rules(false), sheet(false), endpoints(false), processes(false), calls(false), next_sequence(false), call_clock_ns(false), call_floor_ns(false), retired_keys(false) {}
+  bool revision :1;
+  bool commands :1;
+  bool forgotten :1;
+  bool lines :1;
+  bool rollouts :1;
+  bool rules :1;
+  bool sheet :1;
+  bool endpoints :1;
+  bool processes :1;
+  bool calls :1;
+  bool next_sequence :1;
+  bool call_clock_ns :1;
+  bool call_floor_ns :1;
+  bool retired_keys :1;
+} _State__isset;
+
+class State : public virtual ::apache::thrift::TBase {
+ public:
+
+  State(const State&);
+  State& operator=(const State&);
+  State() noexcept
+        : revision(0),
+          forgotten(0),
+          next_sequence(0),
+          call_clock_ns(0),
+          call_floor_ns(0) {
+  }
+
+  virtual ~State() noexcept;
+  int64_t revision;
+  std::map<std::string, RememberedCommand>  commands;
+  int64_t forgotten;
+  std::map<std::string, Line>  lines;
+  std::map<std::string, Rollout>  rollouts;
+  std::map<std::string, RuleEntry>  rules;
+  Sheet sheet;
+  std::map<std::string, Endpoint>  endpoints;
+  std::map<std::string, Process>  processes;
+  std::map<std::string, Call>  calls;
+  int64_t next_sequence;
+  int64_t call_clock_ns;
+  int64_t call_floor_ns;
+  std::vector<int64_t>  retired_keys;
+
+  _State__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_commands(const std::map<std::string, RememberedCommand> & val);
+
+  void __set_forgotten(const int64_t val);
+
+  void __set_lines(const std::map<std::string, Line> & val);
+
+  void __set_rollouts(const std::map<std::string, Rollout> & val);
+
+  void __set_rules(const std::map<std::string, RuleEntry> & val);
+
+  void __set_sheet(const Sheet& val);
+
+  void __set_endpoints(const std::map<std::string, Endpoint> & val);
+
+  void __set_processes(const std::map<std::string, Process> & val);
+
+  void __set_calls(const std::map<std::string, Call> & val);
+
+  void __set_next_sequence(const int64_t val);
+
+  void __set_call_clock_ns(const int64_t val);
+
+  void __set_call_floor_ns(const int64_t val);
+
+  void __set_retired_keys(const std::vector<int64_t> & val);
+
+  bool operator == (const State & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(commands == rhs.commands))
+      return false;
+    if (!(forgotten == rhs.forgotten))
+      return false;
+    if (!(lines == rhs.lines))
+      return false;
+    if (!(rollouts == rhs.rollouts))
+      return false;
+    if (!(rules == rhs.rules))
+      return false;
+    if (!(sheet == rhs.sheet))
+      return false;
+    if (!(endpoints == rhs.endpoints))
+      return false;
+    if (!(processes == rhs.processes))
+      return false;
+    if (!(calls == rhs.calls))
+      return false;
+    if (!(next_sequence == rhs.next_sequence))
+      return false;
+    if (!(call_clock_ns == rhs.call_clock_ns))
+      return false;
+    if (!(call_floor_ns == rhs.call_floor_ns))
+      return false;
+    if (!(retired_keys == rhs.retired_keys))
+      return false;
+    return true;
+  }
+  bool operator != (const State &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const State & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(State &a, State &b);
+
+std::ostream& operator<<(std::ostream& out, const State& obj);
+
 typedef struct _ReplicaId__isset {
   _ReplicaId__isset() : process(false), incarnation(false) {}
   bool process :1;
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -35,6 +35,8 @@
   2: string event
   3: list<string> endpoints
   4: string reason
+  5: i32 batch
+  6: bool returning
 }
 
 struct Rule {
@@ -151,6 +153,144 @@
   14: ProcessLeft process_left
 }
 
+// The whole configuration, as a snapshot of the replicated log carries it.
+struct ApplyResult {
+  1: i16 status
+  2: i16 first_status
+  3: i64 revision
+  4: string winner
+  5: i64 object_revision
+  6: string code
+  7: string field
+  8: string message
+  9: string object
+}
+
+struct RememberedCommand {
+  1: binary content
+  2: ApplyResult answer
+}
+
+struct Artifact {
+  1: string version
+  2: string base_version
+  3: binary root
+  4: string origin
+  5: i16 policy
+  6: string rollout_id
+}
+
+struct Rollout {
+  1: string id
+  2: CreateRollout spec
+  3: string state
+  4: i64 created
+  5: i64 revision
+  6: list<string> failed
+  7: list<string> return_failed
+  8: string reason
+}
+
+struct Assignment {
+  1: Artifact artifact
+  2: binary previous
+  3: bool done
+  4: i64 revision
+}
+
+struct Line {
+  1: string model
+  2: string adapter
+  3: i64 command_revision
+  4: string request_id
+  5: string rollout_id
+  6: optional Artifact last_good
+  7: i64 last_good_revision
+  8: optional Artifact previous_good
+  9: list<binary> tolerated
+  10: map<string, Assignment> assigned
+}
+
+struct RuleEntry {
+  1: SetRule rule
+  2: i64 command_revision
+  3: string request_id
+}
+
+struct PendingChange {
+  1: ScheduledChange change
+  2: string id
+}
+
+struct EffectedChange {
+  1: string id
+  2: binary content
+  3: i64 effective_at_ns
+  4: i64 applied_at_ns
+  5: bool late
+  6: ApplyResult result
+}
+
+struct Sheet {
+  1: i64 command_revision
+  2: string request_id
+  3: binary content
+  4: list<PendingChange> pending
+  5: list<EffectedChange> effected
+  6: i64 clock_ns
+}
+
+struct Endpoint {
+  1: EndpointJoined info
+  2: bool present
+  3: bool draining
+  4: i64 joined
+  5: i64 left
+  6: string left_reason
+  7: i64 command_revision
+  8: string request_id
+}
+
+struct Process {
+  1: ProcessStarted info
+  2: bool present
+  3: i64 revision
+}
+
+struct Call {
+  1: string account
+  2: string key
+  3: binary request
+  4: string owner
+  5: i64 owner_incarnation
+  6: i64 at_ns
+  7: i64 sequence
+  8: i32 runs
+  9: i16 outcome
+  10: i32 status
+  11: string content_type
+  12: binary body
+  13: bool body_kept
+  14: binary body_digest
+}
+
+struct State {
+  1: i64 revision
+  2: map<string, RememberedCommand> commands
+  3: i64 forgotten
+  4: map<string, Line> lines
+  5: map<string, Rollout> rollouts
+  6: map<string, RuleEntry> rules
+  7: Sheet sheet
+  8: map<string, Endpoint> endpoints
+  9: map<string, Process> processes
+  10: map<string, Call> calls
+  11: i64 next_sequence
+  12: i64 call_clock_ns
+  13: i64 call_floor_ns
+  14: list<i64> retired_keys
+}
+
 struct ReplicaId {
   1: string process
   2: i64 incarnation
--- a/src/process/agent_control.cc
+++ b/src/process/agent_control.cc
@@ -41,8 +41,8 @@
     throw codec::CodecError("order has a root digest of the wrong length");
   }
   std::copy(w.root.begin(), w.root.end(), order.artifact.root.bytes.begin());
-  order.artifact.policy = w.policy == 0 ? config::SpreadPolicy::kTimeFirst
-                                        : config::SpreadPolicy::kOriginBytesFirst;
+  order.artifact.policy =
+      w.policy == 0 ? config::SpreadPolicy::kTimeFirst : config::SpreadPolicy::kOriginBytesFirst;
   order.artifact.rollout_id = w.rollout_id;
   return order;
 }
@@ -68,11 +68,10 @@
   work.state = state;
   work.attempts = 0;
   next_heartbeat_ = {};
-  LogEvent(Event::kReplicaStateChanged,
-           {{"endpoint", settings_.endpoint.endpoint_id},
-            {"state", rollout::kReplicaStates.Name(state)},
-            {"version", work.order.artifact.version},
-            {"rollout", work.order.artifact.rollout_id}});
+  LogEvent(Event::kReplicaStateChanged, {{"endpoint", settings_.endpoint.endpoint_id},
+                                         {"state", rollout::kReplicaStates.Name(state)},
+                                         {"version", work.order.artifact.version},
+                                         {"rollout", work.order.artifact.rollout_id}});
 }
 
 void AgentControl::Fail(LineWork& work, const std::string& error, TimePoint now) {
@@ -129,8 +128,7 @@
     row.adapter = work.order.adapter;
     row.replica_state = static_cast<std::int16_t>(work.state);
     row.target_root = DigestBytes(work.order.artifact.root);
-    row.chunks_total =
-        work.manifest ? static_cast<std::int32_t>(work.manifest->chunks.size()) : 0;
+    row.chunks_total = work.manifest ? static_cast<std::int32_t>(work.manifest->chunks.size()) : 0;
     row.chunks_present =
         work.artifact ? static_cast<std::int32_t>(work.artifact->present_count()) : 0;
     row.served_root = DigestBytes(work.served_root);
@@ -314,10 +312,9 @@
     work->session.reset();
     return Fail(*work, error, now);
   }
-  LogEvent(Event::kArtifactVerified,
-           {{"version", work->order.artifact.version},
-            {"root", work->order.artifact.root.Hex()},
-            {"chunks", work->manifest->chunks.size()}});
+  LogEvent(Event::kArtifactVerified, {{"version", work->order.artifact.version},
+                                      {"root", work->order.artifact.root.Hex()},
+                                      {"chunks", work->manifest->chunks.size()}});
   SetState(*work, ReplicaState::kVerified);
 }
 
@@ -442,9 +439,12 @@
     }
     if (work.session) {
       const auto& stats = work.session->stats();
-      row["session"] = {{"from_origin", stats.from_origin}, {"from_peers", stats.from_peers},
-                        {"across_regions", stats.across_regions}, {"corrupt", stats.corrupt},
-                        {"failures", stats.failures}, {"takeovers", stats.takeovers},
+      row["session"] = {{"from_origin", stats.from_origin},
+                        {"from_peers", stats.from_peers},
+                        {"across_regions", stats.across_regions},
+                        {"corrupt", stats.corrupt},
+                        {"failures", stats.failures},
+                        {"takeovers", stats.takeovers},
                         {"outstanding", work.session->outstanding()}};
     }
     lines.push_back(std::move(row));
--- a/src/process/agent_traffic.cc
+++ b/src/process/agent_traffic.cc
@@ -7,6 +7,7 @@
 #include "wagtailslip/codec/manifest_codec.h"
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/process/async_result.h"
+#include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
 
 namespace wagtailslip::process {
@@ -53,16 +54,14 @@
  public:
   explicit TrafficEffects(AgentTraffic& t) : t_(t) {}
 
-  void FetchManifest(const std::string& line, std::uint64_t generation,
-                     const rollout::Order& order,
+  void FetchManifest(const std::string& line, std::uint64_t generation, const rollout::Order& order,
                      const std::vector<std::string>& peers) override {
     Spawn(t_.FetchManifest(line, generation, order, peers));
   }
   void OpenArtifact(const std::string& line, std::uint64_t generation,
                     std::shared_ptr<const spread::Manifest> manifest) override {
-    asio::post(t_.disk_.context(), [this, line, generation, manifest] {
-      t_.OpenArtifact(line, generation, manifest);
-    });
+    asio::post(t_.disk_.context(),
+               [this, line, generation, manifest] { t_.OpenArtifact(line, generation, manifest); });
   }
   void FetchChunk(const std::string& line, std::uint64_t generation,
                   std::shared_ptr<disk::Artifact> artifact, const spread::Fetch& fetch,
@@ -155,9 +154,7 @@
 }
 
 std::string AgentTraffic::http_address() const { return net::FormatAddress(server_->address()); }
-std::string AgentTraffic::peer_address() const {
-  return net::FormatAddress(transport_->address());
-}
+std::string AgentTraffic::peer_address() const { return net::FormatAddress(transport_->address()); }
 
 Task<void> AgentTraffic::Handle(net::HttpExchange& exchange) {
   const std::string_view path = exchange.path();
@@ -216,8 +213,7 @@
 }
 
 Task<void> AgentTraffic::ServeDump(net::HttpExchange& exchange) {
-  const auto result =
-      std::make_shared<AsyncResult<std::string>>(traffic_.context().get_executor());
+  const auto result = std::make_shared<AsyncResult<std::string>>(traffic_.context().get_executor());
   post_([result](AgentControl& control, TimePoint now) { result->Set(control.Dump(now)); });
   const auto text = co_await result->Wait(kDumpTimeout);
   if (text) {
@@ -232,9 +228,8 @@
   std::string error = "no source";
   std::shared_ptr<const spread::Manifest> manifest;
   const std::string by_root = "/manifests/" + order.artifact.root.Hex();
-  const std::string by_name = "/models/" +
-                              (order.adapter.empty() ? order.model : order.adapter) + "/" +
-                              order.artifact.version + "/manifest";
+  const std::string by_name = "/models/" + (order.adapter.empty() ? order.model : order.adapter) +
+                              "/" + order.artifact.version + "/manifest";
   // The root digest proves a manifest, so any peer may send it and the origin is asked last.
   peers.push_back(order.artifact.origin);
   for (std::size_t i = 0; i < peers.size() && !manifest; ++i) {
@@ -351,8 +346,8 @@
     auto request = net::MakeRequest(net::http::verb::get, "/have/" + root.Hex());
     const auto response = co_await connection->Call(std::move(request), timeout);
     pool_.Release(to, std::move(connection));
-    const auto have = response.status == 200 ? spread::Bitmap::FromBytes(response.body, chunks)
-                                             : std::optional<spread::Bitmap>();
+    std::optional<spread::Bitmap> have;
+    if (response.status == 200) have = spread::Bitmap::FromBytes(response.body, chunks);
     if (have) {
       post_([line, generation, peer = poll.peer, have](AgentControl& control, TimePoint now) {
         control.OnHave(line, generation, peer, *have, now);
--- a/src/process/engine_client.cc
+++ b/src/process/engine_client.cc
@@ -84,7 +84,9 @@
   co_return;
 }
 
-net::Task<std::map<std::string, ServedArtifact>> ServiceClient::ReadState() { co_return {}; }
+net::Task<std::map<std::string, ServedArtifact>> ServiceClient::ReadState() {
+  co_return std::map<std::string, ServedArtifact>();
+}
 
 net::Task<EngineLoad> ServiceClient::ReadLoad() {
   // A plain service reports no load; a connection shows that it is alive.
