Add the replicated log's decision module and the durable log store

Cause: the control replicas need elections, a leader lease, replication and a log that survives a restart before the entry process can be wired.

Conclusion: usable for wiring; proof by random runs follows.

--- /dev/null
+++ b/include/wagtailslip/agreement/membership.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "wagtailslip/base/enum_table.h"
+
+namespace wagtailslip::agreement {
+
+/// Identity of a replica. A process whose data folder was lost gets a new incarnation, so that it
+/// never votes under an identity whose promises it has forgotten.
+struct ReplicaId {
+  std::string process;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const ReplicaId&) const = default;
+  /// "process/incarnation", for logs and errors.
+  std::string Text() const;
+};
+
+/// Part of a member in the replicated log.
+enum class MemberRole : std::uint8_t {
+  kLearner,  ///< Receives committed entries; never votes.
+  kStandby,  ///< A learner with a data folder, which may become a voter.
+  kVoter,
+};
+inline constexpr EnumTable<MemberRole, 3> kMemberRoles{{{{MemberRole::kLearner, "learner"},
+                                                         {MemberRole::kStandby, "standby"},
+                                                         {MemberRole::kVoter, "voter"}}}};
+
+/// Kinds of membership changes.
+enum class ChangeKind : std::uint8_t { kAddLearner, kAddStandby, kPromote, kRemove, kAddVoter };
+inline constexpr EnumTable<ChangeKind, 5> kChangeKinds{{{
+    {ChangeKind::kAddLearner, "add-learner"},
+    {ChangeKind::kAddStandby, "add-standby"},
+    {ChangeKind::kPromote, "promote"},
+    {ChangeKind::kRemove, "remove"},
+    {ChangeKind::kAddVoter, "add-voter"},
+}}};
+
+/// One change of the membership. kAddVoter appears only in the first entries of a new log.
+struct MembershipChange {
+  ChangeKind kind = ChangeKind::kAddLearner;
+  ReplicaId id;
+
+  bool operator==(const MembershipChange&) const = default;
+};
+
+std::string EncodeChange(const MembershipChange& change);
+/// The change in a membership entry's data; nothing if the data has another shape.
+std::optional<MembershipChange> DecodeChange(std::string_view data);
+
+/// The members of the log and their roles.
+class Membership {
+ public:
+  void Apply(const MembershipChange& change);
+
+  std::optional<MemberRole> Role(const ReplicaId& id) const;
+  bool IsVoter(const ReplicaId& id) const { return Role(id) == MemberRole::kVoter; }
+  const std::map<ReplicaId, MemberRole>& members() const { return members_; }
+  std::vector<ReplicaId> Voters() const;
+  std::size_t voter_count() const { return voter_count_; }
+  /// Number of voters that form a majority.
+  std::size_t quorum() const { return voter_count_ / 2 + 1; }
+  /// Sets a member's role, for decoders.
+  void Set(const ReplicaId& id, MemberRole role);
+
+  bool operator==(const Membership&) const = default;
+
+ private:
+  std::map<ReplicaId, MemberRole> members_;
+  std::size_t voter_count_ = 0;
+};
+
+}  // namespace wagtailslip::agreement
--- /dev/null
+++ b/src/agreement/replica_election.cc
@@ -0,0 +1,165 @@
+#include <algorithm>
+#include <functional>
+
+#include "wagtailslip/agreement/replica.h"
+
+namespace wagtailslip::agreement {
+namespace {
+
+/// SplitMix64: small, and the same sequence with every standard library.
+std::uint64_t NextRandom(std::uint64_t& state) {
+  std::uint64_t z = state += 0x9e3779b97f4a7c15ULL;
+  z = (z ^ z >> 30) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ z >> 27) * 0x94d049bb133111ebULL;
+  return z ^ z >> 31;
+}
+
+}  // namespace
+
+void Replica::ResetElectionDeadline(TimePoint now, Duration least, Duration most) {
+  const auto span = static_cast<std::uint64_t>((most - least).count()) + 1;
+  const auto extra = static_cast<Duration::rep>(NextRandom(random_state_) % span);
+  election_deadline_ = now + least + Duration(extra);
+}
+
+bool Replica::HeardLeaderRecently(TimePoint now) const {
+  if (role_ == Role::kLeader) return HasLease(now);
+  return now < heard_at_ + config_.election_min;
+}
+
+void Replica::HeardLeader(const Message& m, TimePoint sent_at, TimePoint now) {
+  WTS_INVARIANT(role_ != Role::kLeader);
+  WTS_INVARIANT(!leader_ || *leader_ == m.from);
+  role_ = Role::kFollower;
+  leader_ = m.from;
+  heard_at_ = now;
+  echo_ = std::max(echo_, sent_at);
+  ResetElectionDeadline(now, config_.election_min, config_.election_max);
+}
+
+void Replica::SetVote(const ReplicaId& candidate) {
+  WTS_INVARIANT(!vote_ || *vote_ == candidate);
+  vote_ = candidate;
+}
+
+void Replica::BecomeFollower(Term term, std::optional<ReplicaId> leader, TimePoint now) {
+  WTS_INVARIANT(term >= term_);
+  if (role_ == Role::kLeader) ++counters_.step_downs;
+  if (term > term_) {
+    term_ = term;
+    vote_.reset();
+  }
+  role_ = Role::kFollower;
+  leader_ = std::move(leader);
+  verified_ = 0;
+  echo_ = TimePoint{};
+  acknowledgement_due_ = false;
+  progress_.clear();
+  votes_.clear();
+  ResetElectionDeadline(now, config_.election_min, config_.election_max);
+}
+
+void Replica::Campaign(bool pre_vote, TimePoint now) {
+  if (pre_vote) {
+    ++counters_.pre_campaigns;
+    role_ = Role::kPreCandidate;
+  } else {
+    ++counters_.campaigns;
+    role_ = Role::kCandidate;
+    ++term_;
+    vote_.reset();
+    SetVote(config_.id);
+  }
+  leader_.reset();
+  verified_ = 0;
+  echo_ = TimePoint{};
+  acknowledgement_due_ = false;
+  votes_ = {config_.id};
+  ResetElectionDeadline(now, config_.retry_min, config_.retry_max);
+  if (votes_.size() >= membership_.quorum()) {
+    if (pre_vote) {
+      Campaign(false, now);
+    } else {
+      BecomeLeader(now);
+    }
+    return;
+  }
+  const Term term = pre_vote ? term_ + 1 : term_;
+  for (const ReplicaId& id : membership_.Voters()) {
+    if (id == config_.id) continue;
+    SendWithTerm(id, term, VoteRequest{pre_vote, log_.last(), log_.last_term()});
+  }
+}
+
+void Replica::OnVoteRequest(const Message& m, const VoteRequest& request, TimePoint now) {
+  const bool heard = HeardLeaderRecently(now);
+  if (heard) ++counters_.votes_refused_by_lease;
+  if (!request.pre_vote && m.term > term_ && !heard) BecomeFollower(m.term, std::nullopt, now);
+  const bool up_to_date =
+      std::pair(request.last_term, request.last_index) >= std::pair(log_.last_term(), log_.last());
+  bool granted = !heard && up_to_date;
+  if (request.pre_vote) {
+    granted = granted && m.term > term_;
+  } else {
+    granted =
+        granted && m.term == term_ && role_ == Role::kFollower && (!vote_ || *vote_ == m.from);
+    if (granted) {
+      SetVote(m.from);
+      ResetElectionDeadline(now, config_.election_min, config_.election_max);
+    }
+  }
+  SendWithTerm(m.from, granted ? m.term : term_, VoteReply{request.pre_vote, granted});
+}
+
+void Replica::OnVoteReply(const Message& m, const VoteReply& reply, TimePoint now) {
+  const bool current = reply.pre_vote ? role_ == Role::kPreCandidate && m.term == term_ + 1
+                                      : role_ == Role::kCandidate && m.term == term_;
+  if (!current || !reply.granted || !membership_.IsVoter(m.from)) return;
+  votes_.insert(m.from);
+  if (votes_.size() < membership_.quorum()) return;
+  if (reply.pre_vote) {
+    Campaign(false, now);
+  } else {
+    BecomeLeader(now);
+  }
+}
+
+void Replica::BecomeLeader(TimePoint now) {
+  WTS_INVARIANT(role_ == Role::kCandidate);
+  ++counters_.elections_won;
+  role_ = Role::kLeader;
+  leader_ = config_.id;
+  elected_at_ = now;
+  votes_.clear();
+  progress_.clear();
+  RefreshProgress();
+  term_start_ = log_.last() + 1;
+  AppendEntry(EntryKind::kNoOp, {});
+  Broadcast(now);
+}
+
+TimePoint Replica::QuorumContact(TimePoint now) const {
+  // Called for each proposal, so it selects without sorting every member.
+  std::vector<TimePoint> contacts;
+  contacts.reserve(membership_.voter_count());
+  if (membership_.IsVoter(config_.id)) contacts.push_back(now);
+  for (const auto& [id, progress] : progress_) {
+    if (progress.voter) contacts.push_back(progress.contact);
+  }
+  const std::size_t quorum = membership_.quorum();
+  if (contacts.size() < quorum) return TimePoint::min();
+  std::nth_element(contacts.begin(), contacts.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
+                   contacts.end(), std::greater<>());
+  return contacts[quorum - 1];
+}
+
+bool Replica::HasLease(TimePoint now) const {
+  if (role_ != Role::kLeader) return false;
+  const TimePoint contact = QuorumContact(now);
+  const bool held =
+      contact != TimePoint::min() && now < contact + config_.lease - config_.lease_margin;
+  WTS_INVARIANT(!held || (leader_ && *leader_ == config_.id));
+  return held;
+}
+
+}  // namespace wagtailslip::agreement
--- /dev/null
+++ b/src/agreement/replica_replication.cc
@@ -0,0 +1,215 @@
+#include <algorithm>
+#include <functional>
+
+#include "wagtailslip/agreement/replica.h"
+
+namespace wagtailslip::agreement {
+
+void Replica::AppendEntry(EntryKind kind, std::string data) {
+  Store({log_.last() + 1, term_, kind, std::move(data)});
+}
+
+void Replica::Store(Entry entry) {
+  if (entry.kind == EntryKind::kMembership) NoteMembershipEntry(entry);
+  uncommitted_bytes_ += entry.data.size();
+  out_.append.push_back(entry);
+  log_.Append(std::move(entry));
+}
+
+void Replica::Truncate(Index from) {
+  WTS_INVARIANT(role_ != Role::kLeader);
+  WTS_INVARIANT(from > commit_);
+  for (Index i = from; i <= log_.last(); ++i) uncommitted_bytes_ -= log_.At(i).data.size();
+  log_.TruncateFrom(from);
+  WTS_INVARIANT(out_.append.empty());
+  out_.truncate_from = from;
+  persisted_ = std::min(persisted_, from - 1);
+  for (PendingWrite& pending : pending_writes_) {
+    pending.last_index = std::min(pending.last_index, from - 1);
+  }
+  if (!change_indexes_.empty() && change_indexes_.back() >= from) RebuildMembership();
+}
+
+void Replica::OnAppendRequest(const Message& m, const AppendRequest& request, TimePoint now) {
+  if (m.term < term_) {
+    // Tells a leader of an older term to step down.
+    Send(m.from, AppendReply{.prev_index = request.prev_index, .sent_at = request.sent_at});
+    return;
+  }
+  HeardLeader(m, request.sent_at, now);
+  const Index prev = request.prev_index;
+  if (prev > log_.last() || (prev >= log_.base() && log_.TermAt(prev) != request.prev_term)) {
+    RejectAppend(m, request);
+    return;
+  }
+  Index matched = prev;
+  if (request.entries) {
+    for (const Entry& entry : *request.entries) {
+      WTS_INVARIANT(entry.index == matched + 1);
+      matched = entry.index;
+      if (entry.index <= log_.base()) continue;
+      if (entry.index <= log_.last()) {
+        if (log_.TermAt(entry.index) == entry.term) continue;
+        Truncate(entry.index);
+      }
+      Store(entry);
+    }
+  }
+  verified_ = std::max(verified_, matched);
+  CommitTo(std::min(request.commit, verified_));
+  if (out_.append.empty()) {
+    AcknowledgeAppend();
+  } else {
+    acknowledgement_due_ = true;
+  }
+}
+
+void Replica::RejectAppend(const Message& m, const AppendRequest& request) {
+  ++counters_.append_conflicts;
+  Index hint = std::min(request.prev_index, log_.last());
+  while (hint > std::max(log_.base(), commit_) && log_.TermAt(hint) > request.prev_term) --hint;
+  Send(m.from, AppendReply{.success = false,
+                           .match = std::min(verified_, persisted_),
+                           .prev_index = request.prev_index,
+                           .hint_index = hint,
+                           .hint_term = hint >= log_.base() ? log_.TermAt(hint) : 0,
+                           .sent_at = request.sent_at});
+}
+
+void Replica::AcknowledgeAppend() {
+  acknowledgement_due_ = verified_ > persisted_;
+  Send(*leader_, AppendReply{.success = true,
+                             .match = std::min(verified_, persisted_),
+                             .prev_index = verified_,
+                             .sent_at = echo_});
+}
+
+void Replica::OnAppendReply(const Message& m, const AppendReply& reply, TimePoint now) {
+  if (role_ != Role::kLeader || m.term != term_) return;
+  const auto it = progress_.find(m.from);
+  if (it == progress_.end()) return;
+  Progress& progress = it->second;
+  WTS_INVARIANT(reply.sent_at <= now);
+  progress.contact = std::max(progress.contact, reply.sent_at);
+  if (reply.match > progress.match) {
+    WTS_INVARIANT(reply.match <= log_.last());
+    progress.match = reply.match;
+    progress.next = std::max(progress.next, reply.match + 1);
+  }
+  if (reply.success) {
+    if (progress.state == SendState::kSnapshot && progress.match >= progress.snapshot->index) {
+      progress.snapshot.reset();
+      progress.state = SendState::kReplicate;
+    } else if (progress.state == SendState::kProbe) {
+      progress.state = SendState::kReplicate;
+      progress.next = std::max(progress.match, reply.prev_index) + 1;
+    }
+    if (progress.match >= progress.commit_sent) {
+      progress.caught_up = std::max(progress.caught_up, reply.sent_at);
+    }
+  } else if (progress.state != SendState::kSnapshot) {
+    const bool stale =
+        reply.prev_index <= progress.match ||
+        (progress.state == SendState::kProbe && reply.prev_index + 1 != progress.next);
+    if (stale) return;
+    Index candidate = std::min(reply.hint_index, log_.last());
+    while (candidate > log_.base() && log_.TermAt(candidate) > reply.hint_term) --candidate;
+    progress.next = std::max(std::min(candidate + 1, reply.prev_index), progress.match + 1);
+    progress.state = SendState::kProbe;
+  }
+  progress.probe_sent = false;
+  MaybeCommit(now);
+  // A commit that removes this replica ends its leadership and its progress table.
+  if (role_ != Role::kLeader) return;
+  const Index limit = progress.voter ? log_.last() : commit_;
+  if (progress.state != SendState::kSnapshot && progress.next <= limit) {
+    SendAppend(m.from, progress, now);
+  }
+}
+
+void Replica::Broadcast(TimePoint now) {
+  for (auto& [id, progress] : progress_) {
+    if (progress.voter && !progress.probe_sent && progress.state != SendState::kSnapshot) {
+      SendAppend(id, progress, now);
+    }
+  }
+  MaybeCommit(now);
+}
+
+void Replica::FeedMember(const ReplicaId& to, Progress& progress, TimePoint now) {
+  const Duration heartbeat = progress.voter ? config_.heartbeat : config_.learner_heartbeat;
+  const bool due = progress.sent_at == TimePoint::min() || now >= progress.sent_at + heartbeat;
+  const bool news = progress.state == SendState::kReplicate && progress.commit_sent < commit_ &&
+                    now >= progress.sent_at + config_.feed_interval;
+  if (due || news) SendAppend(to, progress, now);
+  if (progress.state == SendState::kSnapshot && now >= progress.part_sent_at + config_.heartbeat) {
+    SendSnapshotPart(to, progress, now);
+  }
+}
+
+void Replica::SendAppend(const ReplicaId& to, Progress& progress, TimePoint now) {
+  if (progress.state != SendState::kSnapshot && progress.next <= log_.base()) {
+    progress.state = SendState::kSnapshot;
+    progress.snapshot = snapshot_;
+    progress.snapshot_offset = 0;
+    ++counters_.snapshots_sent;
+    SendSnapshotPart(to, progress, now);
+  }
+  AppendRequest request;
+  // While a snapshot is sent, the request only renews the lease: position 0 always matches.
+  if (progress.state != SendState::kSnapshot) {
+    const Index limit = progress.voter ? log_.last() : commit_;
+    const bool room = progress.next - progress.match <= config_.max_unacknowledged;
+    request.prev_index = progress.next - 1;
+    request.prev_term = log_.TermAt(request.prev_index);
+    if (room) {
+      request.entries =
+          log_.Slice(progress.next, limit, config_.max_batch_entries, config_.max_batch_bytes);
+    }
+    if (progress.state == SendState::kReplicate && request.entries) {
+      progress.next = request.entries->back().index + 1;
+    }
+    progress.probe_sent = progress.state == SendState::kProbe;
+  }
+  request.commit = commit_;
+  request.sent_at = now;
+  progress.sent_at = now;
+  progress.commit_sent = commit_;
+  Send(to, std::move(request));
+}
+
+void Replica::MaybeCommit(TimePoint now) {
+  WTS_INVARIANT(role_ == Role::kLeader);
+  std::vector<Index> matches;
+  matches.reserve(membership_.voter_count());
+  if (membership_.IsVoter(config_.id)) matches.push_back(persisted_);
+  for (const auto& [id, progress] : progress_) {
+    if (progress.voter) matches.push_back(progress.match);
+  }
+  const std::size_t quorum = membership_.quorum();
+  if (matches.size() < quorum) return;
+  std::nth_element(matches.begin(), matches.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
+                   matches.end(), std::greater<>());
+  const Index index = matches[quorum - 1];
+  // Only an entry of its own term proves that a majority follows this leader; the entries before
+  // it are committed with it.
+  if (index <= commit_ || log_.TermAt(index) != term_) return;
+  CommitTo(index);
+  if (!membership_.IsVoter(config_.id) && !VoterChangePending()) {
+    BecomeFollower(term_, std::nullopt, now);
+  }
+}
+
+void Replica::CommitTo(Index index) {
+  if (index <= commit_) return;
+  WTS_INVARIANT(index <= log_.last());
+  const Index before = commit_;
+  for (Index i = commit_ + 1; i <= index; ++i) {
+    uncommitted_bytes_ -= log_.At(i).data.size();
+    out_.committed.push_back(log_.At(i));
+  }
+  commit_ = index;
+  WTS_INVARIANT(commit_ > before);
+}
+
+}  // namespace wagtailslip::agreement
--- /dev/null
+++ b/src/disk/log_recovery.cc
@@ -0,0 +1,215 @@
+#include <fcntl.h>
+#include <sys/file.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+#include <set>
+
+#include "wagtailslip/disk/encoding.h"
+#include "wagtailslip/disk/log_names.h"
+#include "wagtailslip/disk/log_record.h"
+#include "wagtailslip/disk/log_store.h"
+
+namespace wagtailslip::disk {
+namespace {
+
+namespace fs = std::filesystem;
+
+/// Numbers of the files with a prefix, in ascending order.
+std::set<std::uint64_t> NumberedFiles(const std::string& folder, const std::string& prefix) {
+  std::set<std::uint64_t> numbers;
+  for (const auto& item : fs::directory_iterator(folder)) {
+    const std::string name = item.path().filename().string();
+    if (!name.starts_with(prefix) || name.ends_with(".tmp")) continue;
+    const std::string digits = name.substr(prefix.size());
+    if (digits.empty() || digits.find_first_not_of("0123456789") != std::string::npos) continue;
+    numbers.insert(std::stoull(digits));
+  }
+  return numbers;
+}
+
+}  // namespace
+
+void LogStore::Lock() {
+  std::error_code ec;
+  fs::create_directories(options_.folder, ec);
+  if (ec) throw IoError("mkdir", options_.folder, ec.value());
+  lock_ = File(Path(kLockName), O_RDWR | O_CREAT);
+  if (::flock(lock_.fd(), LOCK_EX | LOCK_NB) != 0) {
+    if (errno != EWOULDBLOCK) RaiseIoError("flock", lock_.path());
+    throw FolderLockedError(options_.folder + " is in use by another process");
+  }
+}
+
+void LogStore::Recover() {
+  try {
+    const bool found = RecoverHardState();
+    mark_ = File(Path(kMarkName), O_RDWR | O_CREAT);
+    ReadSyncedMark();
+    if (found) {
+      RecoverSnapshot();
+      RecoverSegments();
+      return;
+    }
+  } catch (const fs::filesystem_error& error) {
+    throw IoError("read", options_.folder, error.code().value());
+  }
+  // A new folder. Its log is written before its state file, so that a crash in between leaves a
+  // folder that is created again.
+  created_ = true;
+  identity_ = options_.identity;
+  if (identity_.process.empty()) throw DiskError("a new data folder needs a process id");
+  for (const std::uint64_t first : NumberedFiles(options_.folder, kSegmentPrefix)) {
+    RemoveFile(SegmentPath(first));
+  }
+  failed_ = false;
+  Append(options_.initial.entries);
+  Sync();
+  SaveHardState(options_.initial.hard_state);
+  recovered_ = std::move(options_.initial);
+}
+
+bool LogStore::RecoverHardState() {
+  const std::string path = Path(kStateName);
+  if (!fs::exists(path)) {
+    // A folder that was in use has a snapshot, or a segment beyond the initial entries.
+    const auto segments = NumberedFiles(options_.folder, kSegmentPrefix);
+    if (!NumberedFiles(options_.folder, kSnapshotPrefix).empty() ||
+        (!segments.empty() && (segments.size() > 1 || *segments.begin() != 1))) {
+      throw DamagedDataError(path, 0, "the state file is missing from a folder that is in use");
+    }
+    return false;
+  }
+  const std::string data = File(path, O_RDONLY).ReadAll();
+  const auto body = Unseal(kStateMagic, data);
+  if (!body) throw DamagedDataError(path, 0, "the checksum of the state file is wrong");
+  Decoder decoder(*body);
+  identity_.process = std::string(decoder.Bytes());
+  identity_.incarnation = decoder.U64();
+  hard_state_.term = decoder.U64();
+  if (decoder.U8() != 0) {
+    agreement::ReplicaId vote;
+    vote.process = std::string(decoder.Bytes());
+    vote.incarnation = decoder.U64();
+    hard_state_.vote = std::move(vote);
+  }
+  if (!decoder.ok()) throw DamagedDataError(path, 0, "the state file has another shape");
+  if (!options_.identity.process.empty() && options_.identity.process != identity_.process) {
+    throw DiskError(options_.folder + " belongs to process " + identity_.process + ", not to " +
+                    options_.identity.process);
+  }
+  recovered_.hard_state = hard_state_;
+  return true;
+}
+
+void LogStore::RecoverSnapshot() {
+  const auto numbers = NumberedFiles(options_.folder, kSnapshotPrefix);
+  if (numbers.empty()) return;
+  const std::string path = Path(NumberedName(kSnapshotPrefix, *numbers.rbegin()));
+  const std::string data = File(path, O_RDONLY).ReadAll();
+  const auto body = Unseal(kSnapshotMagic, data);
+  auto snapshot = body ? DecodeSnapshot(*body) : std::nullopt;
+  if (!snapshot || snapshot->index != *numbers.rbegin()) {
+    throw DamagedDataError(path, 0, "the checksum of the snapshot is wrong");
+  }
+  for (const std::uint64_t number : numbers) {
+    if (number != snapshot->index) RemoveFile(Path(NumberedName(kSnapshotPrefix, number)));
+  }
+  snapshot_index_ = snapshot->index;
+  snapshot_term_ = snapshot->term;
+  last_index_ = snapshot_index_;
+  recovered_.snapshot = std::make_shared<const agreement::Snapshot>(std::move(*snapshot));
+}
+
+void LogStore::ReadSyncedMark() {
+  const std::string data = mark_.ReadAll();
+  const auto body = Unseal(kMarkMagic, data);
+  // A torn mark is possible after a power failure; the lengths in the records then decide.
+  if (!body) return;
+  Decoder decoder(*body);
+  mark_first_ = decoder.U64();
+  mark_length_ = decoder.U64();
+}
+
+void LogStore::RecoverSegments() {
+  const auto numbers = NumberedFiles(options_.folder, kSegmentPrefix);
+  if (mark_first_ != 0 && (numbers.empty() || *numbers.rbegin() < mark_first_)) {
+    throw DamagedDataError(SegmentPath(mark_first_), 0, "the segment is missing");
+  }
+  for (const std::uint64_t first : numbers) RecoverSegment(first, first == *numbers.rbegin());
+  if (segments_.empty()) return;
+  // A log that ends before the snapshot, or disagrees with it, was to be discarded when the
+  // process stopped.
+  bool discard = last_index_ < snapshot_index_;
+  for (const agreement::Entry& entry : recovered_.entries) {
+    if (entry.index == snapshot_index_ && entry.term != snapshot_term_) discard = true;
+  }
+  if (!discard && segments_.front().first > snapshot_index_ + 1) {
+    throw DamagedDataError(SegmentPath(segments_.front().first), 0,
+                           "entries between the snapshot and this segment are missing");
+  }
+  if (discard) {
+    recovered_.entries.clear();
+    DiscardLog();
+    return;
+  }
+  tail_ = File(SegmentPath(segments_.back().first), O_RDWR);
+  synced_length_ = segments_.back().length;
+  DropSegmentsThrough(snapshot_index_);
+  std::erase_if(recovered_.entries, [this](const auto& e) { return e.index <= snapshot_index_; });
+}
+
+void LogStore::RecoverSegment(agreement::Index first, bool last) {
+  const std::string path = SegmentPath(first);
+  const std::string data = File(path, O_RDONLY).ReadAll();
+  const std::string_view view(data);
+  const auto header = DecodeSegmentHeader(view);
+  if (!header || *header != first) {
+    // Only a segment without records can be one whose creation was cut short.
+    if (last && data.size() <= kSegmentHeaderBytes && mark_first_ != first) {
+      counters_.torn_bytes_cut += data.size();
+      RemoveFile(path);
+      SyncFolder(options_.folder);
+      return;
+    }
+    throw DamagedDataError(path, 0, "the segment header is damaged");
+  }
+  if (!segments_.empty() && first != last_index_ + 1) {
+    throw DamagedDataError(path, 0, "entries before this segment are missing");
+  }
+  Segment segment{first, kSegmentHeaderBytes, {}};
+  agreement::Index next = first;
+  while (segment.length < view.size()) {
+    auto record = DecodeRecord(view.substr(segment.length));
+    if (!record || record->entry.index != next) break;
+    segment.entries.push_back({segment.length, record->entry.term});
+    segment.length += record->size;
+    recovered_.entries.push_back(std::move(record->entry));
+    ++next;
+  }
+  const bool cut = segment.length < view.size();
+  if (cut && !last) throw DamagedDataError(path, segment.length, "a record is damaged");
+  if (mark_first_ == first && mark_length_ > segment.length) {
+    throw DamagedDataError(path, segment.length, "a synced record is damaged or missing");
+  }
+  // A later record that was written after this position had been synced proves that the damaged
+  // bytes were acknowledged. Records of the same unsynced write prove nothing: pages of one write
+  // reach the disk in any order.
+  for (std::uint64_t at = segment.length + 1; cut && at < view.size(); ++at) {
+    const auto record = DecodeRecord(view.substr(at));
+    if (record && record->synced_length > segment.length) {
+      throw DamagedDataError(path, segment.length, "a synced record is damaged");
+    }
+  }
+  if (cut) {
+    counters_.torn_bytes_cut += view.size() - segment.length;
+    File file(path, O_RDWR);
+    file.Truncate(segment.length);
+    SyncFile(file);
+  }
+  last_index_ = next - 1;
+  segments_.push_back(std::move(segment));
+}
+
+}  // namespace wagtailslip::disk
