--- a/cmake/WagtailslipOptions.cmake
+++ b/cmake/WagtailslipOptions.cmake
@@ -24,7 +24,8 @@
 option(WTS_SANITIZE_THREAD "Build with the thread sanitizer" OFF)
 
 add_library(wts_options INTERFACE)
-target_compile_options(wts_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers)
+# g++ 12 reports the frames of Boost 1.74 coroutines as mismatched-new-delete.
+target_compile_options(wts_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers -Wno-mismatched-new-delete)
 target_include_directories(wts_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
 target_link_libraries(wts_options INTERFACE Threads::Threads)
 if(WTS_SANITIZE_ADDRESS)
--- a/include/wagtailslip/codec/record_codec.h
+++ b/include/wagtailslip/codec/record_codec.h
@@ -4,11 +4,14 @@
 #include <string_view>
 
 #include "wagtailslip/codec/error.h"
-#include "wagtailslip/config/record.h"
+#include "wagtailslip/config/state.h"
+#include "wagtailslip/rollout/controller.h"
 
 namespace wagtailslip::wire {
+class ApplyResult;
 class EndpointJoined;
-}
+class EndpointOrder;
+}  // namespace wagtailslip::wire
 
 namespace wagtailslip::codec {
 
@@ -26,4 +29,16 @@
 /// @throws CodecError if a value is outside its enumeration
 config::EndpointJoined FromWire(const wire::EndpointJoined& endpoint);
 
+/// Converts the answer to a record.
+void ApplyResultToWire(const config::ApplyResult& result, wire::ApplyResult& w);
+
+/// @throws CodecError if a value is outside its enumeration
+config::ApplyResult ApplyResultFromWire(const wire::ApplyResult& w);
+
+/// Converts an order to an agent.
+wire::EndpointOrder OrderToWire(const rollout::Order& order);
+
+/// @throws CodecError if a value is outside its enumeration
+rollout::Order OrderFromWire(const wire::EndpointOrder& w);
+
 }  // namespace wagtailslip::codec
--- a/include/wagtailslip/process/entry_settings.h
+++ b/include/wagtailslip/process/entry_settings.h
@@ -22,6 +22,9 @@
   std::string data_folder;
   /// Frame addresses of the first voters by process id; the same on every process.
   std::map<std::string, std::string> voters;
+  /// Whether a new data folder starts a new log with these voters. Set once, at the first start of
+  /// all: a voter that lost its disk must join again under a new identity.
+  bool bootstrap = false;
   /// Frame addresses of other entry processes by id, to join through.
   std::map<std::string, std::string> peers;
   /// Voters that the log is kept at while enough control replicas live.
--- a/src/cli/process_commands.cc
+++ b/src/cli/process_commands.cc
@@ -71,6 +71,10 @@
       ->envname("WAGTAILSLIP_VOTERS")
       ->delimiter(',')
       ->required();
+  command
+      ->add_flag("--bootstrap", s.bootstrap,
+                 "Start a new log in a new data folder; only at the first start of all voters")
+      ->envname("WAGTAILSLIP_BOOTSTRAP");
   command->add_option("--peer", flags->peers, "Other entry process as id=ip:port")
       ->envname("WAGTAILSLIP_PEERS")
       ->delimiter(',');
--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -8398,28 +8398,8 @@
   this->proposal = val;
 }
 
-void ProposeReply::__set_accepted(const bool val) {
-  this->accepted = val;
-}
-
-void ProposeReply::__set_status(const int16_t val) {
-  this->status = val;
-}
-
-void ProposeReply::__set_revision(const int64_t val) {
-  this->revision = val;
-}
-
-void ProposeReply::__set_code(const std::string& val) {
-  this->code = val;
-}
-
-void ProposeReply::__set_field(const std::string& val) {
-  this->field = val;
-}
-
-void ProposeReply::__set_message(const std::string& val) {
-  this->message = val;
+void ProposeReply::__set_result(const ApplyResult& val) {
+  this->result = val;
 }
 std::ostream& operator<<(std::ostream& out, const ProposeReply& obj)
 {
@@ -8458,49 +8438,9 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->accepted);
-          this->__isset.accepted = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I16) {
-          xfer += iprot->readI16(this->status);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->code);
-          this->__isset.code = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->field);
-          this->__isset.field = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->message);
-          this->__isset.message = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->result.read(iprot);
+          this->__isset.result = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -8526,28 +8466,8 @@
   xfer += oprot->writeI64(this->proposal);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 2);
-  xfer += oprot->writeBool(this->accepted);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I16, 3);
-  xfer += oprot->writeI16(this->status);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->revision);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_STRING, 5);
-  xfer += oprot->writeString(this->code);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("field", ::apache::thrift::protocol::T_STRING, 6);
-  xfer += oprot->writeString(this->field);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("message", ::apache::thrift::protocol::T_STRING, 7);
-  xfer += oprot->writeString(this->message);
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->result.write(oprot);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -8558,33 +8478,18 @@
 void swap(ProposeReply &a, ProposeReply &b) {
   using ::std::swap;
   swap(a.proposal, b.proposal);
-  swap(a.accepted, b.accepted);
-  swap(a.status, b.status);
-  swap(a.revision, b.revision);
-  swap(a.code, b.code);
-  swap(a.field, b.field);
-  swap(a.message, b.message);
+  swap(a.result, b.result);
   swap(a.__isset, b.__isset);
 }
 
 ProposeReply::ProposeReply(const ProposeReply& other214) {
   proposal = other214.proposal;
-  accepted = other214.accepted;
-  status = other214.status;
-  revision = other214.revision;
-  code = other214.code;
-  field = other214.field;
-  message = other214.message;
+  result = other214.result;
   __isset = other214.__isset;
 }
 ProposeReply& ProposeReply::operator=(const ProposeReply& other215) {
   proposal = other215.proposal;
-  accepted = other215.accepted;
-  status = other215.status;
-  revision = other215.revision;
-  code = other215.code;
-  field = other215.field;
-  message = other215.message;
+  result = other215.result;
   __isset = other215.__isset;
   return *this;
 }
@@ -8592,12 +8497,7 @@
   using ::apache::thrift::to_string;
   out << "ProposeReply(";
   out << "proposal=" << to_string(proposal);
-  out << ", " << "accepted=" << to_string(accepted);
-  out << ", " << "status=" << to_string(status);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "code=" << to_string(code);
-  out << ", " << "field=" << to_string(field);
-  out << ", " << "message=" << to_string(message);
+  out << ", " << "result=" << to_string(result);
   out << ")";
 }
 
@@ -10613,6 +10513,10 @@
 void Frame::__set_body(const PeerMessage& val) {
   this->body = val;
 }
+
+void Frame::__set_in_force_revision(const int64_t val) {
+  this->in_force_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -10705,6 +10609,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->in_force_revision);
+          this->__isset.in_force_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10754,6 +10666,10 @@
   xfer += this->body.write(oprot);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("in_force_revision", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->in_force_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10769,6 +10685,7 @@
   swap(a.echo_ns, b.echo_ns);
   swap(a.applied_revision, b.applied_revision);
   swap(a.body, b.body);
+  swap(a.in_force_revision, b.in_force_revision);
   swap(a.__isset, b.__isset);
 }
 
@@ -10781,6 +10698,7 @@
   echo_ns = other272.echo_ns;
   applied_revision = other272.applied_revision;
   body = other272.body;
+  in_force_revision = other272.in_force_revision;
   __isset = other272.__isset;
 }
 Frame& Frame::operator=(const Frame& other273) {
@@ -10792,6 +10710,7 @@
   echo_ns = other273.echo_ns;
   applied_revision = other273.applied_revision;
   body = other273.body;
+  in_force_revision = other273.in_force_revision;
   __isset = other273.__isset;
   return *this;
 }
@@ -10806,6 +10725,7 @@
   out << ", " << "echo_ns=" << to_string(echo_ns);
   out << ", " << "applied_revision=" << to_string(applied_revision);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "in_force_revision=" << to_string(in_force_revision);
   out << ")";
 }
 
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -3382,14 +3382,9 @@
 std::ostream& operator<<(std::ostream& out, const ProposeRequest& obj);
 
 typedef struct _ProposeReply__isset {
-  _ProposeReply__isset() : proposal(false), accepted(false), status(false), revision(false), code(false), field(false), message(false) {}
+  _ProposeReply__isset() : proposal(false), result(false) {}
   bool proposal :1;
-  bool accepted :1;
-  bool status :1;
-  bool revision :1;
-  bool code :1;
-  bool field :1;
-  bool message :1;
+  bool result :1;
 } _ProposeReply__isset;
 
 class ProposeReply : public virtual ::apache::thrift::TBase {
@@ -3398,55 +3393,24 @@
   ProposeReply(const ProposeReply&);
   ProposeReply& operator=(const ProposeReply&);
   ProposeReply() noexcept
-               : proposal(0),
-                 accepted(0),
-                 status(0),
-                 revision(0),
-                 code(),
-                 field(),
-                 message() {
+               : proposal(0) {
   }
 
   virtual ~ProposeReply() noexcept;
   int64_t proposal;
-  bool accepted;
-  int16_t status;
-  int64_t revision;
-  std::string code;
-  std::string field;
-  std::string message;
+  ApplyResult result;
 
   _ProposeReply__isset __isset;
 
   void __set_proposal(const int64_t val);
 
-  void __set_accepted(const bool val);
-
-  void __set_status(const int16_t val);
-
-  void __set_revision(const int64_t val);
-
-  void __set_code(const std::string& val);
-
-  void __set_field(const std::string& val);
-
-  void __set_message(const std::string& val);
+  void __set_result(const ApplyResult& val);
 
   bool operator == (const ProposeReply & rhs) const
   {
     if (!(proposal == rhs.proposal))
       return false;
-    if (!(accepted == rhs.accepted))
-      return false;
-    if (!(status == rhs.status))
-      return false;
-    if (!(revision == rhs.revision))
-      return false;
-    if (!(code == rhs.code))
-      return false;
-    if (!(field == rhs.field))
-      return false;
-    if (!(message == rhs.message))
+    if (!(result == rhs.result))
       return false;
     return true;
   }
@@ -4218,7 +4182,7 @@
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : protocol(false), sender(false), incarnation(false), sender_address(false), sent_at_ns(false), echo_ns(false), applied_revision(false), body(false) {}
+  _Frame__isset() : protocol(false), sender(false), incarnation(false), sender_address(false), sent_at_ns(false), echo_ns(false), applied_revision(false), body(false), in_force_revision(false) {}
   bool protocol :1;
   bool sender :1;
   bool incarnation :1;
@@ -4227,6 +4191,7 @@
   bool echo_ns :1;
   bool applied_revision :1;
   bool body :1;
+  bool in_force_revision :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -4241,7 +4206,8 @@
           sender_address(),
           sent_at_ns(0),
           echo_ns(0),
-          applied_revision(0) {
+          applied_revision(0),
+          in_force_revision(0) {
   }
 
   virtual ~Frame() noexcept;
@@ -4253,6 +4219,7 @@
   int64_t echo_ns;
   int64_t applied_revision;
   PeerMessage body;
+  int64_t in_force_revision;
 
   _Frame__isset __isset;
 
@@ -4272,6 +4239,8 @@
 
   void __set_body(const PeerMessage& val);
 
+  void __set_in_force_revision(const int64_t val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(protocol == rhs.protocol))
@@ -4290,6 +4259,8 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(in_force_revision == rhs.in_force_revision))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/codec/record_codec.cc
+++ b/src/codec/record_codec.cc
@@ -141,4 +141,47 @@
   return d;
 }
 
+namespace {
+
+template <typename C, typename D, typename W>
+void CopyOrder(const C& copy, D& d, W& w) {
+  copy(d.endpoint_id, w.endpoint_id);
+  copy(d.incarnation, w.incarnation);
+  copy(d.token.term, w.token_term);
+  copy(d.token.revision, w.token_revision);
+  copy(d.model, w.model);
+  copy(d.adapter, w.adapter);
+  copy(d.kind, w.kind);
+  copy(d.artifact.version, w.version);
+  copy(d.artifact.base_version, w.base_version);
+  copy(d.artifact.origin, w.origin);
+  copy(d.artifact.root, w.root);
+  copy(d.artifact.policy, w.policy);
+  copy(d.artifact.rollout_id, w.rollout_id);
+}
+
+}  // namespace
+
+void ApplyResultToWire(const config::ApplyResult& result, wire::ApplyResult& w) {
+  CopyResult(ToWireCopy{}, result, w);
+}
+
+config::ApplyResult ApplyResultFromWire(const wire::ApplyResult& w) {
+  config::ApplyResult result;
+  CopyResult(FromWireCopy{}, result, w);
+  return result;
+}
+
+wire::EndpointOrder OrderToWire(const rollout::Order& order) {
+  wire::EndpointOrder w;
+  CopyOrder(ToWireCopy{}, order, w);
+  return w;
+}
+
+rollout::Order OrderFromWire(const wire::EndpointOrder& w) {
+  rollout::Order order;
+  CopyOrder(FromWireCopy{}, order, w);
+  return order;
+}
+
 }  // namespace wagtailslip::codec
--- a/src/codec/record_fields.h
+++ b/src/codec/record_fields.h
@@ -135,6 +135,19 @@
   copy(d.incarnation, w.incarnation);
 }
 
+template <typename C, typename D, typename W>
+void CopyResult(const C& copy, D& d, W& w) {
+  copy(d.status, w.status);
+  copy(d.first_status, w.first_status);
+  copy(d.revision, w.revision);
+  copy(d.winner, w.winner);
+  copy(d.object_revision, w.object_revision);
+  copy(d.code, w.code);
+  copy(d.field, w.field);
+  copy(d.message, w.message);
+  copy(d.object, w.object);
+}
+
 inline wire::ScheduledChange ScheduledToWire(const config::ScheduledChange& d) {
   const ToWireCopy copy;
   wire::ScheduledChange w;
--- a/src/codec/state_codec.cc
+++ b/src/codec/state_codec.cc
@@ -8,19 +8,6 @@
 
 // The functions below list the fields of one struct each, like those in record_fields.h.
 
-template <typename C, typename D, typename W>
-void CopyResult(const C& copy, D& d, W& w) {
-  copy(d.status, w.status);
-  copy(d.first_status, w.first_status);
-  copy(d.revision, w.revision);
-  copy(d.winner, w.winner);
-  copy(d.object_revision, w.object_revision);
-  copy(d.code, w.code);
-  copy(d.field, w.field);
-  copy(d.message, w.message);
-  copy(d.object, w.object);
-}
-
 template <typename C, typename D, typename W>
 void CopyRemembered(const C& copy, D& d, W& w) {
   copy(d.content, w.content);
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -376,12 +376,7 @@
 
 struct ProposeReply {
   1: i64 proposal
-  2: bool accepted
-  3: i16 status
-  4: i64 revision
-  5: string code
-  6: string field
-  7: string message
+  2: ApplyResult result
 }
 
 // Progress of one endpoint with one model or adapter, as its agent reports it.
@@ -488,4 +483,5 @@
   6: i64 echo_ns
   7: i64 applied_revision
   8: PeerMessage body
+  9: i64 in_force_revision
 }
--- a/src/process/agent.cc
+++ b/src/process/agent.cc
@@ -41,8 +41,7 @@
     LogEvent(Event::kProcessStopping);
     control.Post([](AgentControl& state, TimePoint now) { state.Leave(now); });
     WaitUntil(kExitPoll, [&control] {
-      return Ask<bool>(control,
-                       [](AgentControl& state, TimePoint now) { return state.MayExit(now); });
+      return Ask(control, [](AgentControl& state, TimePoint now) { return state.MayExit(now); });
     });
     traffic.StopAccepting();
     control.Stop();
--- a/src/process/agent_control.cc
+++ b/src/process/agent_control.cc
@@ -25,28 +25,6 @@
 constexpr int kAttemptLimit = 3;
 constexpr std::size_t kManifestPeers = 3;
 
-rollout::Order OrderFromWire(const wire::EndpointOrder& w) {
-  rollout::Order order;
-  order.endpoint_id = w.endpoint_id;
-  order.incarnation = static_cast<std::uint64_t>(w.incarnation);
-  order.token.term = static_cast<std::uint64_t>(w.token_term);
-  order.token.revision = static_cast<std::uint64_t>(w.token_revision);
-  order.model = w.model;
-  order.adapter = w.adapter;
-  order.kind = w.kind == 0 ? rollout::OrderKind::kFetch : rollout::OrderKind::kSwap;
-  order.artifact.version = w.version;
-  order.artifact.base_version = w.base_version;
-  order.artifact.origin = w.origin;
-  if (w.root.size() != order.artifact.root.bytes.size()) {
-    throw codec::CodecError("order has a root digest of the wrong length");
-  }
-  std::copy(w.root.begin(), w.root.end(), order.artifact.root.bytes.begin());
-  order.artifact.policy =
-      w.policy == 0 ? config::SpreadPolicy::kTimeFirst : config::SpreadPolicy::kOriginBytesFirst;
-  order.artifact.rollout_id = w.rollout_id;
-  return order;
-}
-
 std::string DigestBytes(const Digest& digest) {
   return {reinterpret_cast<const char*>(digest.bytes.data()), digest.bytes.size()};
 }
@@ -174,7 +152,7 @@
     }
   }
   for (const auto& it : reply.orders) {
-    const rollout::Order order = OrderFromWire(it);
+    const rollout::Order order = codec::OrderFromWire(it);
     if (order.endpoint_id == settings_.endpoint.endpoint_id &&
         order.incarnation == settings_.endpoint.incarnation) {
       TakeOrder(order, now);
