--- a/src/cli/settings_check.cc
+++ b/src/cli/settings_check.cc
@@ -5,6 +5,7 @@
 #include <filesystem>
 
 #include "wagtailslip/net/address.h"
+#include "wagtailslip/net/error.h"
 #include "wagtailslip/process/access.h"
 
 namespace wagtailslip::cli {
--- a/src/codec/manifest_codec.cc
+++ b/src/codec/manifest_codec.cc
@@ -47,6 +47,7 @@
   json body{{"model", manifest.model},
             {"version", manifest.version},
             {"kind", config::kArtifactKinds.Name(manifest.kind)},
+            {"chunk_bytes", manifest.chunks.empty() ? 0 : manifest.chunks.front().size},
             {"chunks", std::move(chunks)},
             {"root", manifest.root.Hex()}};
   if (!manifest.base_version.empty()) body["base"] = manifest.base_version;
--- a/src/process/engine_client.cc
+++ b/src/process/engine_client.cc
@@ -41,17 +41,20 @@
 
 }  // namespace
 
+/// One number for engines: a later term always gives a greater one.
+std::uint64_t FencingNumber(const rollout::FencingToken& token) {
+  constexpr int kRevisionBits = 40;
+  return token.term << kRevisionBits | (token.revision & ((std::uint64_t{1} << kRevisionBits) - 1));
+}
+
 net::Task<void> HttpEngineClient::Load(rollout::Order order, std::string path) {
-  json body{{"model", order.model},
-            {"version", order.artifact.version},
-            {"kind", order.adapter.empty() ? "model" : "adapter"},
-            {"root", order.artifact.root.Hex()},
-            {"path", path},
-            {"fencing", {{"term", order.token.term}, {"revision", order.token.revision}}}};
-  if (!order.adapter.empty()) {
-    body["adapter"] = order.adapter;
-    body["base"] = order.artifact.base_version;
-  }
+  json body;
+  body["model"] = order.adapter.empty() ? order.model : order.adapter;
+  body["version"] = order.artifact.version;
+  body["kind"] = order.adapter.empty() ? "model" : "adapter";
+  body["root"] = order.artifact.root.Hex();
+  body["path"] = path;
+  body["fencing"] = FencingNumber(order.token);
   auto request = net::MakeRequest(net::http::verb::post, "/admin/load", body.dump());
   co_await CallJson(address_, std::move(request), kLoadTimeout);
 }
@@ -63,8 +66,11 @@
   for (const auto& it : body.value("loaded", json::array())) {
     const auto root = Digest::FromHex(it.value("root", ""));
     if (!root) continue;
-    served[config::LineKey(it.value("model", ""), it.value("adapter", ""))] = {
-        it.value("version", ""), *root};
+    const std::string name = it.value("model", "");
+    const bool adapter = it.value("kind", "model") == "adapter";
+    const std::string line =
+        adapter ? config::LineKey(it.value("base", ""), name) : config::LineKey(name, "");
+    served[line] = {it.value("version", ""), *root};
   }
   co_return served;
 }
@@ -74,7 +80,7 @@
   const json body = co_await CallJson(address_, std::move(request), kReadTimeout);
   EngineLoad load;
   load.running = body.value("running", 0U);
-  load.waiting = body.value("waiting", 0U);
+  load.waiting = body.value("queued", 0U);
   load.slots = body.value("slots", 1U);
   co_return load;
 }
--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -122,7 +122,7 @@
   }
   if (const auto* advance = std::get_if<config::AdvanceRollout>(&record); advance && result.ok()) {
     LogEvent(Event::kRolloutAdvanced, {{"rollout", advance->rollout_id},
-                                       {"event", advance->event},
+                                       {"transition", advance->event},
                                        {"endpoints", advance->endpoints},
                                        {"reason", advance->reason}});
   }
