--- a/src/process/entry_views.cc
+++ b/src/process/entry_views.cc
@@ -117,8 +117,7 @@
     row["applied"] = control.machine().revision();
     row["lease"] = control.HoldsLease(now);
   } else if (const auto it = control.peers().find(id);
-             it != control.peers().end() &&
-             control.replica().role() == agreement::Role::kLeader) {
+             it != control.peers().end() && control.replica().role() == agreement::Role::kLeader) {
     // Only the leader hears all processes.
     row["applied"] = it->second.applied;
     row["lease"] = now - it->second.heard < kStale;
