--- a/src/config/calls.cc
+++ b/src/config/calls.cc
@@ -133,9 +133,11 @@
 void StateMachine::SettleOwner(const std::string& process) {
   const auto owned = pending_.find(process);
   if (owned == pending_.end()) return;
+  const std::uint64_t incarnation = state_.processes.at(process).info.incarnation;
   for (const auto& map_key : owned->second) {
     Call& call = state_.calls.at(map_key);
     WTS_INVARIANT(call.outcome == CallOutcome::kPending);
+    WTS_INVARIANT(call.owner_incarnation == incarnation);
     call.outcome = CallOutcome::kUnknown;
   }
   pending_.erase(owned);
