--- a/src/config/commands.cc
+++ b/src/config/commands.cc
@@ -1,17 +1,13 @@
 // Rollouts and rules.
 #include <algorithm>
-#include <cmath>
 
 #include "wagtailslip/config/state_machine.h"
+#include "wagtailslip/config/validate.h"
 #include "wagtailslip/rollout/chart.h"
 
 namespace wagtailslip::config {
 namespace {
 
-constexpr std::size_t kNameBytes = 128;
-constexpr std::uint32_t kLowestPriority = 9;
-constexpr double kLargestWeight = 1e6;
-
 /// Events that only the leader proposes, in AdvanceRollout.
 const std::set<std::string> kLeaderEvents = {"start",    "open", "swapped", "fail",
                                              "complete", "halt", "returned"};
@@ -22,56 +18,6 @@
     {RolloutAction::kCancel, "cancel"},
     {RolloutAction::kRollBack, "rollback"}};
 
-bool NameOk(const std::string& name) {
-  return !name.empty() && name.size() <= kNameBytes &&
-         std::all_of(name.begin(), name.end(), [](unsigned char c) {
-           return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':' || c == '+';
-         });
-}
-
-/// Account and kind names may hold any printable text.
-bool LabelOk(const std::string& label) {
-  return !label.empty() && label.size() <= kNameBytes &&
-         std::none_of(label.begin(), label.end(), [](unsigned char c) { return c < 0x20; });
-}
-
-struct Fault {
-  std::string field;
-  std::string message;
-};
-
-std::optional<Fault> FindFault(const CreateRollout& command) {
-  const std::string name_rule =
-      " has 1 to " + std::to_string(kNameBytes) + " letters, digits or . _ - : +";
-  if (!NameOk(command.model)) return Fault{"model", "a model name" + name_rule};
-  if (!NameOk(command.version)) return Fault{"version", "a version" + name_rule};
-  if (command.kind == ArtifactKind::kAdapter) {
-    if (!NameOk(command.adapter)) return Fault{"adapter", "an adapter name" + name_rule};
-    if (!NameOk(command.base_version)) return Fault{"base_version", "a version" + name_rule};
-  } else if (!command.adapter.empty() || !command.base_version.empty()) {
-    return Fault{"kind", "a model has no adapter name and no base version"};
-  }
-  if (command.origin.empty()) return Fault{"origin", "the origin's address is missing"};
-  if (command.root == Digest{}) return Fault{"root", "the root digest is missing"};
-  if (command.batch_size == 0) return Fault{"batch_size", "the batch size is at least 1"};
-  if (command.failure_limit == 0) return Fault{"failure_limit", "the limit is at least 1"};
-  return std::nullopt;
-}
-
-std::optional<Fault> FindFault(const Rule& rule) {
-  if (!LabelOk(rule.account)) return Fault{"account", "an account has 1 to 128 characters"};
-  if (!LabelOk(rule.kind)) return Fault{"kind", "a kind has 1 to 128 characters"};
-  if (rule.priority > kLowestPriority) return Fault{"priority", "a priority is 0 to 9"};
-  if (!std::isfinite(rule.weight) || rule.weight <= 0 || rule.weight > kLargestWeight) {
-    return Fault{"weight", "a weight is over 0 and at most 1000000"};
-  }
-  if (!std::isfinite(rule.rate_limit) || rule.rate_limit < 0) {
-    return Fault{"rate_limit", "a rate limit is 0 or more"};
-  }
-  if (rule.deadline < Duration::zero()) return Fault{"deadline", "a deadline is 0 or more"};
-  return std::nullopt;
-}
-
 bool SameRule(const Rule& a, const Rule& b) {
   return a.account == b.account && a.kind == b.kind && a.call_class == b.call_class &&
          a.priority == b.priority && a.weight == b.weight && a.rate_limit == b.rate_limit &&
@@ -98,8 +44,8 @@
 }
 
 ApplyResult StateMachine::Run(const CreateRollout& command, bool check_base) {
-  if (const auto fault = FindFault(command)) {
-    return Rejected("invalid", fault->field, fault->message);
+  if (const auto faults = FindFaults(command); !faults.empty()) {
+    return Rejected("invalid", faults.front().field, faults.front().message);
   }
   const std::string key = LineKey(command.model, command.adapter);
   const auto at = state_.lines.find(key);
@@ -300,8 +246,8 @@
 }
 
 ApplyResult StateMachine::Run(const SetRule& command, bool check_base) {
-  if (const auto fault = FindFault(command.rule)) {
-    return Rejected("invalid", fault->field, fault->message);
+  if (const auto faults = FindFaults(command.rule); !faults.empty()) {
+    return Rejected("invalid", faults.front().field, faults.front().message);
   }
   const std::string key = RuleKey(command.rule.account, command.rule.kind);
   const std::string name = "rule " + command.rule.account + "/" + command.rule.kind;
