--- a/include/wagtailslip/config/state.h
+++ b/include/wagtailslip/config/state.h
@@ -210,7 +210,7 @@
   Duration call_age = std::chrono::hours(24);
   std::size_t call_body_bytes = 4096;
   // Bodies share this bound; the oldest are dropped first, so that a daemon stays under 128 MB.
-  std::size_t call_bodies_total_bytes = 32 * 1024 * 1024;
+  std::size_t call_bodies_total_bytes = std::size_t{16} << 20;
   std::size_t retired_keys = 200'000;
   std::size_t finished_rollouts = 1000;
   std::size_t absent_endpoints = 4096;
--- a/include/wagtailslip/config/state_machine.h
+++ b/include/wagtailslip/config/state_machine.h
@@ -48,6 +48,8 @@
   void CheckInvariants() const;
 
  private:
+  using Calls = std::map<std::string, Call>;
+
   ApplyResult On(const NoOp& record);
   ApplyResult On(const CreateRollout& record);
   ApplyResult On(const ControlRollout& record);
@@ -77,7 +79,8 @@
   ApplyResult Applied(std::string object = {}) const;
   ApplyResult Unchanged(std::string object = {}) const;
   ApplyResult Rejected(std::string code, std::string field, std::string message) const;
-  ApplyResult Conflict(std::string object, const std::string& winner, Revision revision) const;
+  ApplyResult Conflict(const std::string& object, const std::string& winner,
+                       Revision revision) const;
 
   /// Fires an event of the rollout chart and performs what the new state implies.
   ApplyResult FireRollout(Rollout& rollout, const std::string& event, const std::string& reason);
@@ -93,18 +96,20 @@
   void RetireCall(std::uint64_t sequence);
   void BoundBodies();
   void SettleOwner(const std::string& process);
-  void IndexCall(const Call& call);
+  void IndexCall(Calls::iterator call);
+  void RemovePending(const Call& call);
   bool KeyForgotten(const std::string& map_key, const std::optional<UtcTime>& issued) const;
 
   Limits limits_;
   State state_;
   // Derived from state_; rebuilt by Restore.
   std::map<Revision, std::string> command_order_;
-  std::map<std::uint64_t, std::string> call_order_;
-  std::map<std::uint64_t, std::string> body_order_;
+  std::map<std::uint64_t, Calls::iterator> call_order_;
   std::size_t body_bytes_ = 0;
-  /// Pending calls by owner.
-  std::map<std::string, std::set<std::string>> pending_;
+  /// No call with a smaller sequence has a body.
+  std::uint64_t body_cursor_ = 0;
+  /// Sequences of pending calls by owner.
+  std::map<std::string, std::set<std::uint64_t>> pending_;
   std::unordered_map<std::uint64_t, std::uint32_t> retired_;
   /// Counts rollouts created by one record.
   int created_ = 0;
--- a/include/wagtailslip/rollout/controller.h
+++ b/include/wagtailslip/rollout/controller.h
@@ -115,7 +115,8 @@
 /// Whether an endpoint may get requests for a line, and why not.
 struct Route {
   bool allowed = true;
-  std::string reason;
+  /// A constant, so that routing tables can be built without allocation.
+  const char* reason = "";
 };
 
 /// Decides routing of an endpoint from committed state and its newest report. Every entry process
--- a/include/wagtailslip/sheet/sheet.h
+++ b/include/wagtailslip/sheet/sheet.h
@@ -60,7 +60,7 @@
 };
 
 /// Bounds of a sheet.
-inline constexpr std::size_t kSheetBytes = 4 * 1024 * 1024;
+inline constexpr std::size_t kSheetBytes = std::size_t{4} << 20;
 inline constexpr std::size_t kSheetRows = 10'000;
 /// More faults than this are counted rather than listed.
 inline constexpr std::size_t kListedFaults = 500;
--- a/src/config/calls.cc
+++ b/src/config/calls.cc
@@ -45,7 +45,7 @@
     call.outcome = CallOutcome::kPending;
     call.status = 0;
     call.runs = 1;
-    pending_[call.owner].insert(map_key);
+    pending_[call.owner].insert(call.sequence);
     return Applied(record.key);
   }
   const auto issued = KeyTime(record.key);
@@ -73,8 +73,7 @@
   call.at = record.at;
   call.sequence = state_.next_sequence++;
   call.runs = 1;
-  IndexCall(call);
-  state_.calls.emplace(map_key, std::move(call));
+  IndexCall(state_.calls.emplace(map_key, std::move(call)).first);
   return Applied(record.key);
 }
 
@@ -109,33 +108,39 @@
     call.body = record.body;
     call.body_kept = true;
     body_bytes_ += call.body.size();
-    if (!call.body.empty()) body_order_[call.sequence] = map_key;
+    body_cursor_ = std::min(body_cursor_, call.sequence);
     BoundBodies();
   }
-  if (const auto owned = pending_.find(call.owner); owned != pending_.end()) {
-    owned->second.erase(map_key);
-    if (owned->second.empty()) pending_.erase(owned);
-  }
+  RemovePending(call);
   return Applied(record.key);
 }
 
 void StateMachine::BoundBodies() {
-  while (body_bytes_ > limits_.call_bodies_total_bytes && !body_order_.empty()) {
-    Call& call = state_.calls.at(body_order_.begin()->second);
-    body_bytes_ -= call.body.size();
-    call.body.clear();
-    call.body.shrink_to_fit();
-    call.body_kept = false;
-    body_order_.erase(body_order_.begin());
+  auto it = call_order_.lower_bound(body_cursor_);
+  while (body_bytes_ > limits_.call_bodies_total_bytes && it != call_order_.end()) {
+    Call& call = it->second->second;
+    if (!call.body.empty()) {
+      body_bytes_ -= call.body.size();
+      call.body.clear();
+      call.body.shrink_to_fit();
+      call.body_kept = false;
+    }
+    body_cursor_ = (it++)->first + 1;
   }
 }
 
+void StateMachine::RemovePending(const Call& call) {
+  const auto owned = pending_.find(call.owner);
+  WTS_INVARIANT(owned != pending_.end() && owned->second.erase(call.sequence) == 1);
+  if (owned->second.empty()) pending_.erase(owned);
+}
+
 void StateMachine::SettleOwner(const std::string& process) {
   const auto owned = pending_.find(process);
   if (owned == pending_.end()) return;
   const std::uint64_t incarnation = state_.processes.at(process).info.incarnation;
-  for (const auto& map_key : owned->second) {
-    Call& call = state_.calls.at(map_key);
+  for (const auto sequence : owned->second) {
+    Call& call = call_order_.at(sequence)->second;
     WTS_INVARIANT(call.outcome == CallOutcome::kPending);
     WTS_INVARIANT(call.owner_incarnation == incarnation);
     call.outcome = CallOutcome::kUnknown;
@@ -146,13 +151,13 @@
 void StateMachine::ForgetCalls() {
   while (!call_order_.empty()) {
     const auto oldest = call_order_.begin();
-    if (state_.calls.at(oldest->second).at + limits_.call_age > state_.call_clock) break;
+    if (oldest->second->second.at + limits_.call_age > state_.call_clock) break;
     RetireCall(oldest->first);
   }
   if (state_.calls.size() < limits_.calls) return;
   auto it = call_order_.begin();
   for (int n = 0; n < kRetireScan && it != call_order_.end(); ++n, ++it) {
-    if (state_.calls.at(it->second).outcome == CallOutcome::kPending) continue;
+    if (it->second->second.outcome == CallOutcome::kPending) continue;
     RetireCall(it->first);
     return;
   }
@@ -160,8 +165,8 @@
 
 void StateMachine::RetireCall(std::uint64_t sequence) {
   const auto order = call_order_.find(sequence);
-  const std::string map_key = order->second;
-  const Call& call = state_.calls.at(map_key);
+  const std::string& map_key = order->second->first;
+  const Call& call = order->second->second;
   if (const auto issued = KeyTime(call.key)) {
     state_.call_floor = std::max(state_.call_floor, *issued);
   } else {
@@ -177,23 +182,17 @@
       state_.retired_keys.erase(state_.retired_keys.begin(), end);
     }
   }
-  if (body_order_.erase(sequence) > 0) body_bytes_ -= call.body.size();
-  if (const auto owned = pending_.find(call.owner); owned != pending_.end()) {
-    owned->second.erase(map_key);
-    if (owned->second.empty()) pending_.erase(owned);
-  }
+  body_bytes_ -= call.body.size();
+  if (call.outcome == CallOutcome::kPending) RemovePending(call);
+  state_.calls.erase(order->second);
   call_order_.erase(order);
-  state_.calls.erase(map_key);
 }
 
-void StateMachine::IndexCall(const Call& call) {
-  const std::string map_key = CallKey(call.account, call.key);
-  WTS_INVARIANT(call_order_.emplace(call.sequence, map_key).second);
-  if (call.outcome == CallOutcome::kPending) pending_[call.owner].insert(map_key);
-  if (!call.body.empty()) {
-    body_bytes_ += call.body.size();
-    body_order_[call.sequence] = map_key;
-  }
+void StateMachine::IndexCall(Calls::iterator call) {
+  const Call& indexed = call->second;
+  WTS_INVARIANT(call_order_.emplace(indexed.sequence, call).second);
+  if (indexed.outcome == CallOutcome::kPending) pending_[indexed.owner].insert(indexed.sequence);
+  body_bytes_ += indexed.body.size();
 }
 
 }  // namespace wagtailslip::config
--- a/src/config/commands.cc
+++ b/src/config/commands.cc
@@ -117,8 +117,7 @@
   for (const auto& [action, name] : kActionEvents) {
     if (action == command.action) event = name;
   }
-  const ApplyResult result =
-      FireRollout(rollout, event, "by request " + command.command.request_id);
+  ApplyResult result = FireRollout(rollout, event, "by request " + command.command.request_id);
   if (result.status == ApplyStatus::kApplied) {
     line.command_revision = state_.revision;
     line.request_id = command.command.request_id;
@@ -141,7 +140,7 @@
   if (record.event != "start" && record.event != "halt" && record.returning != Returning(rollout)) {
     return Rejected("stale", "returning", "the rollout has turned round");
   }
-  const ApplyResult result = FireRollout(rollout, record.event, record.reason);
+  ApplyResult result = FireRollout(rollout, record.event, record.reason);
   if (result.status != ApplyStatus::kApplied) return result;
   Line& line = state_.lines.at(LineKey(rollout.spec.model, rollout.spec.adapter));
   if (record.event == "open") Open(rollout, line, record.endpoints);
--- a/src/config/state_machine.cc
+++ b/src/config/state_machine.cc
@@ -90,7 +90,7 @@
           .message = std::move(message)};
 }
 
-ApplyResult StateMachine::Conflict(std::string object, const std::string& winner,
+ApplyResult StateMachine::Conflict(const std::string& object, const std::string& winner,
                                    Revision revision) const {
   return {.status = ApplyStatus::kConflict,
           .first_status = ApplyStatus::kConflict,
@@ -108,12 +108,12 @@
   state_ = std::move(state);
   command_order_.clear();
   call_order_.clear();
-  body_order_.clear();
   body_bytes_ = 0;
+  body_cursor_ = 0;
   pending_.clear();
   retired_.clear();
   for (const auto& [id, command] : state_.commands) command_order_[command.answer.revision] = id;
-  for (const auto& [key, call] : state_.calls) IndexCall(call);
+  for (auto it = state_.calls.begin(); it != state_.calls.end(); ++it) IndexCall(it);
   for (const auto hash : state_.retired_keys) ++retired_[hash];
   CheckInvariants();
 }
--- a/src/rollout/chart.cc
+++ b/src/rollout/chart.cc
@@ -76,15 +76,12 @@
   if (name_.empty()) throw ChartError("the chart has no name");
   if (!states_.contains(initial_)) throw ChartError(name_ + ": no initial state");
   for (const auto& [state, transitions] : states_) {
+    const std::string at = name_ + ": state " + state;
     for (const auto& event : events_) {
-      if (!transitions.contains(event)) {
-        throw ChartError(name_ + ": state " + state + " does not react to event " + event);
-      }
+      if (!transitions.contains(event)) throw ChartError(at + " does not react to event " + event);
     }
     for (const auto& [event, transition] : transitions) {
-      if (!events_.contains(event)) {
-        throw ChartError(name_ + ": state " + state + " reacts to undeclared event " + event);
-      }
+      if (!events_.contains(event)) throw ChartError(at + " reacts to undeclared event " + event);
       if (!states_.contains(transition.next)) {
         throw ChartError(name_ + ": state " + transition.next + " is not defined");
       }
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -27,6 +27,7 @@
   bool failed = false;
   bool at_target = false;
   bool serving = false;
+  Route route;
 
   /// Serves the target but was allowed to swap to something else, and may be about to.
   bool Diverted() const { return at_target && !opened && assignment != nullptr; }
@@ -42,18 +43,19 @@
          progress->served_root == root;
 }
 
-/// Roots that an endpoint may serve at present; empty if nothing is known about it.
-std::vector<Digest> AllowedRoots(const Line& line, const Assignment* assignment) {
+/// Whether an endpoint may serve a root at present. Anything goes while no version is recorded.
+bool MayServe(const Line& line, const Assignment* assignment, const Digest& root) {
   if (assignment != nullptr) {
-    std::vector<Digest> roots{assignment->artifact.root};
-    if (!assignment->done) roots.push_back(assignment->previous);
-    return roots;
+    return root == assignment->artifact.root || (!assignment->done && root == assignment->previous);
   }
-  std::vector<Digest> roots = line.tolerated;
-  if (line.last_good) roots.push_back(line.last_good->root);
-  return roots;
+  if (line.tolerated.empty() && !line.last_good) return true;
+  return (line.last_good && root == line.last_good->root) ||
+         std::find(line.tolerated.begin(), line.tolerated.end(), root) != line.tolerated.end();
 }
 
+/// Present engines of one model, by id.
+using Engines = std::vector<const Endpoint*>;
+
 /// Decisions for one line.
 class LineDecision {
  public:
@@ -72,35 +74,39 @@
   using LineReports = std::map<std::string, Progress>;
 
   /// @param base_reports reports on the model that an adapter needs; null for a model
-  void Run(const LineReports* reports, const LineReports* base_reports, TimePoint now,
-           Duration timeout) {
-    Collect(reports, base_reports, now, timeout);
+  void Run(const Engines& engines, const LineReports* reports, const LineReports* base_reports,
+           TimePoint now, Duration timeout) {
+    Collect(engines, reports, base_reports, now, timeout);
     for (const auto& member : members_) Exclude(member);
     if (!target_) {
       if (back_) Propose("returned", {}, rollout_.reason + "; there is no earlier version");
       return;
     }
     if (running_) Advance();
+    out_.orders.reserve(out_.orders.size() + members_.size());
     for (const auto& member : members_) GiveOrder(member);
   }
 
  private:
-  void Collect(const LineReports* reports, const LineReports* base_reports, TimePoint now,
-               Duration timeout) {
+  void Collect(const Engines& engines, const LineReports* reports, const LineReports* base_reports,
+               TimePoint now, Duration timeout) {
     const auto& failed = back_ ? rollout_.return_failed : rollout_.failed;
     const std::set<std::string> failed_ids(failed.begin(), failed.end());
-    for (const auto& [id, endpoint] : state_.endpoints) {
-      if (!endpoint.present || endpoint.info.role != config::EndpointRole::kEngine ||
-          endpoint.info.model != line_.model) {
-        continue;
-      }
+    members_.reserve(engines.size());
+    // Endpoints and reports are in the same order, so one pass over both finds each report.
+    LineReports::const_iterator report;
+    if (reports != nullptr) report = reports->begin();
+    for (const Endpoint* entry : engines) {
+      const Endpoint& endpoint = *entry;
+      const std::string& id = endpoint.info.endpoint_id;
       if (!line_.adapter.empty() && !HasBase(base_reports, id)) continue;
       Member member{.id = &id, .endpoint = &endpoint};
       if (reports != nullptr) {
-        const auto it = reports->find(id);
-        if (it != reports->end() && it->second.incarnation == endpoint.info.incarnation &&
-            now - it->second.at <= timeout) {
-          member.progress = &it->second;
+        while (report != reports->end() && report->first < id) ++report;
+        if (report != reports->end() && report->first == id &&
+            report->second.incarnation == endpoint.info.incarnation &&
+            now - report->second.at <= timeout) {
+          member.progress = &report->second;
         }
       }
       member.assignment = FindAssignment(line_, id);
@@ -112,8 +118,8 @@
                                          member.progress->state == ReplicaState::kLoading ||
                                          member.progress->state == ReplicaState::kChecking);
       member.at_target = target_ && !working && Serves(member.progress, target_->root);
-      member.serving =
-          !endpoint.draining && !working && RouteOf(line_, endpoint, member.progress).allowed;
+      member.route = RouteOf(line_, endpoint, member.progress);
+      member.serving = !working && member.route.allowed;
       members_.push_back(member);
     }
   }
@@ -129,8 +135,7 @@
   }
 
   void Exclude(const Member& member) {
-    const Route route = RouteOf(line_, *member.endpoint, member.progress);
-    if (!route.allowed) out_.excluded.push_back({*member.id, key_, route.reason});
+    if (!member.route.allowed) out_.excluded.push_back({*member.id, key_, member.route.reason});
   }
 
   void Propose(const std::string& event, std::vector<std::string> endpoints,
@@ -308,9 +313,7 @@
   if (progress == nullptr || progress->served_root == Digest{}) return {false, "serves nothing"};
   if (progress->state == ReplicaState::kExcluded) return {false, "excluded by its agent"};
   const Assignment* assignment = FindAssignment(line, endpoint.info.endpoint_id);
-  const auto allowed = AllowedRoots(line, assignment);
-  if (!allowed.empty() &&
-      std::find(allowed.begin(), allowed.end(), progress->served_root) == allowed.end()) {
+  if (!MayServe(line, assignment, progress->served_root)) {
     return {false, "serves something else than ordered"};
   }
   if (assignment != nullptr && !assignment->done &&
@@ -323,11 +326,16 @@
 Decision Controller::Decide(const config::State& state, const Reports& reports, std::uint64_t term,
                             TimePoint now) const {
   Decision decision;
+  std::map<std::string_view, Engines> engines;
+  for (const auto& [id, endpoint] : state.endpoints) {
+    if (!endpoint.present || endpoint.info.role != config::EndpointRole::kEngine) continue;
+    engines[endpoint.info.model].push_back(&endpoint);
+  }
   for (const auto& [key, line] : state.lines) {
     const auto it = reports.find(key);
     const auto base = line.adapter.empty() ? reports.end() : reports.find(line.model);
     LineDecision(state, key, line, state.rollouts.at(line.rollout_id), term, decision)
-        .Run(it == reports.end() ? nullptr : &it->second,
+        .Run(engines[line.model], it == reports.end() ? nullptr : &it->second,
              base == reports.end() ? nullptr : &base->second, now, options_.report_timeout);
   }
   return decision;
