Number the attempts of at-most-once calls; bound the sheet's changes

Cause: a `not-run` outcome that is committed twice would have ended a second attempt that was running, so that a third could start. A copy of an intent would have reopened a key that nobody runs. A 13-digit order number as a key was read as an issue time and refused as expired. Scheduled changes that did not come through the sheet's parser were not checked. Change: intents and outcomes carry the number of their attempt; issue times count from 2020 to 2099 only; SubmitSheet checks each change.

--- a/include/wagtailslip/config/record.h
+++ b/include/wagtailslip/config/record.h
@@ -181,6 +181,9 @@
   std::string owner;
   std::uint64_t owner_incarnation = 0;
   UtcTime at{};
+  /// 1 for a new key; one more than the last attempt for a key whose last attempt was not run. A
+  /// record that is committed twice must not start a second run.
+  std::uint32_t attempt = 1;
 };
 
 /// How an at-most-once call ended.
@@ -199,6 +202,8 @@
   std::uint32_t status = 0;
   std::string content_type;
   std::string body;
+  /// Attempt of the intent that ended; a late copy must not end a later attempt.
+  std::uint32_t attempt = 1;
 };
 
 /// An entry process that started or ended; intents of an older incarnation become unknown.
--- a/include/wagtailslip/config/state.h
+++ b/include/wagtailslip/config/state.h
@@ -165,6 +165,7 @@
   UtcTime at{};
   /// Order of recording; unique.
   std::uint64_t sequence = 0;
+  std::uint32_t attempt = 1;
   /// Runs started under this key that were not reported as not-run; at most 1.
   std::uint32_t runs = 0;
   CallOutcome outcome = CallOutcome::kPending;
@@ -206,7 +207,8 @@
 struct Limits {
   // 690 changes a day are planned for; 10,000 covers two weeks of resends.
   std::size_t commands = 10'000;
-  std::size_t calls = 100'000;
+  // A full window takes about 50 MB, and as much again while it is copied for a snapshot.
+  std::size_t calls = 50'000;
   Duration call_age = std::chrono::hours(24);
   std::size_t call_body_bytes = 4096;
   // Bodies share this bound; the oldest are dropped first, so that a daemon stays under 128 MB.
@@ -229,7 +231,8 @@
 std::string CallKey(const std::string& account, const std::string& key);
 
 /// Issue time that an idempotency key carries: a UUID of version 7, or "<Unix milliseconds>-..."
-/// with 13 digits. Nothing if the key has another form.
+/// with 13 digits. Nothing if the key has another form or the time is not from 2020 to 2099, as
+/// with an order number of 13 digits.
 std::optional<UtcTime> KeyTime(const std::string& key);
 
 /// Digest of a command's content without its request id.
--- a/src/config/calls.cc
+++ b/src/config/calls.cc
@@ -33,7 +33,7 @@
     if (call.request != record.request) {
       return Rejected("key_reused", "key", "the idempotency key was used with another request");
     }
-    if (call.outcome != CallOutcome::kNotRun) {
+    if (call.outcome != CallOutcome::kNotRun || record.attempt != call.attempt + 1) {
       ApplyResult result = Unchanged(record.key);
       result.status = ApplyStatus::kRepeated;
       return result;
@@ -44,10 +44,14 @@
     call.owner_incarnation = record.owner_incarnation;
     call.outcome = CallOutcome::kPending;
     call.status = 0;
+    call.attempt = record.attempt;
     call.runs = 1;
     pending_[call.owner].insert(call.sequence);
     return Applied(record.key);
   }
+  if (record.attempt != 1) {
+    return Rejected("stale_attempt", "attempt", "the earlier attempts of the key are forgotten");
+  }
   const auto issued = KeyTime(record.key);
   const UtcTime clock = std::max(state_.call_clock, record.at);
   if (KeyForgotten(map_key, issued) || (issued && *issued + limits_.call_age <= clock)) {
@@ -90,6 +94,10 @@
   if (call.owner != record.owner || call.owner_incarnation != record.owner_incarnation) {
     return Rejected("not_owner", "owner", "another process runs this call");
   }
+  if (call.attempt != record.attempt) {
+    return Rejected("stale_attempt", "attempt",
+                    "attempt " + std::to_string(call.attempt) + " is the present one");
+  }
   const Digest digest = Sha256(record.body);
   if (call.outcome != CallOutcome::kPending) {
     if (call.outcome == record.outcome && call.status == record.status &&
--- a/src/config/commands.cc
+++ b/src/config/commands.cc
@@ -71,7 +71,9 @@
     Rollout& newest = state_.rollouts.at(line->rollout_id);
     const bool same = newest.spec.version == command.version && newest.spec.root == command.root &&
                       newest.spec.base_version == command.base_version;
-    if (same && (newest.state == "complete" || (Running(newest) && !Returning(newest)))) {
+    const bool in_service =
+        newest.state == "complete" && line->last_good && line->last_good->rollout_id == newest.id;
+    if (same && (in_service || (Running(newest) && !Returning(newest)))) {
       return Unchanged(newest.id);
     }
     FireRollout(newest, "supersede", "replaced by version " + command.version);
--- a/src/config/content.cc
+++ b/src/config/content.cc
@@ -63,7 +63,10 @@
   return value;
 }
 
-UtcTime FromMilliseconds(std::uint64_t value) {
+std::optional<UtcTime> FromMilliseconds(std::uint64_t value) {
+  constexpr std::uint64_t kYear2020 = 1'577'836'800'000;
+  constexpr std::uint64_t kYear2100 = 4'102'444'800'000;
+  if (value < kYear2020 || value >= kYear2100) return std::nullopt;
   return UtcTime(std::chrono::milliseconds(static_cast<std::int64_t>(value)));
 }
 
--- a/src/config/schedule.cc
+++ b/src/config/schedule.cc
@@ -2,8 +2,19 @@
 #include <algorithm>
 
 #include "wagtailslip/config/state_machine.h"
+#include "wagtailslip/config/validate.h"
 
 namespace wagtailslip::config {
+namespace {
+
+constexpr std::size_t kScheduledChanges = 10'000;
+
+std::vector<Fault> FaultsOf(const ScheduledChange& change) {
+  if (const auto* rollout = std::get_if<CreateRollout>(&change.change)) return FindFaults(*rollout);
+  return FindFaults(std::get<SetRule>(change.change).rule);
+}
+
+}  // namespace
 
 ApplyResult StateMachine::Run(const SubmitSheet& command) {
   Sheet& sheet = state_.sheet;
@@ -11,6 +22,15 @@
   if (command.command.base_revision != sheet.command_revision) {
     return Conflict("sheet", sheet.request_id, sheet.command_revision);
   }
+  if (command.changes.size() > kScheduledChanges) {
+    return Rejected("invalid", "changes", "a sheet has at most 10000 changes");
+  }
+  for (std::size_t i = 0; i < command.changes.size(); ++i) {
+    const auto faults = FaultsOf(command.changes[i]);
+    if (faults.empty()) continue;
+    return Rejected("invalid", "changes[" + std::to_string(i) + "]." + faults.front().field,
+                    faults.front().message);
+  }
   std::set<Digest> effected;
   for (const auto& change : sheet.effected) effected.insert(change.content);
   std::vector<PendingChange> pending;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -8,6 +8,9 @@
 namespace wagtailslip::config {
 namespace {
 
+// 2027-01-15 in seconds since the epoch.
+constexpr std::int64_t kNow = 1'800'000'000;
+
 SetRule MakeRule(const std::string& request, Revision base, const std::string& account,
                  const std::string& kind, std::uint32_t priority) {
   SetRule record;
@@ -19,15 +22,15 @@
 }
 
 IntentRecorded MakeIntent(const std::string& key, const std::string& body = "x",
-                          std::int64_t at = 1000, const std::string& owner = "p",
+                          std::int64_t at = kNow, const std::string& owner = "p",
                           std::uint64_t incarnation = 1) {
   return {"acc", key, Sha256(body), owner, incarnation, Utc(at)};
 }
 
 OutcomeRecorded MakeOutcome(const std::string& key, CallOutcome outcome = CallOutcome::kComplete,
                             const std::string& body = "answer", const std::string& owner = "p",
-                            std::uint64_t incarnation = 1) {
-  return {"acc", key, owner, incarnation, outcome, 200, "text/plain", body};
+                            std::uint64_t incarnation = 1, std::uint32_t attempt = 1) {
+  return {"acc", key, owner, incarnation, outcome, 200, "text/plain", body, attempt};
 }
 
 SubmitSheet MakeSheet(const std::string& request, Revision base,
@@ -274,7 +277,13 @@
     // A call that was not run may run under the same key.
     log.Apply(MakeIntent("k2"));
     log.Apply(MakeOutcome("k2", CallOutcome::kNotRun));
-    CPPUNIT_ASSERT(log.Apply(MakeIntent("k2")).status == ApplyStatus::kApplied);
+    const auto second = With(MakeIntent("k2"), [](auto& r) { r.attempt = 2; });
+    CPPUNIT_ASSERT(log.Apply(MakeIntent("k2")).status == ApplyStatus::kRepeated);
+    CPPUNIT_ASSERT(log.Apply(second).status == ApplyStatus::kApplied);
+    // A late copy of the first outcome does not end the second attempt.
+    const auto late = log.Apply(MakeOutcome("k2", CallOutcome::kNotRun));
+    CPPUNIT_ASSERT_EQUAL(std::string("stale_attempt"), late.code);
+    CPPUNIT_ASSERT(log.Apply(second).status == ApplyStatus::kRepeated);
   }
 
   void DeadOwnerMakesCallsUnknown() {
@@ -283,13 +292,13 @@
       log.Apply(MakeProcess("p", 1));
       log.Apply(MakeProcess("q", 1));
       log.Apply(MakeIntent("k"));
-      log.Apply(MakeIntent("k2", "x", 1000, "q"));
+      log.Apply(MakeIntent("k2", "x", kNow, "q"));
       // The index of pending calls has to survive a snapshot.
       log.machine.Restore(log.machine.EncodeSnapshot());
       log.Apply(restart ? Record(MakeProcess("p", 2)) : Record(ProcessLeft{"p", 1}));
       CPPUNIT_ASSERT(log.machine.FindCall("acc", "k")->outcome == CallOutcome::kUnknown);
       CPPUNIT_ASSERT(log.machine.FindCall("acc", "k2")->outcome == CallOutcome::kPending);
-      CPPUNIT_ASSERT(log.Apply(MakeIntent("k", "x", 1000, "q")).status == ApplyStatus::kRepeated);
+      CPPUNIT_ASSERT(log.Apply(MakeIntent("k", "x", kNow, "q")).status == ApplyStatus::kRepeated);
       CPPUNIT_ASSERT_EQUAL(std::string("outcome_final"), log.Apply(MakeOutcome("k")).code);
       CPPUNIT_ASSERT_EQUAL(std::string("owner_not_live"), log.Apply(MakeIntent("k3")).code);
     }
@@ -297,11 +306,13 @@
 
   void KeysOutsideTheWindowAreRefused() {
     // A key with its issue time, as a UUID of version 7, and one without.
-    const std::string timed = "0000000f-4240-7000-8000-000000000001";  // 1,000 s
-    CPPUNIT_ASSERT(KeyTime(timed) == Utc(1000));
-    CPPUNIT_ASSERT(KeyTime("0000001000000-a") == Utc(1000));
-    CPPUNIT_ASSERT(!KeyTime("seat-4711"));
-    for (const std::string& key : {timed, std::string("0000001000000-a"), std::string("seat-4")}) {
+    const std::string timed = "01a3185c-5000-7000-8000-000000000001";
+    CPPUNIT_ASSERT(KeyTime(timed) == Utc(kNow));
+    CPPUNIT_ASSERT(KeyTime("1800000000000-a") == Utc(kNow));
+    for (const char* key : {"seat-4711", "1234567890123-order", "01a3185c-5000-4000-8000-0000"}) {
+      CPPUNIT_ASSERT(!KeyTime(key));
+    }
+    for (const std::string& key : {timed, std::string("1800000000000-a"), std::string("seat-4")}) {
       Log by_count(Limits{.calls = 2});
       by_count.Apply(MakeProcess("p", 1));
       by_count.Apply(MakeIntent(key));
@@ -314,16 +325,16 @@
       Log by_age;
       by_age.Apply(MakeProcess("p", 1));
       by_age.Apply(MakeIntent(key));
-      by_age.Apply(MakeIntent("later", "x", 1000 + 24 * 3600));
+      by_age.Apply(MakeIntent("later", "x", kNow + 24 * 3600));
       CPPUNIT_ASSERT(by_age.machine.FindCall("acc", key) == nullptr);
       by_age.machine.Restore(by_age.machine.EncodeSnapshot());
-      const auto late = by_age.Apply(MakeIntent(key, "x", 1000 + 24 * 3600));
+      const auto late = by_age.Apply(MakeIntent(key, "x", kNow + 24 * 3600));
       CPPUNIT_ASSERT_EQUAL(std::string("key_expired"), late.code);
     }
     Log log;
     log.Apply(MakeProcess("p", 1));
     CPPUNIT_ASSERT_EQUAL(std::string("key_from_future"),
-                         log.Apply(MakeIntent("0009001000000-a")).code);
+                         log.Apply(MakeIntent("1800009000000-a")).code);
   }
 
   void BodiesAreBounded() {
@@ -440,7 +451,8 @@
       case 10:
       case 11:
       case 12:
-        return MakeIntent(pick("k", 300), "x", 1000 + i * 20, process, incarnation);
+        return With(MakeIntent(pick("k", 300), "x", kNow + i * 20, process, incarnation),
+                    [&](auto& r) { r.attempt = 1 + random() % 2; });
       default: {
         const auto& calls = log.machine.state().calls;
         if (calls.empty()) return NoOp{};
@@ -448,7 +460,8 @@
         std::advance(it, random() % calls.size());
         const Call& call = it->second;
         return MakeOutcome(call.key, kCallOutcomes.rows[1 + random() % 3].first,
-                           std::string(random() % 9, 'b'), call.owner, call.owner_incarnation);
+                           std::string(random() % 9, 'b'), call.owner, call.owner_incarnation,
+                           random() % 3 == 0 ? 1 : call.attempt);
       }
     }
   }
