Keep fencing tokens from going back after two returns to one version

Cause: an endpoint that had returned to the last good version under one rollout kept that permission under the next one that returned, with its old, smaller token; engines that obey fencing would have refused the order. Change: the token takes the revision of the rollout's last change of state into account. The random runs now also cut agents off, and commit a deposed leader's records late.

--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -276,17 +276,17 @@
     order.model = line_.model;
     order.adapter = line_.adapter;
     order.artifact = *target_;
+    // An assignment may date from an earlier rollout that returned to the same version.
     config::Revision revision = rollout_.turned;
+    if (member.assignment != nullptr) revision = std::max(revision, member.assignment->revision);
     if (!running_) {
       // No rollout runs: everything serves the last good version.
       order.kind = OrderKind::kSwap;
-      revision = std::max(line_.last_good_revision, member.endpoint->joined);
+      revision = std::max(revision, line_.last_good_revision);
     } else if (opened) {
       order.kind = OrderKind::kSwap;
-      revision = member.assignment->revision;
-    } else {
-      if (rollout_.state == "paused") return;
-      if (member.assignment != nullptr) revision = std::max(revision, member.assignment->revision);
+    } else if (rollout_.state == "paused") {
+      return;
     }
     order.token = {term_, std::max(revision, member.endpoint->joined)};
     out_.orders.push_back(std::move(order));
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -36,6 +36,8 @@
   Progress progress;
   Order order;
   bool alive = true;
+  /// Neither reports nor orders get through while false.
+  bool reachable = true;
   bool fails = false;
 
   void Step(std::mt19937& random, TimePoint now) {
@@ -99,11 +101,12 @@
   std::size_t Routable() const {
     std::size_t count = 0;
     const config::Line* line = log.machine.FindLine("m");
-    for (const auto& [id, agent] : agents) {
+    if (!reports.contains("m")) return 0;
+    for (const auto& [id, progress] : reports.at("m")) {
       const auto* endpoint = log.machine.FindEndpoint(id);
       // The leader learns of a death by the missing report, so a fresh report counts as alive.
-      const bool reported = now - agent.progress.at <= ControllerOptions{}.report_timeout;
-      if (reported && RouteOf(*line, *endpoint, &agent.progress).allowed) ++count;
+      const bool reported = now - progress.at <= ControllerOptions{}.report_timeout;
+      if (reported && RouteOf(*line, *endpoint, &progress).allowed) ++count;
     }
     return count;
   }
@@ -111,13 +114,15 @@
   /// One round: agents work, the leader decides, its records are committed, orders arrive.
   void Round() {
     now += std::chrono::milliseconds(100);
-    Reports reports;
     for (auto& [id, agent] : agents) {
       agent.Step(random_, now);
-      reports["m"][id] = agent.progress;
+      if (agent.reachable) reports["m"][id] = agent.progress;
     }
     const Decision decision = controller.Decide(log.machine.state(), reports, 1, now);
     if (!decision.status.empty()) waiting = decision.status.front().waiting;
+    // A deposed leader's records arrive a round late; a resent one arrives twice.
+    for (const auto& record : std::exchange(late_, {})) log.Apply(record);
+    if (disorder && random_() % 4 == 0) late_ = decision.records;
     for (const auto& record : decision.records) {
       const auto& advance = std::get<AdvanceRollout>(record);
       const auto* rollout = log.machine.FindRollout(advance.rollout_id);
@@ -129,7 +134,8 @@
     }
     for (const auto& order : decision.orders) {
       FakeAgent& agent = agents.at(order.endpoint_id);
-      if (!agent.alive || order.incarnation != agent.progress.incarnation) continue;
+      if (!agent.alive || !agent.reachable || order.incarnation != agent.progress.incarnation)
+        continue;
       // A token that goes back would be refused by an engine that obeys fencing.
       CPPUNIT_ASSERT(order.token >= agent.order.token);
       agent.order = order;
@@ -174,11 +180,16 @@
 
   config::Log log;
   Controller controller;
+  /// Newest report of each agent that got through.
+  Reports reports;
   std::map<std::string, FakeAgent> agents;
   TimePoint now{};
   std::string waiting;
+  /// Whether records are also committed late.
+  bool disorder = false;
 
  private:
+  std::vector<config::Record> late_;
   std::mt19937 random_;
 };
 
@@ -336,9 +347,10 @@
   // Versions, operator actions, deaths, returns and failures in random order; once they stop, the
   // rollout settles and all live replicas serve the recorded version.
   void RandomRunsSettle() {
-    for (unsigned seed = 1; seed <= 150; ++seed) {
+    for (unsigned seed = 1; seed <= 400; ++seed) {
       std::mt19937 random(seed);
       Cluster cluster = MakeCluster(seed, 4 + static_cast<int>(random() % 6));
+      cluster.disorder = seed % 2 == 0;
       cluster.Create("v0", 0);
       for (int i = 0; i < 200; ++i) {
         cluster.Round();
@@ -361,11 +373,17 @@
           case 4:
             it->second.fails = !it->second.fails;
             break;
+          case 5:
+            it->second.reachable = !it->second.reachable;
+            break;
           default:
             break;
         }
       }
-      for (auto& [id, agent] : cluster.agents) agent.fails = false;
+      for (auto& [id, agent] : cluster.agents) {
+        agent.fails = false;
+        agent.reachable = true;
+      }
       cluster.Join("fresh", "a");
       cluster.Create("last", 0, 3, 100);
       const std::string end = cluster.RunUntilSettled(1000);
