--- a/src/rollout/chart.cc
+++ b/src/rollout/chart.cc
@@ -78,10 +78,12 @@
   for (const auto& [state, transitions] : states_) {
     const std::string at = name_ + ": state " + state;
     for (const auto& event : events_) {
-      if (!transitions.contains(event)) throw ChartError(at + " does not react to event " + event);
+      if (!transitions.contains(event))
+        throw ChartError(std::string(at).append(" does not react to event ").append(event));
     }
     for (const auto& [event, transition] : transitions) {
-      if (!events_.contains(event)) throw ChartError(at + " reacts to undeclared event " + event);
+      if (!events_.contains(event))
+        throw ChartError(std::string(at).append(" reacts to undeclared event ").append(event));
       if (!states_.contains(transition.next)) {
         throw ChartError(name_ + ": state " + transition.next + " is not defined");
       }
--- a/tests/membership_test.cc
+++ b/tests/membership_test.cc
@@ -108,6 +108,12 @@
     world.Pass(1.5, {"ok"});
     CPPUNIT_ASSERT(world.Of("dead").health == Health::kRemoved);
     CPPUNIT_ASSERT(world.Of("cut").health == Health::kSuspect);
+    // Lost heartbeats tell a slow one even if no tick came between.
+    World other;
+    other.Join("a");
+    other.now += std::chrono::milliseconds(1600);
+    other.Beat("a");
+    CPPUNIT_ASSERT(other.Of("a").cause == Cause::kSlow);
     // A slow one is trusted again after some heartbeats in time.
     world.Pass(3, {"ok", "slow"});
     CPPUNIT_ASSERT(world.Of("slow").health == Health::kAlive && world.Of("slow").routable);
--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -212,6 +212,9 @@
   CPPUNIT_TEST(OtherRootIsTakenOutOfRouting);
   CPPUNIT_TEST(MinimumHoldsBackTheSwap);
   CPPUNIT_TEST(StaleBatchIsRefused);
+  CPPUNIT_TEST(FailureOnTheWayOutDoesNotCountOnTheWayBack);
+  CPPUNIT_TEST(NoDomainIsEmptied);
+  CPPUNIT_TEST(AdapterGoesOnlyWhereItsBaseServes);
   CPPUNIT_TEST(RandomRunsSettle);
   CPPUNIT_TEST_SUITE_END();
 
@@ -344,6 +347,62 @@
     CPPUNIT_ASSERT_EQUAL(std::string("stale"), second.code);
   }
 
+  void FailureOnTheWayOutDoesNotCountOnTheWayBack() {
+    Cluster cluster = MakeCluster(9);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    const std::string id = cluster.Create("v2").object;
+    cluster.log.Apply(AdvanceRollout{id, "start"});
+    cluster.log.Apply(AdvanceRollout{id, "halt"});
+    CPPUNIT_ASSERT_EQUAL(std::string("stale"),
+                         cluster.log.Apply(AdvanceRollout{id, "fail", {"e0"}}).code);
+    CPPUNIT_ASSERT(cluster.log.machine.FindRollout(id)->return_failed.empty());
+  }
+
+  // Guards against a batch that takes all replicas of a failure domain, although the total keeps
+  // the minimum.
+  void NoDomainIsEmptied() {
+    Cluster cluster = MakeCluster(10);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    cluster.Create("v2", 1, 6);
+    while (cluster.State() != "complete") {
+      cluster.Round();
+      std::set<std::string> domains;
+      for (const auto& [id, progress] : cluster.reports.at("m")) {
+        const auto* endpoint = cluster.log.machine.FindEndpoint(id);
+        const auto* line = cluster.log.machine.FindLine("m");
+        if (RouteOf(*line, *endpoint, &progress).allowed) {
+          domains.insert(endpoint->info.failure_domain);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, domains.size());
+    }
+  }
+
+  void AdapterGoesOnlyWhereItsBaseServes() {
+    Cluster cluster = MakeCluster(11);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    auto adapter = MakeRollout("q", 0, "a1");
+    adapter.kind = config::ArtifactKind::kAdapter;
+    adapter.adapter = "letters";
+    adapter.base_version = "v1";
+    CPPUNIT_ASSERT(cluster.log.Apply(adapter).ok());
+    cluster.reports["m"]["e2"].served_root = Digest{};
+    for (const auto& [id, progress] : cluster.reports["m"]) {
+      cluster.reports["m/letters"][id] = {.endpoint_id = id, .incarnation = 1, .at = cluster.now};
+    }
+    const auto decision =
+        cluster.controller.Decide(cluster.log.machine.state(), cluster.reports, 1, cluster.now);
+    std::set<std::string> ordered;
+    for (const auto& order : decision.orders) {
+      if (order.adapter == "letters") ordered.insert(order.endpoint_id);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, ordered.size());
+    CPPUNIT_ASSERT(!ordered.contains("e2"));
+  }
+
   // Versions, operator actions, deaths, returns and failures in random order; once they stop, the
   // rollout settles and all live replicas serve the recorded version.
   void RandomRunsSettle() {
