Compare configuration structures as a whole

Cause: a codec's round trip and the equality of two machines need a comparison of every field; two hand-written ones covered a part.

--- a/include/wagtailslip/config/record.h
+++ b/include/wagtailslip/config/record.h
@@ -58,6 +58,8 @@
   Revision seen_revision = 0;
   /// Name of the operator, for the audit trail.
   std::string operator_name;
+
+  bool operator==(const CommandId&) const = default;
 };
 
 /// Starts the distribution of a version to all endpoints that serve a model.
@@ -80,6 +82,8 @@
   std::uint32_t batch_size = 1;
   /// Failed replicas at which the rollout halts and returns to the last good version.
   std::uint32_t failure_limit = 1;
+
+  bool operator==(const CreateRollout&) const = default;
 };
 
 /// Operator action on a rollout.
@@ -117,17 +121,23 @@
   double rate_limit = 0;
   /// Time in which an answer is useful; 0 for the caller's own deadline.
   Duration deadline{};
+
+  bool operator==(const Rule&) const = default;
 };
 
 struct SetRule {
   CommandId command;
   Rule rule;
+
+  bool operator==(const SetRule&) const = default;
 };
 
 /// A change of the planners' sheet that takes effect at a time.
 struct ScheduledChange {
   UtcTime effective_at{};
   std::variant<CreateRollout, SetRule> change;
+
+  bool operator==(const ScheduledChange&) const = default;
 };
 
 /// Replaces all scheduled changes that have not yet taken effect.
@@ -157,6 +167,8 @@
   std::string failure_domain;
   bool obeys_fencing = false;
   bool checks_sender = false;
+
+  bool operator==(const EndpointJoined&) const = default;
 };
 
 struct EndpointLeft {
@@ -214,6 +226,8 @@
   std::string http_address;
   std::string region;
   std::string failure_domain;
+
+  bool operator==(const ProcessStarted&) const = default;
 };
 
 struct ProcessLeft {
--- a/include/wagtailslip/config/state.h
+++ b/include/wagtailslip/config/state.h
@@ -39,12 +39,16 @@
   bool ok() const {
     return first_status == ApplyStatus::kApplied || first_status == ApplyStatus::kUnchanged;
   }
+
+  bool operator==(const ApplyResult&) const = default;
 };
 
 /// First answer to an operator command, kept for resends.
 struct RememberedCommand {
   Digest content;
   ApplyResult answer;
+
+  bool operator==(const RememberedCommand&) const = default;
 };
 
 /// What endpoints load.
@@ -56,6 +60,8 @@
   SpreadPolicy policy = SpreadPolicy::kTimeFirst;
   /// Rollout that distributed it.
   std::string rollout_id;
+
+  bool operator==(const Artifact&) const = default;
 };
 
 struct Rollout {
@@ -73,6 +79,8 @@
   std::vector<std::string> failed;
   std::vector<std::string> return_failed;
   std::string reason;
+
+  bool operator==(const Rollout&) const = default;
 };
 
 /// Artifact that an endpoint was allowed to swap to.
@@ -82,6 +90,8 @@
   Digest previous;
   bool done = false;
   Revision revision = 0;
+
+  bool operator==(const Assignment&) const = default;
 };
 
 /// Version history of one model, or of one adapter of a model.
@@ -101,18 +111,24 @@
   std::vector<Digest> tolerated;
   /// Assignments by endpoint id since the last rollout that ended whole.
   std::map<std::string, Assignment> assigned;
+
+  bool operator==(const Line&) const = default;
 };
 
 struct RuleEntry {
   Rule rule;
   Revision command_revision = 0;
   std::string request_id;
+
+  bool operator==(const RuleEntry&) const = default;
 };
 
 struct PendingChange {
   ScheduledChange change;
   /// "<request id of the sheet>#<row>"
   std::string id;
+
+  bool operator==(const PendingChange&) const = default;
 };
 
 /// A scheduled change that took effect, or was tried.
@@ -124,6 +140,8 @@
   /// More than kScheduleLateness after its time.
   bool late = false;
   ApplyResult result;
+
+  bool operator==(const EffectedChange&) const = default;
 };
 
 struct Sheet {
@@ -135,6 +153,8 @@
   /// Oldest first, bounded.
   std::vector<EffectedChange> effected;
   UtcTime clock{};
+
+  bool operator==(const Sheet&) const = default;
 };
 
 /// An endpoint. One that left is kept, within a bound, so that no older incarnation returns.
@@ -147,12 +167,16 @@
   std::string left_reason;
   Revision command_revision = 0;
   std::string request_id;
+
+  bool operator==(const Endpoint&) const = default;
 };
 
 struct Process {
   ProcessStarted info;
   bool present = true;
   Revision revision = 0;
+
+  bool operator==(const Process&) const = default;
 };
 
 /// An at-most-once call.
@@ -175,6 +199,8 @@
   std::string body;
   bool body_kept = false;
   Digest body_digest;
+
+  bool operator==(const Call&) const = default;
 };
 
 /// The whole configuration. A plain structure that a codec can write.
@@ -201,6 +227,8 @@
   UtcTime call_floor{};
   /// Hashes of forgotten keys that carry no issue time, oldest first, bounded.
   std::vector<std::uint64_t> retired_keys;
+
+  bool operator==(const State&) const = default;
 };
 
 /// Bounds of the state's memory.
--- a/src/config/commands.cc
+++ b/src/config/commands.cc
@@ -18,12 +18,6 @@
     {RolloutAction::kCancel, "cancel"},
     {RolloutAction::kRollBack, "rollback"}};
 
-bool SameRule(const Rule& a, const Rule& b) {
-  return a.account == b.account && a.kind == b.kind && a.call_class == b.call_class &&
-         a.priority == b.priority && a.weight == b.weight && a.rate_limit == b.rate_limit &&
-         a.deadline == b.deadline;
-}
-
 void AddOnce(std::vector<std::string>& list, const std::string& value) {
   if (std::find(list.begin(), list.end(), value) == list.end()) list.push_back(value);
 }
@@ -257,7 +251,7 @@
   if (check_base && command.command.base_revision != present) {
     return Conflict(name, it == state_.rules.end() ? "" : it->second.request_id, present);
   }
-  if (it != state_.rules.end() && SameRule(it->second.rule, command.rule)) return Unchanged(name);
+  if (it != state_.rules.end() && it->second.rule == command.rule) return Unchanged(name);
   state_.rules[key] = {command.rule, state_.revision, command.command.request_id};
   return Applied(name);
 }
--- a/src/config/endpoints.cc
+++ b/src/config/endpoints.cc
@@ -2,21 +2,6 @@
 #include "wagtailslip/config/state_machine.h"
 
 namespace wagtailslip::config {
-namespace {
-
-bool SameInfo(const EndpointJoined& a, const EndpointJoined& b) {
-  return a.incarnation == b.incarnation && a.role == b.role && a.address == b.address &&
-         a.agent_address == b.agent_address && a.model == b.model && a.region == b.region &&
-         a.failure_domain == b.failure_domain && a.obeys_fencing == b.obeys_fencing &&
-         a.checks_sender == b.checks_sender;
-}
-
-bool SameInfo(const ProcessStarted& a, const ProcessStarted& b) {
-  return a.incarnation == b.incarnation && a.http_address == b.http_address &&
-         a.region == b.region && a.failure_domain == b.failure_domain;
-}
-
-}  // namespace
 
 ApplyResult StateMachine::On(const EndpointJoined& record) {
   if (record.endpoint_id.empty()) return Rejected("invalid", "endpoint_id", "the id is missing");
@@ -29,7 +14,7 @@
       return Rejected("older_incarnation", "incarnation",
                       "incarnation " + std::to_string(endpoint.info.incarnation) + " is known");
     }
-    const bool same = SameInfo(record, endpoint.info);
+    const bool same = record == endpoint.info;
     if (record.incarnation == endpoint.info.incarnation && !same) {
       return Rejected("incarnation_reused", "incarnation",
                       "the incarnation announced other addresses before");
@@ -117,7 +102,7 @@
                       "incarnation " + std::to_string(known) + " is known");
     }
     if (record.incarnation == known) {
-      if (process.present && SameInfo(record, process.info)) return Unchanged(record.process);
+      if (process.present && record == process.info) return Unchanged(record.process);
       // Its calls were settled as unknown when it left, so it may not go on under the same number.
       return Rejected("incarnation_reused", "incarnation",
                       "the process needs a new incarnation to start again");
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -394,6 +394,7 @@
           // An id may be forgotten; even then its command does not take effect a second time.
           if (result.status == ApplyStatus::kApplied) CPPUNIT_ASSERT_EQUAL(1, ++applied[id]);
         }
+        if (i % 100 == 0) CPPUNIT_ASSERT(log.machine.state() == copy.machine.state());
         if (random() % 200 == 0) copy.machine.Restore(log.machine.EncodeSnapshot());
       }
       CPPUNIT_ASSERT(log.machine.state().calls.size() <= limits.calls);
