--- a/tests/rollout_test.cc
+++ b/tests/rollout_test.cc
@@ -36,6 +36,8 @@
   Progress progress;
   Order order;
   bool alive = true;
+  /// Neither reports nor orders get through while false.
+  bool reachable = true;
   bool fails = false;
 
   void Step(std::mt19937& random, TimePoint now) {
@@ -99,11 +101,12 @@
   std::size_t Routable() const {
     std::size_t count = 0;
     const config::Line* line = log.machine.FindLine("m");
-    for (const auto& [id, agent] : agents) {
+    if (!reports.contains("m")) return 0;
+    for (const auto& [id, progress] : reports.at("m")) {
       const auto* endpoint = log.machine.FindEndpoint(id);
       // The leader learns of a death by the missing report, so a fresh report counts as alive.
-      const bool reported = now - agent.progress.at <= ControllerOptions{}.report_timeout;
-      if (reported && RouteOf(*line, *endpoint, &agent.progress).allowed) ++count;
+      const bool reported = now - progress.at <= ControllerOptions{}.report_timeout;
+      if (reported && RouteOf(*line, *endpoint, &progress).allowed) ++count;
     }
     return count;
   }
@@ -111,13 +114,15 @@
   /// One round: agents work, the leader decides, its records are committed, orders arrive.
   void Round() {
     now += std::chrono::milliseconds(100);
-    Reports reports;
     for (auto& [id, agent] : agents) {
       agent.Step(random_, now);
-      reports["m"][id] = agent.progress;
+      if (agent.reachable) reports["m"][id] = agent.progress;
     }
     const Decision decision = controller.Decide(log.machine.state(), reports, 1, now);
     if (!decision.status.empty()) waiting = decision.status.front().waiting;
+    // A deposed leader's records arrive a round late; a resent one arrives twice.
+    for (const auto& record : std::exchange(late_, {})) log.Apply(record);
+    if (disorder && random_() % 4 == 0) late_ = decision.records;
     for (const auto& record : decision.records) {
       const auto& advance = std::get<AdvanceRollout>(record);
       const auto* rollout = log.machine.FindRollout(advance.rollout_id);
@@ -129,7 +134,8 @@
     }
     for (const auto& order : decision.orders) {
       FakeAgent& agent = agents.at(order.endpoint_id);
-      if (!agent.alive || order.incarnation != agent.progress.incarnation) continue;
+      if (!agent.alive || !agent.reachable || order.incarnation != agent.progress.incarnation)
+        continue;
       // A token that goes back would be refused by an engine that obeys fencing.
       CPPUNIT_ASSERT(order.token >= agent.order.token);
       agent.order = order;
@@ -174,11 +180,16 @@
 
   config::Log log;
   Controller controller;
+  /// Newest report of each agent that got through.
+  Reports reports;
   std::map<std::string, FakeAgent> agents;
   TimePoint now{};
   std::string waiting;
+  /// Whether records are also committed late.
+  bool disorder = false;
 
  private:
+  std::vector<config::Record> late_;
   std::mt19937 random_;
 };
 
@@ -201,6 +212,9 @@
   CPPUNIT_TEST(OtherRootIsTakenOutOfRouting);
   CPPUNIT_TEST(MinimumHoldsBackTheSwap);
   CPPUNIT_TEST(StaleBatchIsRefused);
+  CPPUNIT_TEST(FailureOnTheWayOutDoesNotCountOnTheWayBack);
+  CPPUNIT_TEST(NoDomainIsEmptied);
+  CPPUNIT_TEST(AdapterGoesOnlyWhereItsBaseServes);
   CPPUNIT_TEST(RandomRunsSettle);
   CPPUNIT_TEST_SUITE_END();
 
@@ -333,12 +347,69 @@
     CPPUNIT_ASSERT_EQUAL(std::string("stale"), second.code);
   }
 
+  void FailureOnTheWayOutDoesNotCountOnTheWayBack() {
+    Cluster cluster = MakeCluster(9);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    const std::string id = cluster.Create("v2").object;
+    cluster.log.Apply(AdvanceRollout{id, "start"});
+    cluster.log.Apply(AdvanceRollout{id, "halt"});
+    CPPUNIT_ASSERT_EQUAL(std::string("stale"),
+                         cluster.log.Apply(AdvanceRollout{id, "fail", {"e0"}}).code);
+    CPPUNIT_ASSERT(cluster.log.machine.FindRollout(id)->return_failed.empty());
+  }
+
+  // Guards against a batch that takes all replicas of a failure domain, although the total keeps
+  // the minimum.
+  void NoDomainIsEmptied() {
+    Cluster cluster = MakeCluster(10);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    cluster.Create("v2", 1, 6);
+    while (cluster.State() != "complete") {
+      cluster.Round();
+      std::set<std::string> domains;
+      for (const auto& [id, progress] : cluster.reports.at("m")) {
+        const auto* endpoint = cluster.log.machine.FindEndpoint(id);
+        const auto* line = cluster.log.machine.FindLine("m");
+        if (RouteOf(*line, *endpoint, &progress).allowed) {
+          domains.insert(endpoint->info.failure_domain);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, domains.size());
+    }
+  }
+
+  void AdapterGoesOnlyWhereItsBaseServes() {
+    Cluster cluster = MakeCluster(11);
+    cluster.Create("v1");
+    cluster.RunUntilSettled(400);
+    auto adapter = MakeRollout("q", 0, "a1");
+    adapter.kind = config::ArtifactKind::kAdapter;
+    adapter.adapter = "letters";
+    adapter.base_version = "v1";
+    CPPUNIT_ASSERT(cluster.log.Apply(adapter).ok());
+    cluster.reports["m"]["e2"].served_root = Digest{};
+    for (const auto& [id, progress] : cluster.reports["m"]) {
+      cluster.reports["m/letters"][id] = {.endpoint_id = id, .incarnation = 1, .at = cluster.now};
+    }
+    const auto decision =
+        cluster.controller.Decide(cluster.log.machine.state(), cluster.reports, 1, cluster.now);
+    std::set<std::string> ordered;
+    for (const auto& order : decision.orders) {
+      if (order.adapter == "letters") ordered.insert(order.endpoint_id);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, ordered.size());
+    CPPUNIT_ASSERT(!ordered.contains("e2"));
+  }
+
   // Versions, operator actions, deaths, returns and failures in random order; once they stop, the
   // rollout settles and all live replicas serve the recorded version.
   void RandomRunsSettle() {
-    for (unsigned seed = 1; seed <= 150; ++seed) {
+    for (unsigned seed = 1; seed <= 400; ++seed) {
       std::mt19937 random(seed);
       Cluster cluster = MakeCluster(seed, 4 + static_cast<int>(random() % 6));
+      cluster.disorder = seed % 2 == 0;
       cluster.Create("v0", 0);
       for (int i = 0; i < 200; ++i) {
         cluster.Round();
@@ -361,11 +432,17 @@
           case 4:
             it->second.fails = !it->second.fails;
             break;
+          case 5:
+            it->second.reachable = !it->second.reachable;
+            break;
           default:
             break;
         }
       }
-      for (auto& [id, agent] : cluster.agents) agent.fails = false;
+      for (auto& [id, agent] : cluster.agents) {
+        agent.fails = false;
+        agent.reachable = true;
+      }
       cluster.Join("fresh", "a");
       cluster.Create("last", 0, 3, 100);
       const std::string end = cluster.RunUntilSettled(1000);
