Shrink shares of crowded engines and keep a margin before deadlines

Cause: processes ratcheted their slots above the engines' total, so that requests waited first in, first out inside the engines; and requests were admitted up to their deadline by mean estimates, so that every second one was late.

--- a/src/traffic/fair_queue.cc
+++ b/src/traffic/fair_queue.cc
@@ -11,6 +11,13 @@
 
 /// Weight of a new sample in the moving averages of the service time.
 constexpr double kSampleWeight = 0.05;
+/// A request is admitted only if the estimated wait is within this part of the time to its deadline,
+/// and leaves this multiple of its mean service time. The estimates are means: with a wait up to
+/// the deadline itself every second admitted request would end too late.
+constexpr double kWaitPart = 0.5;
+constexpr double kServiceMargin = 2.0;
+/// A request is dispatched only if this multiple of its mean service time is left.
+constexpr double kDispatchMargin = 1.0;
 /// Bounds of the time that a refused caller is told to wait.
 constexpr double kShortestRetrySeconds = 0.1;
 constexpr double kLongestRetrySeconds = 60;
@@ -65,9 +72,10 @@
     result.refused.push_back(Refuse(item.id, RefusalReason::kExpired, wait));
     return result;
   }
+  const double left = ToSeconds(item.deadline - now);
   const double service = item.tokens * pool.seconds_per_token;
-  const double usable =
-      std::min(ToSeconds(item.deadline - now) - service, ToSeconds(limits_.longest_wait));
+  const double usable = std::min({kWaitPart * left, left - kServiceMargin * service,
+                                 ToSeconds(limits_.longest_wait)});
   // With a free slot the request is tried whatever the estimate says; otherwise an estimate that
   // is too high would never be corrected by a new sample.
   if (wait > 0 && wait > usable) {
@@ -128,10 +136,21 @@
       const QueueItem* next = pool.order->PopFront();
       WTS_INVARIANT(next != nullptr);
       const std::uint64_t id = next->id;
+      const double left = ToSeconds(next->deadline - now);
+      const bool hopeless = left < kDispatchMargin * next->tokens * pool.seconds_per_token;
       expiry_.erase({next->deadline, id});
       const auto own = account_items_.find({next->pool, next->account});
       if (--own->second == 0) account_items_.erase(own);
       auto node = items_.extract(id);
+      // With other slots free the estimate may be at fault, and a try corrects it.
+      if (hopeless && pool.running > 0) {
+        const Queued& queued = node.mapped();
+        pool.order->Settle(queued.item, 0);
+        --pool.queued;
+        const double retry = WaitSeconds(pool, pool.order->tokens());
+        step.refused.push_back(Refuse(id, RefusalReason::kExpired, retry));
+        continue;
+      }
       running_.emplace(id, Running{std::move(node.mapped().item), &pool, now});
       --pool.queued;
       ++pool.running;
--- a/src/traffic/route_strategy.cc
+++ b/src/traffic/route_strategy.cc
@@ -8,6 +8,11 @@
 
 constexpr std::uint32_t kHolderChoices = 2;
 constexpr std::uint32_t kRandomChoices = 2;
+/// Extra cost of a request that has to wait inside the engine, per unit of load above full.
+constexpr double kWaitingCost = 4;
+
+double CostOfLoad(double load) { return load + kWaitingCost * std::max(0.0, load - 1); }
+
 
 }  // namespace
 
@@ -42,9 +47,12 @@
       std::max<std::size_t>(1, std::min(prefix.size(), PrefixHints::kBlocksPerPrompt)));
   std::uint32_t best = RouteView::kNowhere;
   double least = std::numeric_limits<double>::infinity();
+  double least_load = least;
   const auto consider = [&](std::uint32_t index) {
     const double cached = static_cast<double>(view.CachedBlocks(index)) / blocks;
-    const double cost = view.Load(index) + view.Distance(index) + prefix_worth_ * (1 - cached);
+    const double load = view.Load(index);
+    const double cost = CostOfLoad(load) + view.Distance(index) + prefix_worth_ * (1 - cached);
+    least_load = std::min(least_load, load);
     if (cost < least) {
       least = cost;
       best = index;
@@ -61,6 +69,13 @@
   for (std::uint32_t i = 0; i < kRandomChoices; ++i) {
     consider(candidates[view.Random(candidates.size())]);
   }
+  // In a pool that is nearly full, two random choices rarely meet the endpoint with a free slot.
+  if (least_load > 1) {
+    const std::uint64_t begin = view.Random(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+      consider(candidates[(begin + i) % candidates.size()]);
+    }
+  }
   return best;
 }
 
--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -284,10 +284,12 @@
   for (const std::uint32_t index : snapshot_->OfModel(model)) {
     const RoutingEndpoint& endpoint = snapshot_->endpoints()[index];
     if (endpoint.serving != ServingState::kServing || endpoint.draining) continue;
-    const double free = std::max(0.0, static_cast<double>(endpoint.load.slots) -
-                                          endpoint.load.running - endpoint.load.waiting);
-    const double even = endpoint.load.slots / processes;
-    slots += std::max(even, current_[index]->at_report + free / processes);
+    const double all = endpoint.load.slots;
+    const double used = static_cast<double>(endpoint.load.running) + endpoint.load.waiting;
+    const double own = current_[index]->at_report;
+    // Where requests wait inside an engine, each process gives up its part of the excess.
+    const double mine = used > all ? own * all / used : own + (all - used) / processes;
+    slots += std::max(all / processes, mine);
   }
   return slots > 0 ? std::max<std::uint32_t>(1, static_cast<std::uint32_t>(slots)) : 0;
 }
