--- a/include/wagtailslip/traffic/rate_limiter.h
+++ b/include/wagtailslip/traffic/rate_limiter.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -19,7 +20,9 @@
 struct LimitKey {
   std::string account;
   std::string kind;
-  auto operator<=>(const LimitKey&) const = default;
+  bool operator<(const LimitKey& other) const {
+    return std::tie(account, kind) < std::tie(other.account, other.kind);
+  }
 };
 
 /// Reading of a process's monotonic clock. Only its owner compares it; peers send it back.
@@ -27,7 +30,9 @@
   /// Incarnation of the owner; 0 for no stamp.
   std::uint64_t incarnation = 0;
   std::int64_t nanoseconds = 0;
-  auto operator<=>(const LocalStamp&) const = default;
+  bool operator<(const LocalStamp& other) const {
+    return std::tie(incarnation, nanoseconds) < std::tie(other.incarnation, other.nanoseconds);
+  }
 };
 
 /// Demand of a process and the part of its share that it lends, sent to the home of each key.
--- a/include/wagtailslip/traffic/router.h
+++ b/include/wagtailslip/traffic/router.h
@@ -77,6 +77,10 @@
 /// Chooses endpoints for requests. Used by one strand.
 class Router final : private RouteView {
  public:
+  /// Requests per slot up to which the processes together fill an endpoint. A little more than
+  /// one, since requests never spread evenly and an idle slot is lost.
+  static constexpr double kOvercommit = 1.15;
+
   struct Counters {
     std::uint64_t choices = 0;
     std::uint64_t probes = 0;
--- a/src/traffic/rate_limiter.cc
+++ b/src/traffic/rate_limiter.cc
@@ -244,7 +244,7 @@
     if (it == keys_.end() || it->second.home != self_) continue;
     Borrower& borrower = it->second.borrowers[report.from];
     // A report that was overtaken by a newer one is out of date.
-    if (report.stamp <= borrower.stamp) continue;
+    if (!(borrower.stamp < report.stamp)) continue;
     borrower.stamp = report.stamp;
     borrower.demand = row.demand;
     borrower.seen = now;
--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -14,9 +14,6 @@
 constexpr double kOtherRegion = 0.3;
 /// Share of an endpoint's slots that counts at the beginning of its slow start.
 constexpr double kFirstRamp = 0.1;
-/// Requests per slot up to which the processes together fill an endpoint. A little more than one,
-/// since requests never spread evenly and an idle slot is lost.
-constexpr double kOvercommit = 1.15;
 /// Changes kept for an endpoint whose reports have stopped.
 constexpr std::size_t kMostChanges = 8192;
 
