--- a/include/wagtailslip/traffic/ejector.h
+++ b/include/wagtailslip/traffic/ejector.h
@@ -89,6 +89,8 @@
 
   /// Health record; stays at its address until Remove. Null for an unknown endpoint.
   const EndpointHealth* Find(const std::string& id) const;
+  /// Endpoints that take no ordinary requests at present.
+  std::size_t out() const { return out_; }
   std::size_t size() const { return endpoints_.size(); }
   const Counters& counters() const { return counters_; }
 
@@ -109,6 +111,7 @@
   EjectorConfig config_;
   std::unordered_map<std::string, EndpointHealth> endpoints_;
   std::unordered_map<std::string, Pool> pools_;
+  std::size_t out_ = 0;
   Counters counters_;
 };
 
--- a/include/wagtailslip/traffic/queue_order.h
+++ b/include/wagtailslip/traffic/queue_order.h
@@ -96,6 +96,8 @@
     }
   };
   struct Account {
+    /// Order of appearance; breaks ties.
+    std::uint64_t number = 0;
     /// Virtual time at which the work dispatched so far ends.
     double finish = 0;
     /// Virtual start of the next request; the key in the backlog while requests wait.
@@ -104,10 +106,9 @@
     double tokens = 0;
     std::set<const QueueItem*, ByDeadline> items;
   };
-  using BacklogKey = std::pair<double, const std::string*>;
-  struct KeyLess {
-    bool operator()(const BacklogKey& a, const BacklogKey& b) const {
-      return a.first != b.first ? a.first < b.first : *a.second < *b.second;
+  struct ByStart {
+    bool operator()(const Account* a, const Account* b) const {
+      return a->start != b->start ? a->start < b->start : a->number < b->number;
     }
   };
   struct Class {
@@ -116,16 +117,18 @@
     double owed = 0;
     double tokens = 0;
     std::unordered_map<std::string, Account> accounts;
-    std::set<BacklogKey, KeyLess> backlog;
+    /// Accounts with waiting requests.
+    std::set<Account*, ByStart> backlog;
   };
 
   double StartOf(const Class& entry, const Account& account) const;
   Class* NextClass();
-  void Unlink(Class& entry, const std::string& name, Account& account, const QueueItem& item);
+  void Unlink(Class& entry, Account& account, const QueueItem& item);
   static void ForgetIdle(Class& entry, double burst_tokens);
 
   double burst_tokens_;
   std::map<std::uint32_t, Class> classes_;
+  std::uint64_t next_number_ = 0;
   double tokens_ = 0;
 };
 
--- a/include/wagtailslip/traffic/router.h
+++ b/include/wagtailslip/traffic/router.h
@@ -170,7 +170,19 @@
   double Ramp(const State& state, TimePoint now) const;
   void Note(State& state, int change, TimePoint now);
   void AdoptReport(State& state, const LoadReport& load);
-  std::optional<std::uint32_t> FindProbe(const RouteRequest& request, TimePoint now);
+  /// Endpoints of the snapshot that match a kind of request, computed once per snapshot.
+  struct Eligible {
+    config::EndpointRole kind = config::EndpointRole::kEngine;
+    EngineRole role = EngineRole::kMixed;
+    std::optional<Digest> version;
+    std::string adapter;
+    std::vector<std::uint32_t> indexes;
+    /// Why there are none.
+    NoRoute reason = NoRoute::kUnknownModel;
+  };
+
+  const Eligible& EligibleFor(const RouteRequest& request);
+  std::optional<std::uint32_t> FindProbe(TimePoint now);
   RouteChoice Chosen(std::uint32_t index, const RouteRequest& request);
 
   RouterConfig config_;
@@ -182,6 +194,8 @@
   /// By position in the snapshot.
   std::vector<State*> current_;
   std::vector<double> distances_;
+  /// By model; cleared with each snapshot.
+  std::unordered_map<std::string, std::vector<Eligible>> eligible_;
   /// Position in the snapshot by number, or kNowhere.
   std::vector<std::uint32_t> positions_;
   std::vector<EndpointNumber> free_numbers_;
--- a/src/traffic/ejector.cc
+++ b/src/traffic/ejector.cc
@@ -113,6 +113,7 @@
       return;
     }
     ++pool.out;
+    ++out_;
   }
   WTS_INVARIANT(pool.out < pool.endpoints);
   health.state = HealthState::kEjected;
@@ -127,6 +128,7 @@
   Pool& pool = pools_.at(health.pool);
   WTS_INVARIANT(pool.out > 0);
   --pool.out;
+  --out_;
   health.state = HealthState::kHealthy;
   health.failures_in_a_row = 0;
   health.failure_share = 0;
--- a/src/traffic/queue_order.cc
+++ b/src/traffic/queue_order.cc
@@ -7,7 +7,8 @@
 namespace wagtailslip::traffic {
 namespace {
 
-/// Requests of an account that are walked for an estimate; a longer queue is extrapolated.
+/// Requests of an account, and accounts, that are walked for an estimate; a longer queue is
+/// extrapolated.
 constexpr std::size_t kWalkLimit = 64;
 /// Idle accounts kept before the list is swept.
 constexpr std::size_t kIdleAccounts = 64;
@@ -49,11 +50,12 @@
   Class& entry = classes_[item.priority];
   auto [it, added] = entry.accounts.try_emplace(item.account);
   Account& account = it->second;
+  if (added) account.number = next_number_++;
   if (added) account.finish = entry.virtual_time - burst_tokens_ / std::max(item.weight, 1e-6);
   account.weight = std::max(item.weight, 1e-6);
   if (account.items.empty()) {
     account.start = StartOf(entry, account);
-    entry.backlog.emplace(account.start, &it->first);
+    entry.backlog.insert(&account);
   }
   account.items.insert(&item);
   account.tokens += item.tokens;
@@ -70,7 +72,7 @@
       first = &entry;
       continue;
     }
-    const Account& account = entry.accounts.at(*entry.backlog.begin()->second);
+    const Account& account = **entry.backlog.begin();
     const bool covered = entry.owed >= (*account.items.begin())->tokens;
     if (covered && (owed == nullptr || entry.owed > owed->owed)) owed = &entry;
   }
@@ -80,8 +82,7 @@
 const QueueItem* FairOrder::PopFront() {
   Class* next = NextClass();
   if (next == nullptr) return nullptr;
-  const std::string& name = *next->backlog.begin()->second;
-  Account& account = next->accounts.at(name);
+  Account& account = **next->backlog.begin();
   const QueueItem* item = *account.items.begin();
 
   std::size_t waiting = 0;
@@ -95,18 +96,17 @@
 
   next->virtual_time = std::max(next->virtual_time, account.start);
   account.finish = account.start + item->tokens / account.weight;
-  Unlink(*next, name, account, *item);
+  Unlink(*next, account, *item);
   return item;
 }
 
-void FairOrder::Unlink(Class& entry, const std::string& name, Account& account,
-                       const QueueItem& item) {
+void FairOrder::Unlink(Class& entry, Account& account, const QueueItem& item) {
   account.items.erase(&item);
   account.tokens = account.items.empty() ? 0 : account.tokens - item.tokens;
-  entry.backlog.erase({account.start, &name});
+  entry.backlog.erase(&account);
   if (!account.items.empty()) {
     account.start = StartOf(entry, account);
-    entry.backlog.emplace(account.start, &name);
+    entry.backlog.insert(&account);
   }
   entry.tokens = entry.backlog.empty() ? 0 : entry.tokens - item.tokens;
   if (entry.backlog.empty()) entry.owed = 0;
@@ -129,7 +129,7 @@
   Class& entry = classes_.at(item.priority);
   const auto it = entry.accounts.find(item.account);
   WTS_INVARIANT(it != entry.accounts.end() && it->second.items.contains(&item));
-  Unlink(entry, it->first, it->second, item);
+  Unlink(entry, it->second, item);
 }
 
 void FairOrder::Settle(const QueueItem& item, double actual_tokens) {
@@ -141,9 +141,9 @@
   Account& account = it->second;
   account.finish += (actual_tokens - item.tokens) / account.weight;
   if (account.items.empty()) return;
-  entry.backlog.erase({account.start, &it->first});
+  entry.backlog.erase(&account);
   account.start = StartOf(entry, account);
-  entry.backlog.emplace(account.start, &it->first);
+  entry.backlog.insert(&account);
 }
 
 double FairOrder::TokensAhead(const QueueItem& item) const {
@@ -173,12 +173,21 @@
   }
   start += own / weight;
   // Each other account is served as long as its virtual start is before this request's.
-  for (const auto& [key, name] : entry.backlog) {
-    if (key >= start) break;
-    if (*name == item.account) continue;
-    const Account& other = entry.accounts.at(*name);
-    ahead += std::min(other.tokens, (start - key) * other.weight);
+  const Account* const me = self == entry.accounts.end() ? nullptr : &self->second;
+  double others = 0;
+  std::size_t walked = 0;
+  for (const Account* other : entry.backlog) {
+    if (other->start >= start) break;
+    if (other == me) continue;
+    others += std::min(other->tokens, (start - other->start) * other->weight);
+    if (++walked == kWalkLimit) {
+      // The further accounts are taken to be like these, as far as their tokens go.
+      const double all = static_cast<double>(entry.backlog.size());
+      others = std::min(others * all / static_cast<double>(walked), entry.tokens);
+      break;
+    }
   }
+  ahead += others;
   return ahead + own;
 }
 
@@ -189,17 +198,14 @@
     if (entry.backlog.empty()) continue;
     if (it->first < arriving.priority) return nullptr;
     const Account* longest = nullptr;
-    const std::string* owner = nullptr;
-    for (const auto& [key, name] : entry.backlog) {
-      const Account& account = entry.accounts.at(*name);
+    for (const Account* account : entry.backlog) {
       if (longest == nullptr ||
-          account.tokens / account.weight > longest->tokens / longest->weight) {
-        longest = &account;
-        owner = name;
+          account->tokens / account->weight > longest->tokens / longest->weight) {
+        longest = account;
       }
     }
     const bool same_class = it->first == arriving.priority;
-    if (same_class && *owner == arriving.account) return nullptr;
+    if (same_class && (*longest->items.begin())->account == arriving.account) return nullptr;
     if (same_class) {
       const auto self = entry.accounts.find(arriving.account);
       const double own = self == entry.accounts.end() ? 0 : self->second.tokens;
--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -14,6 +14,8 @@
 constexpr double kOtherRegion = 0.3;
 /// Share of an endpoint's slots that counts at the beginning of its slow start.
 constexpr double kFirstRamp = 0.1;
+/// Kinds of requests per model whose endpoints are remembered.
+constexpr std::size_t kMostEligible = 32;
 /// Changes kept for an endpoint whose reports have stopped.
 constexpr std::size_t kMostChanges = 8192;
 
@@ -33,6 +35,7 @@
   std::fill(positions_.begin(), positions_.end(), kNowhere);
   current_.clear();
   distances_.clear();
+  eligible_.clear();
   std::uint32_t index = 0;
   for (const RoutingEndpoint& endpoint : snapshot->endpoints()) {
     auto [it, added] = states_.try_emplace(endpoint.id);
@@ -153,58 +156,75 @@
   return !request.version || adapter->second == *request.version;
 }
 
-RouteChoice Router::Choose(const RouteRequest& request, TimePoint now) {
-  ++counters_.choices;
-  decision_time_ = now;
-  RouteChoice choice;
+const Router::Eligible& Router::EligibleFor(const RouteRequest& request) {
+  std::vector<Eligible>& known = eligible_[request.model];
+  for (const Eligible& entry : known) {
+    if (entry.kind == request.kind && entry.role == request.role &&
+        entry.version == request.version && entry.adapter == request.adapter) {
+      return entry;
+    }
+  }
+  if (known.size() >= kMostEligible) known.clear();
+  Eligible& entry = known.emplace_back(
+      Eligible{request.kind, request.role, request.version, request.adapter, {}, {}});
   const auto all = snapshot_->OfModel(request.model);
-  candidates_.clear();
-  ejected_.clear();
-  bool serving = false;
-  bool matching = false;
+  if (!all.empty()) entry.reason = NoRoute::kNoneServing;
   for (const std::uint32_t index : all) {
     const RoutingEndpoint& endpoint = snapshot_->endpoints()[index];
     if (endpoint.serving != ServingState::kServing || endpoint.draining) continue;
-    serving = true;
-    if (!Matches(endpoint, request)) continue;
-    matching = true;
-    if (std::find(request.excluded.begin(), request.excluded.end(), endpoint.id) !=
-        request.excluded.end()) {
-      continue;
-    }
-    (ejector_.Allows(*current_[index]->health) ? candidates_ : ejected_).push_back(index);
+    entry.reason = NoRoute::kNoneMatching;
+    if (Matches(endpoint, request)) entry.indexes.push_back(index);
   }
-  if (request.may_probe && !ejected_.empty()) {
-    if (const auto probe = FindProbe(request, now)) {
-      ++counters_.probes;
-      ejector_.StartProbe(snapshot_->endpoints()[*probe].id, now);
-      choice = Chosen(*probe, request);
-      choice.probe = true;
-      return choice;
+  return entry;
+}
+
+RouteChoice Router::Choose(const RouteRequest& request, TimePoint now) {
+  ++counters_.choices;
+  decision_time_ = now;
+  matches_.clear();
+  const Eligible& eligible = EligibleFor(request);
+  std::span<const std::uint32_t> candidates = eligible.indexes;
+  // Without ejected or tried endpoints, all eligible ones are candidates as they stand.
+  if (ejector_.out() > 0 || !request.excluded.empty()) {
+    candidates_.clear();
+    ejected_.clear();
+    for (const std::uint32_t index : eligible.indexes) {
+      const std::string& id = snapshot_->endpoints()[index].id;
+      const auto tried = std::find(request.excluded.begin(), request.excluded.end(), id);
+      if (tried != request.excluded.end()) continue;
+      (ejector_.Allows(*current_[index]->health) ? candidates_ : ejected_).push_back(index);
     }
+    if (request.may_probe) {
+      if (const auto probe = FindProbe(now)) {
+        ++counters_.probes;
+        ejector_.StartProbe(snapshot_->endpoints()[*probe].id, now);
+        RouteChoice choice = Chosen(*probe, request);
+        choice.probe = true;
+        return choice;
+      }
+    }
+    if (candidates_.empty() && !ejected_.empty()) {
+      // An ejected endpoint is better than none: ejection is a guess.
+      ++counters_.last_resort;
+      candidates_.swap(ejected_);
+    }
+    candidates = candidates_;
   }
-  if (candidates_.empty() && !ejected_.empty()) {
-    // An ejected endpoint is better than none: ejection is a guess.
-    ++counters_.last_resort;
-    candidates_.swap(ejected_);
-  }
-  if (candidates_.empty()) {
+  if (candidates.empty()) {
     ++counters_.no_route;
-    choice.reason = all.empty() ? NoRoute::kUnknownModel
-                    : !serving  ? NoRoute::kNoneServing
-                    : !matching ? NoRoute::kNoneMatching
-                                : NoRoute::kAllTried;
-    return choice;
+    RouteChoice none;
+    none.reason = eligible.indexes.empty() ? eligible.reason : NoRoute::kAllTried;
+    return none;
   }
   hints_.Lookup(request.prefix, now, matches_);
   std::erase_if(matches_, [&](const PrefixHints::Match& match) {
     const std::uint32_t index = IndexOf(match.endpoint);
     return index == kNowhere || current_[index]->cache_epoch != match.epoch;
   });
-  return Chosen(strategy_->Pick(candidates_, request.prefix, *this), request);
+  return Chosen(strategy_->Pick(candidates, request.prefix, *this), request);
 }
 
-std::optional<std::uint32_t> Router::FindProbe(const RouteRequest&, TimePoint now) {
+std::optional<std::uint32_t> Router::FindProbe(TimePoint now) {
   for (const std::uint32_t index : ejected_) {
     if (ejector_.WantsProbe(*current_[index]->health, now)) return index;
   }
