--- a/include/wagtailslip/traffic/router.h
+++ b/include/wagtailslip/traffic/router.h
@@ -77,6 +77,10 @@
 /// Chooses endpoints for requests. Used by one strand.
 class Router final : private RouteView {
  public:
+  /// Requests per slot up to which the processes together fill an endpoint. A little more than
+  /// one, since requests never spread evenly and an idle slot is lost.
+  static constexpr double kOvercommit = 1.15;
+
   struct Counters {
     std::uint64_t choices = 0;
     std::uint64_t probes = 0;
@@ -141,6 +145,7 @@
     int since_report = 0;
     /// Own requests in flight at the report's measurement.
     std::uint32_t at_report = 0;
+    /// Own net starts since the report that leave room for the other processes.
     bool serving = false;
     /// Start of the current serving period; the ramp begins here.
     TimePoint serving_since{};
@@ -159,11 +164,25 @@
   std::uint32_t IndexOf(EndpointNumber number) const override;
   std::uint64_t Random(std::uint64_t bound) override;
 
+  /// Estimated requests at an endpoint now, from all processes.
+  double Outstanding(const State& state) const;
   bool Matches(const RoutingEndpoint& endpoint, const RouteRequest& request) const;
   double Ramp(const State& state, TimePoint now) const;
   void Note(State& state, int change, TimePoint now);
   void AdoptReport(State& state, const LoadReport& load);
-  std::optional<std::uint32_t> FindProbe(const RouteRequest& request, TimePoint now);
+  /// Endpoints of the snapshot that match a kind of request, computed once per snapshot.
+  struct Eligible {
+    config::EndpointRole kind = config::EndpointRole::kEngine;
+    EngineRole role = EngineRole::kMixed;
+    std::optional<Digest> version;
+    std::string adapter;
+    std::vector<std::uint32_t> indexes;
+    /// Why there are none.
+    NoRoute reason = NoRoute::kUnknownModel;
+  };
+
+  const Eligible& EligibleFor(const RouteRequest& request);
+  std::optional<std::uint32_t> FindProbe(TimePoint now);
   RouteChoice Chosen(std::uint32_t index, const RouteRequest& request);
 
   RouterConfig config_;
@@ -175,6 +194,8 @@
   /// By position in the snapshot.
   std::vector<State*> current_;
   std::vector<double> distances_;
+  /// By model; cleared with each snapshot.
+  std::unordered_map<std::string, std::vector<Eligible>> eligible_;
   /// Position in the snapshot by number, or kNowhere.
   std::vector<std::uint32_t> positions_;
   std::vector<EndpointNumber> free_numbers_;
