Replace stalled and slow sources of chunks

Cause: a fetcher whose uploads stall while it still answers bitmap requests kept its chunks marked as available, so no other fetcher replaced it.

--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -17,7 +17,7 @@
 namespace wagtailslip::spread {
 
 /// Identifier of the origin where a source is named; agents have non-empty ids.
-inline constexpr std::string_view kOrigin = "";
+inline constexpr std::string_view kOrigin;
 
 /// Bounds of one session.
 struct Limits {
@@ -173,6 +173,10 @@
   bool MayAskOrigin(TimePoint now) const;
   bool Hopeless(Slot slot, TimePoint now) const;
   bool Owns(ChunkIndex chunk, TimePoint now) const;
+  bool Available(ChunkIndex chunk) const;
+  bool FromOrigin(ChunkIndex chunk, TimePoint now) const;
+  bool WindowOpen() const;
+  void FindSuspects(TimePoint now);
   bool Settled(TimePoint now) const;
   bool InFlight(ChunkIndex chunk) const { return in_flight_[chunk] > 0; }
   Slot BestPeer(ChunkIndex chunk, TimePoint now, bool local, bool remote) const;
@@ -184,6 +188,7 @@
   void AskExtra(TimePoint now, TickResult& result);
   void AskDuplicates(TimePoint now, TickResult& result);
   void AskBitmaps(TimePoint now, TickResult& result);
+  double Expected(ChunkIndex chunk, double deviations) const;
   Duration Deadline(ChunkIndex chunk) const;
   std::uint64_t Random();
 
@@ -212,9 +217,13 @@
   std::vector<ChunkIndex> substitute_;
   StoreBudget origin_;
   std::size_t origin_requests_ = 0;
-  /// Mean time of a completed chunk request in seconds per byte; 0 before the first.
+  /// Mean and mean deviation of the time of a completed chunk request in seconds per byte; 0 before
+  /// the first.
   double seconds_per_byte_ = 0;
-  /// Last time that this agent or a neighbour gained a chunk.
+  double deviation_ = 0;
+  /// Chunks of rank 0, present or not.
+  Bitmap owned_;
+  /// Last time that a neighbour gained a chunk.
   TimePoint progress_at_;
   TimePoint next_takeover_check_;
   TimePoint idle_since_;
--- a/include/wagtailslip/spread/strategy.h
+++ b/include/wagtailslip/spread/strategy.h
@@ -40,6 +40,8 @@
   std::uint8_t rank = kNoRank;
   /// The region's fetcher takes the chunk from the origin rather than across a region link.
   bool from_origin = false;
+  /// Region whose fetcher takes the chunk from the origin.
+  std::uint8_t home = 0;
   /// The only neighbour that sends this chunk, or kNoSlot for any.
   Slot only = kNoSlot;
   /// Slots of the candidates in rendezvous order.
--- a/src/spread/session.cc
+++ b/src/spread/session.cc
@@ -1,6 +1,7 @@
 #include "wagtailslip/spread/session.h"
 
 #include <algorithm>
+#include <cmath>
 #include <unordered_set>
 
 #include "session_state.h"
@@ -10,7 +11,8 @@
 
 constexpr double kMeanWeight = 0.2;
 constexpr Duration kFirstBlock = std::chrono::milliseconds(500);
-constexpr Duration kLongestBlock = std::chrono::seconds(30);
+// A peer behind a link that was cut is found again within this time.
+constexpr Duration kLongestBlock = std::chrono::seconds(8);
 constexpr Duration kBusyPause = std::chrono::milliseconds(50);
 // A damaged chunk is damaged on the way or at one sender. After this time the same sender may be
 // asked again, so that a sole sender with one transfer error does not stop the session.
@@ -129,7 +131,9 @@
   }
   assigned_.clear();
   substitute_.clear();
+  owned_ = Bitmap(have_.size());
   for (ChunkIndex c = 0; c < plan_.chunks.size(); ++c) {
+    if (plan_.chunks[c].rank == 0) owned_.Set(c);
     if (have_.Test(c) || plan_.chunks[c].rank == kNoRank) continue;
     (plan_.chunks[c].rank == 0 ? assigned_ : substitute_).push_back(c);
   }
@@ -163,7 +167,7 @@
   if (peer == nullptr || have.size() != have_.size()) return;
   peer->contacted = true;
   peer->polling = false;
-  peer->failures = 0;
+  peer->poll_failures = 0;
   SetHave(*peer, have, now);
 }
 
@@ -190,6 +194,8 @@
   if (completed) {
     const double sample =
         ToSeconds(now - it->started) / static_cast<double>(manifest_->chunks[chunk].size);
+    deviation_ = seconds_per_byte_ == 0 ? sample / 2
+                                        : Mean(deviation_, std::abs(sample - seconds_per_byte_));
     seconds_per_byte_ = Mean(seconds_per_byte_, sample);
     if (slot != kOriginSlot) {
       peers_[slot].seconds_per_byte = Mean(peers_[slot].seconds_per_byte, sample);
@@ -228,11 +234,11 @@
   } else if (slot != kNoSlot) {
     Peer& peer = peers_[slot];
     peer.failures = 0;
+    peer.last_success = now;
     peer.strikes = std::max(0.0, peer.strikes - kStrikeRelief);
     ++stats_.from_peers;
     if (!peer.local) ++stats_.across_regions;
   }
-  progress_at_ = now;
   if (have_.Test(chunk)) {
     ++stats_.duplicates;
     return false;
@@ -275,18 +281,21 @@
   if (!chunk) {
     peer.polling = false;
     peer.contacted = true;
+    ++peer.poll_failures;
+    Block(peer, kFirstBlock * (1 << std::min(peer.poll_failures, 6U)), now);
+    return;
   }
   switch (reason) {
     case FailureReason::kBusy:
       peer.blocked_until = std::max(peer.blocked_until, now + std::max(retry_after, kBusyPause));
       break;
     case FailureReason::kMissing:
-      if (chunk && peer.have.Test(*chunk)) {
+      if (peer.have.Test(*chunk)) {
         peer.have.Reset(*chunk);
         --peer.have_count;
         if (peer.local) --copies_[*chunk];
       }
-      if (chunk) peer.refused.emplace_back(*chunk, now + kMissingPause);
+      peer.refused.emplace_back(*chunk, now + kMissingPause);
       break;
     case FailureReason::kTimeout:
       // Deadlines grow while requests time out, so that a rate that fell everywhere does not make
--- a/src/spread/session_state.h
+++ b/src/spread/session_state.h
@@ -23,10 +23,17 @@
   /// Last time that the bitmap gained a chunk.
   TimePoint progress_at;
   TimePoint blocked_until;
+  /// Failed chunk requests since the last success, and failed bitmap requests.
   std::uint32_t failures = 0;
+  std::uint32_t poll_failures = 0;
   /// Corrupt chunks received, reduced by intact ones.
   double strikes = 0;
   std::size_t outstanding = 0;
+  /// Time since which requests to this peer fail or take much longer than others; the far future
+  /// while they do not. Its chunks count as unavailable.
+  TimePoint suspect_since = TimePoint::max();
+  TimePoint last_success;
+  bool Suspect() const { return suspect_since != TimePoint::max(); }
   /// Mean time of a completed request in seconds per byte; 0 before the first.
   double seconds_per_byte = 0;
   /// Chunks that are not asked from this peer until a time, after a corrupt or missing answer.
@@ -44,6 +51,9 @@
 struct Session::Waiting {
   /// Time without progress of a fetcher after which the next in order takes its chunks.
   Duration takeover;
+  /// Time without progress of all fetchers of another region after which its chunks are taken from
+  /// the origin.
+  Duration region_lost;
   /// Time without any progress in sight after which an agent outside the order asks, and the
   /// time between two such agents.
   Duration fallback;
--- a/src/spread/session_tick.cc
+++ b/src/spread/session_tick.cc
@@ -13,18 +13,27 @@
 // Time in which the neighbours must have answered once before the origin is asked, so that a
 // restarted agent does not fetch what its neighbours hold.
 constexpr Duration kSettleTime = seconds(1);
-// A request that takes this many times the mean is doubled at another source, and given up at
-// kDeadlineFactor times the mean.
-constexpr double kDuplicateFactor = 3;
-constexpr double kDeadlineFactor = 5;
+// In mean deviations above the mean time of a request: from the first on, the sender is suspect and
+// the request is doubled at another source; at the second it is given up. Queueing at a sender with
+// 4 uploads varies the time by about one deviation.
+constexpr double kSuspectDeviations = 4;
+constexpr double kDeadlineDeviations = 8;
+// A peer whose requests take this many times the mean of all is suspect as well.
+constexpr double kSlowFactor = 5;
+// Chunks that a fetcher takes from the origin before a neighbour shows the first of them. A fetcher
+// whose uploads are stalled stops here, which bounds the bytes fetched in vain.
+constexpr int kUnconfirmedChunks = 16;
+// Makes a suspect peer the last choice.
+constexpr double kSuspectCost = 1000;
 // A neighbour that offers this many wanted chunks is asked for its bitmap less often.
 constexpr int kEnoughOffers = 16;
 
 }  // namespace
 
 const Session::Waiting& Session::WaitingFor(config::SpreadPolicy policy) {
-  static const Waiting kTimeFirst{seconds(3), seconds(10), milliseconds(250), milliseconds(500), 2};
-  static const Waiting kBytesFirst{seconds(6), seconds(60), seconds(2), seconds(0), 0};
+  static const Waiting kTimeFirst{seconds(3),        seconds(5),        seconds(10),
+                                  milliseconds(250), milliseconds(500), 2};
+  static const Waiting kBytesFirst{seconds(6), seconds(30), seconds(60), seconds(2), seconds(0), 0};
   return policy == config::SpreadPolicy::kTimeFirst ? kTimeFirst : kBytesFirst;
 }
 
@@ -35,6 +44,7 @@
   WTS_INVARIANT(started_);
   ExpireRequests(now, result);
   if (Complete()) return result;
+  FindSuspects(now);
   AskAssigned(now, result);
   AskNeighbours(now, result);
   if (now >= next_takeover_check_) {
@@ -72,18 +82,52 @@
   }
 }
 
+double Session::Expected(ChunkIndex chunk, double deviations) const {
+  const auto size = static_cast<double>(manifest_->chunks[chunk].size);
+  return (seconds_per_byte_ + deviations * std::max(deviation_, seconds_per_byte_ / 4)) * size;
+}
+
 Duration Session::Deadline(ChunkIndex chunk) const {
   const auto size = static_cast<double>(manifest_->chunks[chunk].size);
-  const double expected = seconds_per_byte_ > 0 ? kDeadlineFactor * seconds_per_byte_ * size
+  const double expected = seconds_per_byte_ > 0 ? Expected(chunk, kDeadlineDeviations)
                                                 : size / static_cast<double>(limits_.lowest_rate);
   const auto duration =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::min(expected, 1e6)));
   return std::clamp(duration, limits_.min_deadline, limits_.max_deadline);
 }
 
+void Session::FindSuspects(TimePoint now) {
+  std::uint64_t late[kMaxSlots / 64] = {};
+  for (const Request& request : requests_) {
+    if (request.slot == kOriginSlot || seconds_per_byte_ == 0) continue;
+    if (peers_[request.slot].last_success >= request.started) continue;
+    if (ToSeconds(now - request.started) > Expected(request.chunk, kSuspectDeviations)) {
+      late[request.slot / 64] |= std::uint64_t{1} << (request.slot % 64);
+    }
+  }
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    Peer& peer = peers_[i];
+    const bool slow =
+        seconds_per_byte_ > 0 && peer.seconds_per_byte > kSlowFactor * seconds_per_byte_;
+    if (peer.failures == 0 && peer.poll_failures < 2 && !slow &&
+        (late[i / 64] >> i % 64 & 1) == 0) {
+      peer.suspect_since = TimePoint::max();
+    } else if (!peer.Suspect()) {
+      peer.suspect_since = now;
+    }
+  }
+}
+
+bool Session::Available(ChunkIndex chunk) const {
+  if (copies_[chunk] == 0) return false;
+  return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& peer) {
+    return peer.local && !peer.Suspect() && peer.have.Test(chunk);
+  });
+}
+
 bool Session::MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const {
   if (!peer.have.Test(chunk) || now < peer.blocked_until) return false;
-  if (peer.outstanding >= limits_.per_peer) return false;
+  if (peer.outstanding >= (peer.Suspect() ? 1 : limits_.per_peer)) return false;
   return std::none_of(peer.refused.begin(), peer.refused.end(),
                       [&](const auto& entry) { return entry.first == chunk; });
 }
@@ -101,7 +145,28 @@
 bool Session::Hopeless(Slot slot, TimePoint now) const {
   if (slot >= peers_.size()) return true;
   const Peer& peer = peers_[slot];
-  return now - peer.progress_at >= WaitingFor(policy_).takeover;
+  const Duration limit = WaitingFor(policy_).takeover;
+  return now - peer.progress_at >= limit || (peer.Suspect() && now - peer.suspect_since >= limit);
+}
+
+bool Session::FromOrigin(ChunkIndex chunk, TimePoint now) const {
+  if (plan_.chunks[chunk].from_origin) return true;
+  const Duration limit = WaitingFor(policy_).region_lost;
+  return std::none_of(peers_.begin(), peers_.end(), [&](const Peer& peer) {
+    if (peer.local || peer.region != plan_.chunks[chunk].home) return false;
+    return now - peer.progress_at < limit && !(peer.Suspect() && now - peer.suspect_since >= limit);
+  });
+}
+
+bool Session::WindowOpen() const {
+  if (peers_.empty()) return true;
+  int unconfirmed = 0;
+  for (std::size_t w = 0; w < have_.words().size(); ++w) {
+    std::uint64_t own = have_.words()[w] & owned_.words()[w];
+    for (const Peer& peer : peers_) own &= ~peer.have.words()[w];
+    unconfirmed += std::popcount(own);
+  }
+  return unconfirmed < kUnconfirmedChunks;
 }
 
 bool Session::Owns(ChunkIndex chunk, TimePoint now) const {
@@ -125,7 +190,8 @@
     if (only != kNoSlot && i != only) continue;
     if (!MayAsk(peer, chunk, now)) continue;
     const double pace = peer.seconds_per_byte > 0 ? peer.seconds_per_byte : seconds_per_byte_;
-    const double cost = static_cast<double>(peer.outstanding + 1) * (pace > 0 ? pace : 1);
+    double cost = static_cast<double>(peer.outstanding + 1) * (pace > 0 ? pace : 1);
+    if (peer.Suspect()) cost *= kSuspectCost;
     if (best == kNoSlot || cost < best_cost) {
       best = static_cast<Slot>(i);
       best_cost = cost;
@@ -159,14 +225,14 @@
 
 void Session::AskAssigned(TimePoint now, TickResult& result) {
   std::erase_if(assigned_, [&](ChunkIndex c) { return have_.Test(c); });
+  const bool origin_open = MayAskOrigin(now) && Settled(now) && WindowOpen();
   for (const ChunkIndex c : assigned_) {
     if (requests_.size() >= limits_.outstanding) return;
     if (InFlight(c)) continue;
     const Slot peer = BestPeer(c, now, true, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
-    } else if (plan_.chunks[c].from_origin && copies_[c] == 0 && MayAskOrigin(now) &&
-               Settled(now)) {
+    } else if (origin_open && MayAskOrigin(now) && !Available(c) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
     }
   }
@@ -203,12 +269,12 @@
   std::erase_if(substitute_, [&](ChunkIndex c) { return have_.Test(c); });
   for (const ChunkIndex c : substitute_) {
     if (requests_.size() >= limits_.outstanding) return;
-    if (InFlight(c) || copies_[c] > 0 || !Owns(c, now)) continue;
+    if (InFlight(c) || Available(c) || !Owns(c, now)) continue;
     const Slot peer = BestPeer(c, now, false, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
       ++stats_.takeovers;
-    } else if (plan_.chunks[c].from_origin && MayAskOrigin(now)) {
+    } else if (MayAskOrigin(now) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
       ++stats_.takeovers;
     }
@@ -223,7 +289,7 @@
   if (!MayAskOrigin(now)) return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || InFlight(c) || copies_[c] > 0) continue;
+    if (have_.Test(c) || InFlight(c) || Available(c)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
@@ -243,7 +309,7 @@
     return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || copies_[c] > 0) continue;
+    if (have_.Test(c) || InFlight(c) || Available(c)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
@@ -256,14 +322,12 @@
     const Request request = requests_[i];
     if (requests_.size() >= limits_.outstanding) return;
     if (in_flight_[request.chunk] >= limits_.sources_per_chunk || seconds_per_byte_ == 0) continue;
-    const double expected =
-        seconds_per_byte_ * static_cast<double>(manifest_->chunks[request.chunk].size);
-    if (ToSeconds(now - request.started) < kDuplicateFactor * expected) continue;
+    if (ToSeconds(now - request.started) < Expected(request.chunk, kSuspectDeviations)) continue;
     Slot best = kNoSlot;
     for (std::size_t s = 0; s < peers_.size(); ++s) {
       if (s == request.slot || !peers_[s].local) continue;
       if (plan_.chunks[request.chunk].only != kNoSlot) continue;
-      if (MayAsk(peers_[s], request.chunk, now) &&
+      if (!peers_[s].Suspect() && MayAsk(peers_[s], request.chunk, now) &&
           (best == kNoSlot || peers_[s].outstanding < peers_[best].outstanding)) {
         best = static_cast<Slot>(s);
       }
--- a/src/spread/strategy.cc
+++ b/src/spread/strategy.cc
@@ -100,7 +100,9 @@
     plan.chunks.resize(manifest.chunks.size());
     for (std::size_t c = 0; c < plan.chunks.size(); ++c) {
       const std::uint64_t chunk_key = PlacementKey(manifest.chunks[c].digest);
-      plan.chunks[c].from_origin = members.HomeRegion(chunk_key) == region;
+      const std::uint32_t home = members.HomeRegion(chunk_key);
+      plan.chunks[c].home = static_cast<std::uint8_t>(home);
+      plan.chunks[c].from_origin = home == region;
       if (fetcher) Rank(members, plan, own, self, chunk_key, plan.chunks[c]);
     }
     return plan;
