Choose swarm neighbours on hash rings

Cause: a rendezvous choice per member gives some members few askers and others twice the mean, which delays the last replicas.

--- a/src/spread/strategy.cc
+++ b/src/spread/strategy.cc
@@ -131,29 +131,51 @@
     }
   }
 
-  /// Neighbours inside the region in rendezvous order, taken from the failure domains in turn so
-  /// that the loss of one domain leaves most neighbours.
+  /// Neighbours inside the region: the next member on either side in several hash rings. Each
+  /// member then has as many neighbours that ask it as it asks itself; with a rendezvous choice per
+  /// member some are asked by few and others by twice the mean, which delays the last replicas.
+  /// One neighbour outside the own failure domain is added if all are inside.
   static std::vector<MemberIndex> ChooseNeighbours(const Members& members, MemberIndex self,
                                                    std::uint64_t key, std::size_t count) {
-    const std::uint64_t own_key = MixHash(members.Score(self, key), kNeighbourSalt);
-    // Half from any domain in pure order, the rest with at most one more from each domain in turn.
-    std::vector<MemberIndex> order = members.First(members.RegionOf(self), own_key, count * 4 + 1);
-    std::erase(order, self);
+    const auto& region = members.InRegion(members.RegionOf(self));
     std::vector<MemberIndex> chosen;
-    while (chosen.size() < count && !order.empty()) {
-      std::vector<std::string_view> used;
-      std::vector<MemberIndex> rest;
-      for (const MemberIndex member : order) {
-        const std::string_view domain = members[member].failure_domain;
-        const bool taken = std::find(used.begin(), used.end(), domain) != used.end();
-        if (!taken && chosen.size() < count) {
-          used.push_back(domain);
-          chosen.push_back(member);
-        } else {
-          rest.push_back(member);
+    const auto add = [&](MemberIndex member) {
+      if (member != kNoMember && std::find(chosen.begin(), chosen.end(), member) == chosen.end()) {
+        chosen.push_back(member);
+      }
+    };
+    // Two members of one region may be neighbours in several rings; further rings make up for it.
+    for (std::uint64_t ring = 0; ring < count && chosen.size() + 1 < count; ++ring) {
+      const std::uint64_t ring_key = MixHash(MixHash(key, kNeighbourSalt), ring);
+      const std::uint64_t own = members.Score(self, ring_key);
+      std::uint64_t after = ~std::uint64_t{0};
+      std::uint64_t before = ~std::uint64_t{0};
+      MemberIndex next = kNoMember;
+      MemberIndex previous = kNoMember;
+      for (const MemberIndex member : region) {
+        if (member == self) continue;
+        const std::uint64_t distance = members.Score(member, ring_key) - own;
+        if (distance <= after) {
+          after = distance;
+          next = member;
+        }
+        if (0 - distance <= before) {
+          before = 0 - distance;
+          previous = member;
         }
       }
-      order = std::move(rest);
+      add(next);
+      add(previous);
+    }
+    const std::string& domain = members[self].failure_domain;
+    const auto outside = [&](MemberIndex m) { return members[m].failure_domain != domain; };
+    if (std::none_of(chosen.begin(), chosen.end(), outside)) {
+      for (const MemberIndex m :
+           members.First(members.RegionOf(self), MixHash(key, members.Score(self, key)), 32)) {
+        if (!outside(m)) continue;
+        add(m);
+        break;
+      }
     }
     return chosen;
   }
