--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -24,8 +24,9 @@
   /// Neighbours inside the region. A region's fetchers know its other fetchers and those of the
   /// other regions as well.
   std::size_t neighbours = 8;
-  /// Requests under way, in all and per peer.
-  std::size_t outstanding = 8;
+  /// Requests under way, in all and per peer. One more than the uploads that a peer serves at a
+  /// time keeps the links busy; more only adds refused requests and queueing.
+  std::size_t outstanding = 5;
   std::size_t per_peer = 2;
   std::size_t to_origin = 1;
   /// Sources asked for the same chunk at the same time.
@@ -167,6 +168,7 @@
   void SetPresent(ChunkIndex chunk);
   bool EndRequest(ChunkIndex chunk, Slot slot, TimePoint now, bool completed);
   void Block(Peer& peer, Duration duration, TimePoint now);
+  Duration BusyPause();
   void Punish(Peer& peer, TimePoint now);
   void ExpireRequests(TimePoint now, TickResult& result);
   bool MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const;
--- a/src/spread/session.cc
+++ b/src/spread/session.cc
@@ -13,6 +13,9 @@
 constexpr Duration kFirstBlock = std::chrono::milliseconds(500);
 // A peer behind a link that was cut is found again within this time.
 constexpr Duration kLongestBlock = std::chrono::seconds(8);
+// A peer that refuses a request without naming a time is asked again after this part of the mean
+// time of a request, in which about half of one of its 4 uploads passes.
+constexpr double kBusyDivisor = 8;
 constexpr Duration kBusyPause = std::chrono::milliseconds(50);
 // A damaged chunk is damaged on the way or at one sender. After this time the same sender may be
 // asked again, so that a sole sender with one transfer error does not stop the session.
@@ -259,6 +262,14 @@
   ++peer.failures;
 }
 
+Duration Session::BusyPause() {
+  const double chunk = seconds_per_byte_ * static_cast<double>(manifest_->TotalSize()) /
+                       static_cast<double>(have_.size());
+  const double seconds = chunk / kBusyDivisor * (0.75 + static_cast<double>(Random() % 512) / 1024);
+  return std::max(kBusyPause, std::chrono::duration_cast<Duration>(
+                                  std::chrono::duration<double>(std::min(seconds, 2.0))));
+}
+
 void Session::OnFailure(std::string_view source, std::optional<ChunkIndex> chunk,
                         FailureReason reason, Duration retry_after, TimePoint now) {
   const Slot slot = SlotOf(source);
@@ -287,7 +298,7 @@
   }
   switch (reason) {
     case FailureReason::kBusy:
-      peer.blocked_until = std::max(peer.blocked_until, now + std::max(retry_after, kBusyPause));
+      peer.blocked_until = std::max(peer.blocked_until, now + std::max(retry_after, BusyPause()));
       break;
     case FailureReason::kMissing:
       if (peer.have.Test(*chunk)) {
