--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -17,15 +17,16 @@
 namespace wagtailslip::spread {
 
 /// Identifier of the origin where a source is named; agents have non-empty ids.
-inline constexpr std::string_view kOrigin = "";
+inline constexpr std::string_view kOrigin;
 
 /// Bounds of one session.
 struct Limits {
   /// Neighbours inside the region. A region's fetchers know its other fetchers and those of the
   /// other regions as well.
   std::size_t neighbours = 8;
-  /// Requests under way, in all and per peer.
-  std::size_t outstanding = 8;
+  /// Requests under way, in all and per peer. One more than the uploads that a peer serves at a
+  /// time keeps the links busy; more only adds refused requests and queueing.
+  std::size_t outstanding = 5;
   std::size_t per_peer = 2;
   std::size_t to_origin = 1;
   /// Sources asked for the same chunk at the same time.
@@ -167,12 +168,17 @@
   void SetPresent(ChunkIndex chunk);
   bool EndRequest(ChunkIndex chunk, Slot slot, TimePoint now, bool completed);
   void Block(Peer& peer, Duration duration, TimePoint now);
+  Duration BusyPause();
   void Punish(Peer& peer, TimePoint now);
   void ExpireRequests(TimePoint now, TickResult& result);
   bool MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const;
   bool MayAskOrigin(TimePoint now) const;
   bool Hopeless(Slot slot, TimePoint now) const;
   bool Owns(ChunkIndex chunk, TimePoint now) const;
+  bool Available(ChunkIndex chunk) const;
+  bool FromOrigin(ChunkIndex chunk, TimePoint now) const;
+  bool WindowOpen() const;
+  void FindSuspects(TimePoint now);
   bool Settled(TimePoint now) const;
   bool InFlight(ChunkIndex chunk) const { return in_flight_[chunk] > 0; }
   Slot BestPeer(ChunkIndex chunk, TimePoint now, bool local, bool remote) const;
@@ -184,6 +190,7 @@
   void AskExtra(TimePoint now, TickResult& result);
   void AskDuplicates(TimePoint now, TickResult& result);
   void AskBitmaps(TimePoint now, TickResult& result);
+  double Expected(ChunkIndex chunk, double deviations) const;
   Duration Deadline(ChunkIndex chunk) const;
   std::uint64_t Random();
 
@@ -212,9 +219,13 @@
   std::vector<ChunkIndex> substitute_;
   StoreBudget origin_;
   std::size_t origin_requests_ = 0;
-  /// Mean time of a completed chunk request in seconds per byte; 0 before the first.
+  /// Mean and mean deviation of the time of a completed chunk request in seconds per byte; 0 before
+  /// the first.
   double seconds_per_byte_ = 0;
-  /// Last time that this agent or a neighbour gained a chunk.
+  double deviation_ = 0;
+  /// Chunks of rank 0, present or not.
+  Bitmap owned_;
+  /// Last time that a neighbour gained a chunk.
   TimePoint progress_at_;
   TimePoint next_takeover_check_;
   TimePoint idle_since_;
