--- a/tools/engine/main.cc
+++ b/tools/engine/main.cc
@@ -3,9 +3,10 @@
 
 #include "engine/engine_server.h"
 
-int main(int argc, char** argv) {
-  using namespace wagtailslip;
-  using namespace wagtailslip::tools;
+namespace wagtailslip::tools {
+namespace {
+
+int Main(int argc, char** argv) {
   constexpr int kMaxMs = 600'000;
   constexpr std::uint64_t kMaxCount = 1'000'000'000;
   constexpr std::uint64_t kOne = 1;
@@ -58,3 +59,8 @@
     return Serve(context, settings.server, net::HttpLimits{}, server);
   });
 }
+
+}  // namespace
+}  // namespace wagtailslip::tools
+
+int main(int argc, char** argv) { return wagtailslip::tools::Main(argc, argv); }
--- a/tools/engine/model_table.cc
+++ b/tools/engine/model_table.cc
@@ -13,7 +13,7 @@
 constexpr unsigned kUnprocessable = 422;
 constexpr unsigned kConflict = 409;
 /// Piece that is read between two turns of the event loop.
-constexpr std::uint64_t kReadBytes = 1024 * 1024;
+constexpr std::uint64_t kReadBytes = 1024ULL * 1024;
 constexpr std::uint64_t kMaxChunkBytes = 1024ULL * 1024 * 1024;
 
 Refusal Wrong(std::string message) {
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -44,12 +44,7 @@
   return addresses;
 }
 
-}  // namespace
-}  // namespace wagtailslip::tools
-
-int main(int argc, char** argv) {
-  using namespace wagtailslip;
-  using namespace wagtailslip::tools;
+int Main(int argc, char** argv) {
   constexpr double kMaxSeconds = 7200;
   constexpr std::uint64_t kMaxInFlight = 20'000;
   constexpr std::uint64_t kMaxRepeats = 100;
@@ -99,3 +94,8 @@
     return RunLoad(settings, json_file);
   });
 }
+
+}  // namespace
+}  // namespace wagtailslip::tools
+
+int main(int argc, char** argv) { return wagtailslip::tools::Main(argc, argv); }
--- a/tools/origin/main.cc
+++ b/tools/origin/main.cc
@@ -3,9 +3,10 @@
 
 #include "origin/origin_server.h"
 
-int main(int argc, char** argv) {
-  using namespace wagtailslip;
-  using namespace wagtailslip::tools;
+namespace wagtailslip::tools {
+namespace {
+
+int Main(int argc, char** argv) {
   OriginSettings settings;
   ArtifactSpec single;
   std::vector<std::string> artifacts;
@@ -46,3 +47,8 @@
     return Serve(context, settings.server, net::HttpLimits{}, server);
   });
 }
+
+}  // namespace
+}  // namespace wagtailslip::tools
+
+int main(int argc, char** argv) { return wagtailslip::tools::Main(argc, argv); }
--- a/tools/origin/origin_server.cc
+++ b/tools/origin/origin_server.cc
@@ -9,7 +9,7 @@
 constexpr std::string_view kModelPrefix = "/models/";
 constexpr std::string_view kManifestSuffix = "/manifest";
 /// Piece in which concurrent answers take turns on the link.
-constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr std::size_t kPieceBytes = 64ULL * 1024;
 
 }  // namespace
 
--- a/tools/origin/origin_server.h
+++ b/tools/origin/origin_server.h
@@ -15,7 +15,7 @@
 struct OriginSettings {
   ServerSettings server;
   std::vector<ArtifactSpec> artifacts;
-  std::uint64_t chunk_bytes = 1024 * 1024;
+  std::uint64_t chunk_bytes = 1024ULL * 1024;
   std::uint64_t max_bytes = 4ULL * 1024 * 1024 * 1024;
   /// Rate of the link that all requests share; 0 means no limit.
   double link_bytes_per_second = 0;
--- a/tools/service/main.cc
+++ b/tools/service/main.cc
@@ -3,9 +3,10 @@
 
 #include "service/service_server.h"
 
-int main(int argc, char** argv) {
-  using namespace wagtailslip;
-  using namespace wagtailslip::tools;
+namespace wagtailslip::tools {
+namespace {
+
+int Main(int argc, char** argv) {
   constexpr int kMaxMs = 600'000;
   ServiceSettings settings;
   CLI::App app("Plain service that counts the executions of its calls.", "wts-service");
@@ -28,3 +29,8 @@
     return Serve(context, settings.server, net::HttpLimits{}, server);
   });
 }
+
+}  // namespace
+}  // namespace wagtailslip::tools
+
+int main(int argc, char** argv) { return wagtailslip::tools::Main(argc, argv); }
