Let changes of the voters take effect when they are committed

A change of the voters now counts once it is committed; HardState records the commit index so that a restarted replica doesn't fall back to voters that are gone. Removals and promotions are refused unless a majority of the voters after the change answered within two heartbeats.

--- a/include/wagtailslip/agreement/membership.h
+++ b/include/wagtailslip/agreement/membership.h
@@ -19,7 +19,11 @@
   std::string process;
   std::uint64_t incarnation = 0;
 
-  auto operator<=>(const ReplicaId&) const = default;
+  bool operator==(const ReplicaId&) const = default;
+  std::strong_ordering operator<=>(const ReplicaId& other) const {
+    const int order = process.compare(other.process);
+    return order != 0 ? order <=> 0 : incarnation <=> other.incarnation;
+  }
   /// "process/incarnation", for logs and errors.
   std::string Text() const;
 };
--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -85,8 +85,9 @@
   kUnknownMember,
   kAlreadyMember,
   kLastVoter,
+  kQuorumAtRisk,  ///< Too few of the voters after the change answer.
 };
-inline constexpr EnumTable<ProposeStatus, 10> kProposeStatuses{{{
+inline constexpr EnumTable<ProposeStatus, 11> kProposeStatuses{{{
     {ProposeStatus::kAccepted, "accepted"},
     {ProposeStatus::kNotLeader, "not-leader"},
     {ProposeStatus::kNoLease, "no-lease"},
@@ -97,6 +98,7 @@
     {ProposeStatus::kUnknownMember, "unknown-member"},
     {ProposeStatus::kAlreadyMember, "already-member"},
     {ProposeStatus::kLastVoter, "last-voter"},
+    {ProposeStatus::kQuorumAtRisk, "quorum-at-risk"},
 }}};
 
 struct ProposeResult {
@@ -163,7 +165,12 @@
   Index commit_index() const { return commit_; }
   Index last_index() const { return log_.last(); }
   Index persisted_index() const { return persisted_; }
+  /// The members now. A change of the voters takes effect when it is committed, because a change
+  /// that cannot be committed must not cost the old voters their quorum. A change of the other
+  /// members takes effect when it is in the log.
   const Membership& membership() const { return membership_; }
+  /// A change of the voters that is not yet committed.
+  std::optional<MembershipChange> pending_change() const;
   const ReplicaCounters& counters() const { return counters_; }
   const std::shared_ptr<const Snapshot>& snapshot() const { return snapshot_; }
   const Log& log() const { return log_; }
@@ -212,11 +219,15 @@
   void SendSnapshotPart(const ReplicaId& to, Progress& progress, TimePoint now);
   void Install();
   // Membership.
-  void NoteMembershipEntry(const Entry& entry);
+  void NoteMembershipEntry(Index index);
   void RebuildMembership();
   Membership MembershipAt(Index index) const;
   void RefreshProgress();
-  bool VoterChangePending() const;
+  bool ChangesVoters(const MembershipChange& change) const;
+  void ApplyPendingChange();
+  MembershipChange ChangeAt(Index index) const;
+  bool KeepsQuorum(const MembershipChange& change, TimePoint now) const;
+  ProposeStatus CheckChange(const MembershipChange& change, TimePoint now) const;
 
   void Send(const ReplicaId& to, MessageBody body);
   void SendWithTerm(const ReplicaId& to, Term term, MessageBody body);
@@ -238,8 +249,13 @@
   std::deque<PendingWrite> pending_writes_;
   std::size_t uncommitted_bytes_ = 0;
 
+  /// Membership at the snapshot, or empty at index 0.
+  Index base_index_ = 0;
   Membership base_membership_;
   Membership membership_;
+  /// Index of a change of the voters that is in the log and not yet in `membership_`.
+  std::optional<Index> pending_change_;
+  Index committed_change_ = 0;
   /// Indexes of the membership entries after the base.
   std::deque<Index> change_indexes_;
 
--- a/include/wagtailslip/agreement/types.h
+++ b/include/wagtailslip/agreement/types.h
@@ -48,6 +48,10 @@
   Term term = 0;
   /// Candidate that got this replica's vote in `term`.
   std::optional<ReplicaId> vote;
+  /// Entries up to here were on this disk and known to be committed. Saved when a change of the
+  /// voters is committed, because a restarted replica must not fall back to the voters before it:
+  /// they may be gone.
+  Index commit = 0;
 
   bool operator==(const HardState&) const = default;
 };
--- a/src/agreement/replica.cc
+++ b/src/agreement/replica.cc
@@ -18,6 +18,7 @@
   }
   if (snapshot_) {
     base_membership_ = snapshot_->membership;
+    base_index_ = snapshot_->index;
     commit_ = snapshot_->index;
     log_.Reset(snapshot_->index, snapshot_->term);
   }
@@ -31,7 +32,12 @@
     log_.Append(std::move(entry));
   }
   persisted_ = log_.last();
+  if (saved_.commit > log_.last()) {
+    throw AgreementError("the log ends at " + std::to_string(log_.last()) +
+                         ", before the committed entry " + std::to_string(saved_.commit));
+  }
   uncommitted_bytes_ = log_.bytes();
+  CommitTo(saved_.commit);
   RebuildMembership();
   ResetElectionDeadline(now, config_.election_min, config_.election_max);
 }
@@ -146,11 +152,14 @@
 }
 
 Effects Replica::TakeEffects() {
-  if (saved_.term != term_ || saved_.vote != vote_) {
+  const bool save_commit = committed_change_ > saved_.commit && committed_change_ <= persisted_;
+  if (saved_.term != term_ || saved_.vote != vote_ || save_commit) {
     WTS_INVARIANT(term_ >= saved_.term);
     // One vote per term: within a term a vote is only added.
-    WTS_INVARIANT(term_ > saved_.term || !saved_.vote);
-    saved_ = {term_, vote_};
+    WTS_INVARIANT(term_ > saved_.term || !saved_.vote || saved_.vote == vote_);
+    // The commit index that is saved never covers an entry that is not on this disk: another entry
+    // may stand there until the write is done.
+    saved_ = {term_, vote_, std::max(saved_.commit, std::min(commit_, persisted_))};
     out_.hard_state = saved_;
   }
   if (out_.install || out_.truncate_from || !out_.append.empty()) {
--- a/src/agreement/replica_membership.cc
+++ b/src/agreement/replica_membership.cc
@@ -4,31 +4,64 @@
 
 namespace wagtailslip::agreement {
 
-void Replica::NoteMembershipEntry(const Entry& entry) {
-  const auto change = DecodeChange(entry.data);
-  if (!change) throw AgreementError("a membership entry cannot be decoded");
-  change_indexes_.push_back(entry.index);
-  membership_.Apply(*change);
+MembershipChange Replica::ChangeAt(Index index) const {
+  const auto change = DecodeChange(log_.At(index).data);
+  if (!change) {
+    throw AgreementError("the membership entry " + std::to_string(index) + " cannot be decoded");
+  }
+  return *change;
+}
+
+std::optional<MembershipChange> Replica::pending_change() const {
+  if (!pending_change_) return std::nullopt;
+  return ChangeAt(*pending_change_);
+}
+
+bool Replica::ChangesVoters(const MembershipChange& change) const {
+  return change.kind == ChangeKind::kPromote ||
+         (change.kind == ChangeKind::kRemove && membership_.IsVoter(change.id));
+}
+
+void Replica::NoteMembershipEntry(Index index) {
+  const MembershipChange change = ChangeAt(index);
+  // A leader proposes a change of the voters, or of the same member, only after the earlier one is
+  // committed; so an entry in the log proves that the earlier one is committed, even after a
+  // restart.
+  if (pending_change_ && (ChangesVoters(change) || ChangeAt(*pending_change_).id == change.id)) {
+    ApplyPendingChange();
+  }
+  if (ChangesVoters(change)) {
+    pending_change_ = index;
+  } else {
+    membership_.Apply(change);
+  }
+}
+
+void Replica::ApplyPendingChange() {
+  committed_change_ = *pending_change_;
+  membership_.Apply(ChangeAt(*pending_change_));
+  pending_change_.reset();
+  if (role_ == Role::kLeader) RefreshProgress();
 }
 
 void Replica::RebuildMembership() {
   while (!change_indexes_.empty() && change_indexes_.back() > log_.last()) {
     change_indexes_.pop_back();
   }
-  const Index start = snapshot_ ? std::max(snapshot_->index, log_.base()) : log_.base();
-  while (!change_indexes_.empty() && change_indexes_.front() <= start) {
+  while (!change_indexes_.empty() && change_indexes_.front() <= base_index_) {
     change_indexes_.pop_front();
   }
-  membership_ = MembershipAt(log_.last());
+  membership_ = base_membership_;
+  pending_change_.reset();
+  for (const Index index : change_indexes_) NoteMembershipEntry(index);
+  if (pending_change_ && *pending_change_ <= commit_) ApplyPendingChange();
 }
 
 Membership Replica::MembershipAt(Index index) const {
   Membership membership = base_membership_;
   for (const Index i : change_indexes_) {
     if (i > index) break;
-    const auto change = DecodeChange(log_.At(i).data);
-    if (!change) throw AgreementError("a membership entry cannot be decoded");
-    membership.Apply(*change);
+    membership.Apply(ChangeAt(i));
   }
   return membership;
 }
@@ -43,45 +76,57 @@
   }
 }
 
-bool Replica::VoterChangePending() const {
-  for (auto it = change_indexes_.rbegin(); it != change_indexes_.rend() && *it > commit_; ++it) {
-    const auto change = DecodeChange(log_.At(*it).data);
-    if (change->kind != ChangeKind::kAddLearner && change->kind != ChangeKind::kAddStandby) {
-      return true;
+bool Replica::KeepsQuorum(const MembershipChange& change, TimePoint now) const {
+  Membership after = membership_;
+  after.Apply(change);
+  // A voter that stopped within the last two heartbeats cannot be told from one that answers.
+  const Duration fresh = 2 * config_.heartbeat;
+  std::size_t answering = after.IsVoter(config_.id) ? 1 : 0;
+  for (const auto& [id, progress] : progress_) {
+    const bool recent = progress.contact != TimePoint::min() && now < progress.contact + fresh;
+    if (recent && after.IsVoter(id)) ++answering;
+  }
+  return answering >= after.quorum();
+}
+
+ProposeStatus Replica::CheckChange(const MembershipChange& change, TimePoint now) const {
+  const ProposeStatus status = CheckProposal(now);
+  if (status != ProposeStatus::kAccepted) return status;
+  if (change.id.process.empty()) return ProposeStatus::kUnknownMember;
+  if (commit_ < term_start_) return ProposeStatus::kChangePending;
+  if (pending_change_ && (ChangesVoters(change) || ChangeAt(*pending_change_).id == change.id)) {
+    return ProposeStatus::kChangePending;
+  }
+  const auto role = membership_.Role(change.id);
+  switch (change.kind) {
+    case ChangeKind::kAddLearner:
+    case ChangeKind::kAddStandby:
+      return role ? ProposeStatus::kAlreadyMember : ProposeStatus::kAccepted;
+    case ChangeKind::kRemove:
+      if (!role) return ProposeStatus::kUnknownMember;
+      if (role != MemberRole::kVoter) return ProposeStatus::kAccepted;
+      if (membership_.voter_count() == 1) return ProposeStatus::kLastVoter;
+      break;
+    case ChangeKind::kPromote: {
+      if (!role) return ProposeStatus::kUnknownMember;
+      if (role == MemberRole::kVoter) return ProposeStatus::kAlreadyMember;
+      const Progress* standby = progress(change.id);
+      const bool ready = role == MemberRole::kStandby && standby != nullptr &&
+                         standby->caught_up != TimePoint::min() &&
+                         now < standby->caught_up + config_.lease;
+      if (!ready) return ProposeStatus::kNotCaughtUp;
+      break;
     }
+    case ChangeKind::kAddVoter:
+      // A voter without a learner's history could take part in a majority that knows nothing.
+      return ProposeStatus::kNotCaughtUp;
   }
-  return false;
+  return KeepsQuorum(change, now) ? ProposeStatus::kAccepted : ProposeStatus::kQuorumAtRisk;
 }
 
 ProposeResult Replica::ChangeMembership(const MembershipChange& change, TimePoint now) {
   ProposeResult result;
-  result.status = CheckProposal(now);
-  if (result.status != ProposeStatus::kAccepted) return result;
-  const auto role = membership_.Role(change.id);
-  const bool adds =
-      change.kind == ChangeKind::kAddLearner || change.kind == ChangeKind::kAddStandby;
-  const bool voters_change = change.kind == ChangeKind::kPromote ||
-                             (change.kind == ChangeKind::kRemove && role == MemberRole::kVoter);
-  if (change.kind == ChangeKind::kAddVoter || change.id.process.empty()) {
-    result.status = ProposeStatus::kNotCaughtUp;
-  } else if (adds && role) {
-    result.status = ProposeStatus::kAlreadyMember;
-  } else if (!adds && !role) {
-    result.status = ProposeStatus::kUnknownMember;
-  } else if (change.kind == ChangeKind::kPromote && role == MemberRole::kVoter) {
-    result.status = ProposeStatus::kAlreadyMember;
-  } else if (change.kind == ChangeKind::kRemove && role == MemberRole::kVoter &&
-             membership_.voter_count() == 1) {
-    result.status = ProposeStatus::kLastVoter;
-  } else if (commit_ < term_start_ || (voters_change && VoterChangePending())) {
-    result.status = ProposeStatus::kChangePending;
-  } else if (change.kind == ChangeKind::kPromote) {
-    const auto it = progress_.find(change.id);
-    const bool ready = role == MemberRole::kStandby && it != progress_.end() &&
-                       it->second.caught_up != TimePoint::min() &&
-                       now < it->second.caught_up + config_.lease;
-    if (!ready) result.status = ProposeStatus::kNotCaughtUp;
-  }
+  result.status = CheckChange(change, now);
   if (result.status != ProposeStatus::kAccepted) return result;
   result.first_index = log_.last() + 1;
   result.term = term_;
@@ -94,7 +139,7 @@
 
 std::optional<MembershipChange> Replica::PlanRepair(std::size_t target_voters, Duration dead_after,
                                                     TimePoint now) const {
-  if (!HasLease(now) || VoterChangePending() || commit_ < term_start_) return std::nullopt;
+  if (!HasLease(now) || pending_change_ || commit_ < term_start_) return std::nullopt;
   std::optional<ReplicaId> dead;
   std::optional<ReplicaId> ready;
   for (const auto& [id, progress] : progress_) {
--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -10,10 +10,13 @@
 }
 
 void Replica::Store(Entry entry) {
-  if (entry.kind == EntryKind::kMembership) NoteMembershipEntry(entry);
   uncommitted_bytes_ += entry.data.size();
   out_.append.push_back(entry);
+  const bool changes_members = entry.kind == EntryKind::kMembership;
   log_.Append(std::move(entry));
+  if (!changes_members) return;
+  change_indexes_.push_back(log_.last());
+  NoteMembershipEntry(log_.last());
 }
 
 void Replica::Truncate(Index from) {
@@ -195,7 +198,7 @@
   // it are committed with it.
   if (index <= commit_ || log_.TermAt(index) != term_) return;
   CommitTo(index);
-  if (!membership_.IsVoter(config_.id) && !VoterChangePending()) {
+  if (!membership_.IsVoter(config_.id)) {
     BecomeFollower(term_, std::nullopt, now);
   }
 }
@@ -210,6 +213,7 @@
   }
   commit_ = index;
   WTS_INVARIANT(commit_ > before);
+  if (pending_change_ && *pending_change_ <= commit_) ApplyPendingChange();
 }
 
 }  // namespace wagtailslip::agreement
--- a/src/agreement/replica_snapshot.cc
+++ b/src/agreement/replica_snapshot.cc
@@ -15,6 +15,7 @@
   snapshot->membership = MembershipAt(index);
   snapshot->data = std::move(data);
   base_membership_ = snapshot->membership;
+  base_index_ = index;
   while (!change_indexes_.empty() && change_indexes_.front() <= index) change_indexes_.pop_front();
   snapshot_ = snapshot;
   const Index drop = index - std::min<Index>(index, config_.retained_entries);
@@ -85,9 +86,10 @@
     }
   }
   base_membership_ = snapshot->membership;
-  RebuildMembership();
+  base_index_ = index;
   uncommitted_bytes_ = log_.bytes();
   commit_ = index;
+  RebuildMembership();
   verified_ = std::max(verified_, index);
   snapshot_ = snapshot;
   out_.install = std::move(snapshot);
--- a/src/disk/log_recovery.cc
+++ b/src/disk/log_recovery.cc
@@ -50,6 +50,12 @@
     if (found) {
       RecoverSnapshot();
       RecoverSegments();
+      if (hard_state_.commit > last_index_) {
+        throw DamagedDataError(Path(kStateName), 0,
+                               "the log ends at entry " + std::to_string(last_index_) +
+                                   ", before the committed entry " +
+                                   std::to_string(hard_state_.commit));
+      }
       return;
     }
   } catch (const fs::filesystem_error& error) {
@@ -94,6 +100,7 @@
     vote.incarnation = decoder.U64();
     hard_state_.vote = std::move(vote);
   }
+  hard_state_.commit = decoder.U64();
   if (!decoder.ok()) throw DamagedDataError(path, 0, "the state file has another shape");
   if (!options_.identity.process.empty() && options_.identity.process != identity_.process) {
     throw DiskError(options_.folder + " belongs to process " + identity_.process + ", not to " +
--- a/src/disk/log_store.cc
+++ b/src/disk/log_store.cc
@@ -46,6 +46,7 @@
       body.Bytes(state.vote->process);
       body.U64(state.vote->incarnation);
     }
+    body.U64(state.commit);
     ReplaceFile(options_.folder, kStateName, Seal(kStateMagic, body.data()));
     ++counters_.syncs;
     hard_state_ = state;
--- /dev/null
+++ b/tools/random_run/faults.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <map>
+
+#include "cluster.h"
+
+namespace wagtailslip::simulation {
+
+/// Injects random faults into a cluster at random times.
+class FaultInjector {
+ public:
+  explicit FaultInjector(Cluster& cluster) : cluster_(cluster) {}
+
+  /// Injects a fault if one is due.
+  void Poll();
+  /// Ends all faults: links, frozen and stopped processes, message loss.
+  void Calm();
+  const std::map<std::string, std::uint64_t>& counts() const { return counts_; }
+
+ private:
+  struct Row;
+  static const Row kRows[];
+
+  void CrashOne();
+  void RestartOne();
+  void FreezeOne();
+  void LoseOneDisk();
+  void CutOneWay();
+  void CutBothWays();
+  void IsolateOne();
+  void IsolateLeader();
+  void HealLinks();
+  void ChangeNetwork();
+  void RemoveMember();
+
+  std::size_t Any() { return cluster_.random().Below(cluster_.size()); }
+
+  Cluster& cluster_;
+  TimePoint next_{};
+  std::map<std::string, std::uint64_t> counts_;
+};
+
+}  // namespace wagtailslip::simulation
