--- a/include/wagtailslip/disk/log_store.h
+++ b/include/wagtailslip/disk/log_store.h
@@ -80,6 +80,7 @@
   // Recovery.
   void Lock();
   void Recover();
+  void Create();
   bool RecoverHardState();
   void RecoverSnapshot();
   void RecoverSegments();
--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -35,8 +35,10 @@
 
 void Replica::OnAppendRequest(const Message& m, const AppendRequest& request, TimePoint now) {
   if (m.term < term_) {
-    // Tells a leader of an older term to step down.
-    Send(m.from, AppendReply{.prev_index = request.prev_index, .sent_at = request.sent_at});
+    // Tells a leader of an older term to step down. The send time is not echoed: the sender may
+    // lead the current term by now, and its old request, perhaps of a clock before a reboot, must
+    // not renew the new lease.
+    Send(m.from, AppendReply{.sent_at = TimePoint::min()});
     return;
   }
   HeardLeader(m, request.sent_at, now);
--- a/src/agreement/replica_snapshot.cc
+++ b/src/agreement/replica_snapshot.cc
@@ -40,7 +40,7 @@
 
 void Replica::OnSnapshotPart(const Message& m, const SnapshotPart& part, TimePoint now) {
   if (m.term < term_) {
-    Send(m.from, SnapshotReply{part.index, 0, part.sent_at});
+    Send(m.from, SnapshotReply{0, 0, TimePoint::min()});
     return;
   }
   HeardLeader(m, part.sent_at, now);
@@ -92,6 +92,8 @@
   RebuildMembership();
   verified_ = std::max(verified_, index);
   snapshot_ = snapshot;
+  // The first call after a restart may carry recovered entries, which the snapshot covers.
+  out_.committed.clear();
   out_.install = std::move(snapshot);
   acknowledgement_due_ = true;
 }
@@ -101,6 +103,7 @@
   const auto it = progress_.find(m.from);
   if (it == progress_.end()) return;
   Progress& progress = it->second;
+  WTS_INVARIANT(reply.sent_at <= now);
   progress.contact = std::max(progress.contact, reply.sent_at);
   if (progress.state != SendState::kSnapshot || progress.snapshot->index != reply.index) return;
   // Only forward steps and a receiver that starts again are answered at once; a lost part is sent
--- a/src/disk/log_recovery.cc
+++ b/src/disk/log_recovery.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <filesystem>
 #include <set>
 
@@ -23,8 +24,10 @@
     const std::string name = item.path().filename().string();
     if (!name.starts_with(prefix) || name.ends_with(".tmp")) continue;
     const std::string digits = name.substr(prefix.size());
-    if (digits.empty() || digits.find_first_not_of("0123456789") != std::string::npos) continue;
-    numbers.insert(std::stoull(digits));
+    std::uint64_t number = 0;
+    const char* end = digits.data() + digits.size();
+    const auto [parsed, ec] = std::from_chars(digits.data(), end, number);
+    if (ec == std::errc() && parsed == end) numbers.insert(number);
   }
   return numbers;
 }
@@ -47,9 +50,9 @@
     const bool found = RecoverHardState();
     mark_ = File(Path(kMarkName), O_RDWR | O_CREAT);
     ReadSyncedMark();
+    RecoverSnapshot();
+    RecoverSegments();
     if (found) {
-      RecoverSnapshot();
-      RecoverSegments();
       if (hard_state_.commit > last_index_) {
         throw DamagedDataError(Path(kStateName), 0,
                                "the log ends at entry " + std::to_string(last_index_) +
@@ -61,16 +64,24 @@
   } catch (const fs::filesystem_error& error) {
     throw IoError("read", options_.folder, error.code().value());
   }
-  // A new folder. Its log is written before its state file, so that a crash in between leaves a
-  // folder that is created again.
+  Create();
+}
+
+void LogStore::Create() {
+  // The log of a new folder is written before its state file. What a crash in between leaves is a
+  // part of the initial entries; anything else means that the state file was lost.
+  const auto& initial = options_.initial.entries;
+  const auto& found = recovered_.entries;
+  if (recovered_.snapshot || found.size() > initial.size() ||
+      !std::equal(found.begin(), found.end(), initial.begin())) {
+    throw DamagedDataError(Path(kStateName), 0, "the file is missing from a folder in use");
+  }
   created_ = true;
   identity_ = options_.identity;
   if (identity_.process.empty()) throw DiskError("a new data folder needs a process id");
-  for (const std::uint64_t first : NumberedFiles(options_.folder, kSegmentPrefix)) {
-    RemoveFile(SegmentPath(first));
-  }
+  DiscardLog();
   failed_ = false;
-  Append(options_.initial.entries);
+  Append(initial);
   Sync();
   SaveHardState(options_.initial.hard_state);
   recovered_ = std::move(options_.initial);
@@ -78,15 +89,7 @@
 
 bool LogStore::RecoverHardState() {
   const std::string path = Path(kStateName);
-  if (!fs::exists(path)) {
-    // A folder that was in use has a snapshot, or a segment beyond the initial entries.
-    const auto segments = NumberedFiles(options_.folder, kSegmentPrefix);
-    if (!NumberedFiles(options_.folder, kSnapshotPrefix).empty() ||
-        (!segments.empty() && (segments.size() > 1 || *segments.begin() != 1))) {
-      throw DamagedDataError(path, 0, "the state file is missing from a folder that is in use");
-    }
-    return false;
-  }
+  if (!fs::exists(path)) return false;
   const std::string data = File(path, O_RDONLY).ReadAll();
   const auto body = Unseal(kStateMagic, data);
   if (!body) throw DamagedDataError(path, 0, "the checksum of the state file is wrong");
