--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -124,8 +124,8 @@
   }
   progress.probe_sent = false;
   MaybeCommit(now);
-  // A commit that removes this replica ends its leadership and its progress table.
-  if (role_ != Role::kLeader) return;
+  // A commit may have removed this replica, which ends its leadership, or the sender.
+  if (role_ != Role::kLeader || !progress_.contains(m.from)) return;
   const Index limit = progress.voter ? log_.last() : commit_;
   if (progress.state != SendState::kSnapshot && progress.next <= limit) {
     SendAppend(m.from, progress, now);
@@ -199,7 +199,15 @@
   // Only an entry of its own term proves that a majority follows this leader; the entries before
   // it are committed with it.
   if (index <= commit_ || log_.TermAt(index) != term_) return;
+  const Index change = committed_change_;
   CommitTo(index);
+  if (committed_change_ != change) {
+    // Until another voter knows of the change, the loss of this replica's disk would leave the
+    // others with the old quorum.
+    for (auto& [id, progress] : progress_) {
+      if (progress.voter) SendAppend(id, progress, now);
+    }
+  }
   if (!membership_.IsVoter(config_.id)) {
     BecomeFollower(term_, std::nullopt, now);
   }
