Close three ways in which a membership change ended the quorum

A reply that names an earlier part moves the leader back. A leader refuses its own removal; StepDown hands over first. The simulation counts a loss beside an unfinished change as two.

--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -85,9 +85,10 @@
   kUnknownMember,
   kAlreadyMember,
   kLastVoter,
-  kQuorumAtRisk,  ///< Too few of the voters after the change answer.
+  kRemovesLeader,  ///< The leader leaves only after StepDown, by its successor's change.
+  kQuorumAtRisk,   ///< Too few of the voters after the change answer.
 };
-inline constexpr EnumTable<ProposeStatus, 11> kProposeStatuses{{{
+inline constexpr EnumTable<ProposeStatus, 12> kProposeStatuses{{{
     {ProposeStatus::kAccepted, "accepted"},
     {ProposeStatus::kNotLeader, "not-leader"},
     {ProposeStatus::kNoLease, "no-lease"},
@@ -98,6 +99,7 @@
     {ProposeStatus::kUnknownMember, "unknown-member"},
     {ProposeStatus::kAlreadyMember, "already-member"},
     {ProposeStatus::kLastVoter, "last-voter"},
+    {ProposeStatus::kRemovesLeader, "removes-leader"},
     {ProposeStatus::kQuorumAtRisk, "quorum-at-risk"},
 }}};
 
@@ -144,6 +146,9 @@
   Effects Persisted(std::uint64_t write, TimePoint now);
   /// Proposes a change. Changes of the voters go one at a time.
   ProposeResult ChangeMembership(const MembershipChange& change, TimePoint now);
+  /// Gives up leadership and does not campaign for twice the longest election timeout, so that
+  /// another voter leads. For a planned stop.
+  Effects StepDown(TimePoint now);
   /// Takes the application's state after `index`, which is committed, and drops older entries
   /// from memory. The caller saves the snapshot with LogStore::SaveSnapshot.
   std::shared_ptr<const Snapshot> Compact(Index index, std::string data);
--- a/src/agreement/replica_election.cc
+++ b/src/agreement/replica_election.cc
@@ -59,6 +59,14 @@
   ResetElectionDeadline(now, config_.election_min, config_.election_max);
 }
 
+Effects Replica::StepDown(TimePoint now) {
+  if (role_ == Role::kLeader) {
+    BecomeFollower(term_, std::nullopt, now);
+    ResetElectionDeadline(now, 2 * config_.election_max, 3 * config_.election_max);
+  }
+  return TakeEffects();
+}
+
 void Replica::Campaign(bool pre_vote, TimePoint now) {
   if (pre_vote) {
     ++counters_.pre_campaigns;
--- a/src/agreement/replica_membership.cc
+++ b/src/agreement/replica_membership.cc
@@ -106,6 +106,9 @@
       if (!role) return ProposeStatus::kUnknownMember;
       if (role != MemberRole::kVoter) return ProposeStatus::kAccepted;
       if (membership_.voter_count() == 1) return ProposeStatus::kLastVoter;
+      // A leader that commits its own removal may be the only one that knows of the commit, while
+      // its log is longer than those of the voters that need its vote.
+      if (change.id == config_.id) return ProposeStatus::kRemovesLeader;
       break;
     case ChangeKind::kPromote: {
       if (!role) return ProposeStatus::kUnknownMember;
--- a/src/agreement/replica_snapshot.cc
+++ b/src/agreement/replica_snapshot.cc
@@ -106,14 +106,13 @@
   WTS_INVARIANT(reply.sent_at <= now);
   progress.contact = std::max(progress.contact, reply.sent_at);
   if (progress.state != SendState::kSnapshot || progress.snapshot->index != reply.index) return;
-  // Only forward steps and a receiver that starts again are answered at once; a lost part is sent
-  // again by the timer. Otherwise each duplicated reply would add a second stream of parts.
-  const bool restarts = reply.next_offset == 0 && progress.snapshot_offset > 0;
-  const bool advances = reply.next_offset > progress.snapshot_offset;
-  if (!restarts && !advances) return;
   if (reply.next_offset > progress.snapshot->data.size()) return;
+  // Only a forward step is answered at once, because otherwise each duplicated reply would add a
+  // second stream of parts. A step back, after a restart of the receiver or a late reply from an
+  // earlier transfer, waits for the timer.
+  const bool advances = reply.next_offset > progress.snapshot_offset;
   progress.snapshot_offset = reply.next_offset;
-  SendSnapshotPart(m.from, progress, now);
+  if (advances) SendSnapshotPart(m.from, progress, now);
 }
 
 }  // namespace wagtailslip::agreement
--- a/tools/random_run/faults.cc
+++ b/tools/random_run/faults.cc
@@ -120,9 +120,15 @@
   auto it = members.begin();
   std::advance(it, cluster_.random().Below(members.size()));
   const agreement::MembershipChange change{agreement::ChangeKind::kRemove, it->first};
-  // Removing a live voter while another one's disk is gone would end the quorum for good.
+  // Removing a live voter while another member's disk is gone and the leader does not know it yet
+  // is two faults at once: the quorum could end for good.
   for (const auto& [id, role] : members) {
-    if (role == agreement::MemberRole::kVoter && cluster_.lost(id) && id != it->first) return;
+    if (cluster_.lost(id) && id != it->first) return;
+  }
+  if (it->first == cluster_.node(*leader).id) {
+    cluster_.StepDown(*leader);
+    ++counts_["step-down"];
+    return;
   }
   cluster_.ChangeMembership(*leader, change);
   ++counts_["remove-member"];
--- a/tools/simulation/cluster.h
+++ b/tools/simulation/cluster.h
@@ -101,6 +101,8 @@
   void Freeze(std::size_t node, Duration span);
   /// Stops the process and erases its disk; the restarted process has a new incarnation.
   void LoseDisk(std::size_t node);
+  /// Makes a leader give up its leadership.
+  void StepDown(std::size_t node);
   /// True if no majority of a membership that may be in force loses its disks by this loss.
   bool DiskLossIsTolerable(std::size_t node) const;
   /// True if the identity's disk was lost, so that it never returns.
