--- a/tools/simulation/fake_disk.cc
+++ b/tools/simulation/fake_disk.cc
@@ -6,6 +6,16 @@
 namespace wagtailslip::simulation {
 
 void FakeDisk::SaveSnapshot(std::shared_ptr<const agreement::Snapshot> snapshot) {
+  // A snapshot stays behind the writes before it, as in LogStore: one of them may truncate entries
+  // that the snapshot replaces.
+  if (queue_.empty()) {
+    TakeSnapshot(std::move(snapshot));
+  } else {
+    queue_.push_back({queue_.back().write, std::move(snapshot), std::nullopt, {}});
+  }
+}
+
+void FakeDisk::TakeSnapshot(std::shared_ptr<const agreement::Snapshot> snapshot) {
   const agreement::Index index = snapshot->index;
   const bool contained = !entries_.empty() && entries_.front().index <= index &&
                          entries_.back().index >= index &&
@@ -25,7 +35,7 @@
 
 void FakeDisk::Apply(const QueuedWrite& write, std::size_t entry_limit) {
   if (write.install && (!snapshot_ || write.install->index > snapshot_->index)) {
-    SaveSnapshot(write.install);
+    TakeSnapshot(write.install);
   }
   if (write.truncate_from) {
     while (!entries_.empty() && entries_.back().index >= *write.truncate_from) entries_.pop_back();
--- a/tools/simulation/fake_disk.h
+++ b/tools/simulation/fake_disk.h
@@ -33,6 +33,7 @@
     std::optional<agreement::Index> truncate_from;
     std::vector<agreement::Entry> append;
   };
+  void TakeSnapshot(std::shared_ptr<const agreement::Snapshot> snapshot);
   void Apply(const QueuedWrite& write, std::size_t entry_limit);
 
   agreement::HardState hard_state_;
