--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -10,10 +10,13 @@
 }
 
 void Replica::Store(Entry entry) {
-  if (entry.kind == EntryKind::kMembership) NoteMembershipEntry(entry);
   uncommitted_bytes_ += entry.data.size();
   out_.append.push_back(entry);
+  const bool changes_members = entry.kind == EntryKind::kMembership;
   log_.Append(std::move(entry));
+  if (!changes_members) return;
+  change_indexes_.push_back(log_.last());
+  NoteMembershipEntry(log_.last());
 }
 
 void Replica::Truncate(Index from) {
@@ -32,8 +35,10 @@
 
 void Replica::OnAppendRequest(const Message& m, const AppendRequest& request, TimePoint now) {
   if (m.term < term_) {
-    // Tells a leader of an older term to step down.
-    Send(m.from, AppendReply{.prev_index = request.prev_index, .sent_at = request.sent_at});
+    // Tells a leader of an older term to step down. The send time is not echoed: the sender may
+    // lead the current term by now, and its old request, perhaps of a clock before a reboot, must
+    // not renew the new lease.
+    Send(m.from, AppendReply{.sent_at = TimePoint::min()});
     return;
   }
   HeardLeader(m, request.sent_at, now);
@@ -119,8 +124,8 @@
   }
   progress.probe_sent = false;
   MaybeCommit(now);
-  // A commit that removes this replica ends its leadership and its progress table.
-  if (role_ != Role::kLeader) return;
+  // A commit may have removed this replica, which ends its leadership, or the sender.
+  if (role_ != Role::kLeader || !progress_.contains(m.from)) return;
   const Index limit = progress.voter ? log_.last() : commit_;
   if (progress.state != SendState::kSnapshot && progress.next <= limit) {
     SendAppend(m.from, progress, now);
@@ -194,8 +199,16 @@
   // Only an entry of its own term proves that a majority follows this leader; the entries before
   // it are committed with it.
   if (index <= commit_ || log_.TermAt(index) != term_) return;
+  const Index change = committed_change_;
   CommitTo(index);
-  if (!membership_.IsVoter(config_.id) && !VoterChangePending()) {
+  if (committed_change_ != change) {
+    // Until another voter knows of the change, the loss of this replica's disk would leave the
+    // others with the old quorum.
+    for (auto& [id, progress] : progress_) {
+      if (progress.voter) SendAppend(id, progress, now);
+    }
+  }
+  if (!membership_.IsVoter(config_.id)) {
     BecomeFollower(term_, std::nullopt, now);
   }
 }
@@ -210,6 +223,7 @@
   }
   commit_ = index;
   WTS_INVARIANT(commit_ > before);
+  if (pending_change_ && *pending_change_ <= commit_) ApplyPendingChange();
 }
 
 }  // namespace wagtailslip::agreement
--- a/src/agreement/replica_snapshot.cc
+++ b/src/agreement/replica_snapshot.cc
@@ -15,6 +15,7 @@
   snapshot->membership = MembershipAt(index);
   snapshot->data = std::move(data);
   base_membership_ = snapshot->membership;
+  base_index_ = index;
   while (!change_indexes_.empty() && change_indexes_.front() <= index) change_indexes_.pop_front();
   snapshot_ = snapshot;
   const Index drop = index - std::min<Index>(index, config_.retained_entries);
@@ -39,7 +40,7 @@
 
 void Replica::OnSnapshotPart(const Message& m, const SnapshotPart& part, TimePoint now) {
   if (m.term < term_) {
-    Send(m.from, SnapshotReply{part.index, 0, part.sent_at});
+    Send(m.from, SnapshotReply{0, 0, TimePoint::min()});
     return;
   }
   HeardLeader(m, part.sent_at, now);
@@ -85,11 +86,14 @@
     }
   }
   base_membership_ = snapshot->membership;
-  RebuildMembership();
+  base_index_ = index;
   uncommitted_bytes_ = log_.bytes();
   commit_ = index;
+  RebuildMembership();
   verified_ = std::max(verified_, index);
   snapshot_ = snapshot;
+  // The first call after a restart may carry recovered entries, which the snapshot covers.
+  out_.committed.clear();
   out_.install = std::move(snapshot);
   acknowledgement_due_ = true;
 }
@@ -99,16 +103,16 @@
   const auto it = progress_.find(m.from);
   if (it == progress_.end()) return;
   Progress& progress = it->second;
+  WTS_INVARIANT(reply.sent_at <= now);
   progress.contact = std::max(progress.contact, reply.sent_at);
   if (progress.state != SendState::kSnapshot || progress.snapshot->index != reply.index) return;
-  // Only forward steps and a receiver that starts again are answered at once; a lost part is sent
-  // again by the timer. Otherwise each duplicated reply would add a second stream of parts.
-  const bool restarts = reply.next_offset == 0 && progress.snapshot_offset > 0;
-  const bool advances = reply.next_offset > progress.snapshot_offset;
-  if (!restarts && !advances) return;
   if (reply.next_offset > progress.snapshot->data.size()) return;
+  // Only a forward step is answered at once, because otherwise each duplicated reply would add a
+  // second stream of parts. A step back, after a restart of the receiver or a late reply from an
+  // earlier transfer, waits for the timer.
+  const bool advances = reply.next_offset > progress.snapshot_offset;
   progress.snapshot_offset = reply.next_offset;
-  SendSnapshotPart(m.from, progress, now);
+  if (advances) SendSnapshotPart(m.from, progress, now);
 }
 
 }  // namespace wagtailslip::agreement
