--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -2181,6 +2181,10 @@
 void IntentRecorded::__set_at_ns(const int64_t val) {
   this->at_ns = val;
 }
+
+void IntentRecorded::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const IntentRecorded& obj)
 {
   obj.printTo(out);
@@ -2257,6 +2261,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2298,6 +2310,10 @@
   xfer += oprot->writeI64(this->at_ns);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2311,6 +2327,7 @@
   swap(a.owner, b.owner);
   swap(a.owner_incarnation, b.owner_incarnation);
   swap(a.at_ns, b.at_ns);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -2321,6 +2338,7 @@
   owner = other38.owner;
   owner_incarnation = other38.owner_incarnation;
   at_ns = other38.at_ns;
+  attempt = other38.attempt;
   __isset = other38.__isset;
 }
 IntentRecorded& IntentRecorded::operator=(const IntentRecorded& other39) {
@@ -2330,6 +2348,7 @@
   owner = other39.owner;
   owner_incarnation = other39.owner_incarnation;
   at_ns = other39.at_ns;
+  attempt = other39.attempt;
   __isset = other39.__isset;
   return *this;
 }
@@ -2342,6 +2361,7 @@
   out << ", " << "owner=" << to_string(owner);
   out << ", " << "owner_incarnation=" << to_string(owner_incarnation);
   out << ", " << "at_ns=" << to_string(at_ns);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -2381,6 +2401,10 @@
 void OutcomeRecorded::__set_body(const std::string& val) {
   this->body = val;
 }
+
+void OutcomeRecorded::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const OutcomeRecorded& obj)
 {
   obj.printTo(out);
@@ -2473,6 +2497,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2522,6 +2554,10 @@
   xfer += oprot->writeBinary(this->body);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2537,6 +2573,7 @@
   swap(a.status, b.status);
   swap(a.content_type, b.content_type);
   swap(a.body, b.body);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -2549,6 +2586,7 @@
   status = other40.status;
   content_type = other40.content_type;
   body = other40.body;
+  attempt = other40.attempt;
   __isset = other40.__isset;
 }
 OutcomeRecorded& OutcomeRecorded::operator=(const OutcomeRecorded& other41) {
@@ -2560,6 +2598,7 @@
   status = other41.status;
   content_type = other41.content_type;
   body = other41.body;
+  attempt = other41.attempt;
   __isset = other41.__isset;
   return *this;
 }
@@ -2574,6 +2613,7 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "content_type=" << to_string(content_type);
   out << ", " << "body=" << to_string(body);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
@@ -5721,6 +5761,10 @@
 void Call::__set_body_digest(const std::string& val) {
   this->body_digest = val;
 }
+
+void Call::__set_attempt(const int32_t val) {
+  this->attempt = val;
+}
 std::ostream& operator<<(std::ostream& out, const Call& obj)
 {
   obj.printTo(out);
@@ -5861,6 +5905,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5934,6 +5986,10 @@
   xfer += oprot->writeBinary(this->body_digest);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I32, 15);
+  xfer += oprot->writeI32(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5955,6 +6011,7 @@
   swap(a.body, b.body);
   swap(a.body_kept, b.body_kept);
   swap(a.body_digest, b.body_digest);
+  swap(a.attempt, b.attempt);
   swap(a.__isset, b.__isset);
 }
 
@@ -5973,6 +6030,7 @@
   body = other112.body;
   body_kept = other112.body_kept;
   body_digest = other112.body_digest;
+  attempt = other112.attempt;
   __isset = other112.__isset;
 }
 Call& Call::operator=(const Call& other113) {
@@ -5990,6 +6048,7 @@
   body = other113.body;
   body_kept = other113.body_kept;
   body_digest = other113.body_digest;
+  attempt = other113.attempt;
   __isset = other113.__isset;
   return *this;
 }
@@ -6010,6 +6069,7 @@
   out << ", " << "body=" << to_string(body);
   out << ", " << "body_kept=" << to_string(body_kept);
   out << ", " << "body_digest=" << to_string(body_digest);
+  out << ", " << "attempt=" << to_string(attempt);
   out << ")";
 }
 
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -1003,13 +1003,14 @@
 std::ostream& operator<<(std::ostream& out, const DrainEndpoint& obj);
 
 typedef struct _IntentRecorded__isset {
-  _IntentRecorded__isset() : account(false), key(false), request(false), owner(false), owner_incarnation(false), at_ns(false) {}
+  _IntentRecorded__isset() : account(false), key(false), request(false), owner(false), owner_incarnation(false), at_ns(false), attempt(false) {}
   bool account :1;
   bool key :1;
   bool request :1;
   bool owner :1;
   bool owner_incarnation :1;
   bool at_ns :1;
+  bool attempt :1;
 } _IntentRecorded__isset;
 
 class IntentRecorded : public virtual ::apache::thrift::TBase {
@@ -1023,7 +1024,8 @@
                    request(),
                    owner(),
                    owner_incarnation(0),
-                   at_ns(0) {
+                   at_ns(0),
+                   attempt(0) {
   }
 
   virtual ~IntentRecorded() noexcept;
@@ -1033,6 +1035,7 @@
   std::string owner;
   int64_t owner_incarnation;
   int64_t at_ns;
+  int32_t attempt;
 
   _IntentRecorded__isset __isset;
 
@@ -1048,6 +1051,8 @@
 
   void __set_at_ns(const int64_t val);
 
+  void __set_attempt(const int32_t val);
+
   bool operator == (const IntentRecorded & rhs) const
   {
     if (!(account == rhs.account))
@@ -1062,6 +1067,8 @@
       return false;
     if (!(at_ns == rhs.at_ns))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const IntentRecorded &rhs) const {
@@ -1081,7 +1088,7 @@
 std::ostream& operator<<(std::ostream& out, const IntentRecorded& obj);
 
 typedef struct _OutcomeRecorded__isset {
-  _OutcomeRecorded__isset() : account(false), key(false), owner(false), owner_incarnation(false), outcome(false), status(false), content_type(false), body(false) {}
+  _OutcomeRecorded__isset() : account(false), key(false), owner(false), owner_incarnation(false), outcome(false), status(false), content_type(false), body(false), attempt(false) {}
   bool account :1;
   bool key :1;
   bool owner :1;
@@ -1090,6 +1097,7 @@
   bool status :1;
   bool content_type :1;
   bool body :1;
+  bool attempt :1;
 } _OutcomeRecorded__isset;
 
 class OutcomeRecorded : public virtual ::apache::thrift::TBase {
@@ -1105,7 +1113,8 @@
                     outcome(0),
                     status(0),
                     content_type(),
-                    body() {
+                    body(),
+                    attempt(0) {
   }
 
   virtual ~OutcomeRecorded() noexcept;
@@ -1117,6 +1126,7 @@
   int32_t status;
   std::string content_type;
   std::string body;
+  int32_t attempt;
 
   _OutcomeRecorded__isset __isset;
 
@@ -1136,6 +1146,8 @@
 
   void __set_body(const std::string& val);
 
+  void __set_attempt(const int32_t val);
+
   bool operator == (const OutcomeRecorded & rhs) const
   {
     if (!(account == rhs.account))
@@ -1154,6 +1166,8 @@
       return false;
     if (!(body == rhs.body))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const OutcomeRecorded &rhs) const {
@@ -2369,7 +2383,7 @@
 std::ostream& operator<<(std::ostream& out, const Process& obj);
 
 typedef struct _Call__isset {
-  _Call__isset() : account(false), key(false), request(false), owner(false), owner_incarnation(false), at_ns(false), sequence(false), runs(false), outcome(false), status(false), content_type(false), body(false), body_kept(false), body_digest(false) {}
+  _Call__isset() : account(false), key(false), request(false), owner(false), owner_incarnation(false), at_ns(false), sequence(false), runs(false), outcome(false), status(false), content_type(false), body(false), body_kept(false), body_digest(false), attempt(false) {}
   bool account :1;
   bool key :1;
   bool request :1;
@@ -2384,6 +2398,7 @@
   bool body :1;
   bool body_kept :1;
   bool body_digest :1;
+  bool attempt :1;
 } _Call__isset;
 
 class Call : public virtual ::apache::thrift::TBase {
@@ -2405,7 +2420,8 @@
          content_type(),
          body(),
          body_kept(0),
-         body_digest() {
+         body_digest(),
+         attempt(0) {
   }
 
   virtual ~Call() noexcept;
@@ -2423,6 +2439,7 @@
   std::string body;
   bool body_kept;
   std::string body_digest;
+  int32_t attempt;
 
   _Call__isset __isset;
 
@@ -2454,6 +2471,8 @@
 
   void __set_body_digest(const std::string& val);
 
+  void __set_attempt(const int32_t val);
+
   bool operator == (const Call & rhs) const
   {
     if (!(account == rhs.account))
@@ -2484,6 +2503,8 @@
       return false;
     if (!(body_digest == rhs.body_digest))
       return false;
+    if (!(attempt == rhs.attempt))
+      return false;
     return true;
   }
   bool operator != (const Call &rhs) const {
--- a/src/codec/record_fields.h
+++ b/src/codec/record_fields.h
@@ -105,6 +105,7 @@
   copy(d.owner, w.owner);
   copy(d.owner_incarnation, w.owner_incarnation);
   copy(d.at, w.at_ns);
+  copy(d.attempt, w.attempt);
 }
 
 template <typename C, typename D, typename W>
@@ -117,6 +118,7 @@
   copy(d.status, w.status);
   copy(d.content_type, w.content_type);
   copy(d.body, w.body);
+  copy(d.attempt, w.attempt);
 }
 
 template <typename C, typename D, typename W>
--- a/src/codec/state_codec.cc
+++ b/src/codec/state_codec.cc
@@ -166,6 +166,7 @@
   copy(d.body, w.body);
   copy(d.body_kept, w.body_kept);
   copy(d.body_digest, w.body_digest);
+  copy(d.attempt, w.attempt);
 }
 
 template <typename C, typename From, typename To>
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -106,6 +106,7 @@
   4: string owner
   5: i64 owner_incarnation
   6: i64 at_ns
+  7: i32 attempt
 }
 
 struct OutcomeRecorded {
@@ -117,6 +118,7 @@
   6: i32 status
   7: string content_type
   8: binary body
+  9: i32 attempt
 }
 
 struct ProcessStarted {
@@ -272,6 +274,7 @@
   12: binary body
   13: bool body_kept
   14: binary body_digest
+  15: i32 attempt
 }
 
 struct State {
