Match the stand-ins and wts-load to the gateway's stream resume

Cause: the gateway resumes a stream at a token offset that it reads from the id field of each event, gives requests ids of its own towards endpoints, sends X-Outcome: streaming with a stream's header and asks for lookups with GET. The engine sent no id fields, so no stream could be resumed, and wts-load could not tell a swapped answer once ids differ. Events now carry the token's offset; the last token's event carries the finish reason, because the gateway rejects an event without an offset. Answers carry a hash of the prompt or body, by which wts-load tells swaps. A resume may name an offset at the end, takes X-Priority and needs no max_tokens; a cancel reaches requests that wait for a slot; a swap of a base drains the streams of its adapters.

--- a/tests/tools_engine_test.cc
+++ b/tests/tools_engine_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(RunningStreamKeepsItsVersion);
   CPPUNIT_TEST(StreamResumesOnAnotherEngine);
   CPPUNIT_TEST(CancelEndsAStream);
+  CPPUNIT_TEST(CancelReachesWaitingRequests);
   CPPUNIT_TEST(SlotsFollowPriority);
   CPPUNIT_TEST(CacheEventsComeLateAndWithGaps);
   CPPUNIT_TEST_SUITE_END();
@@ -54,6 +55,12 @@
             answer = co_await Send(addresses[0], verb::post, path, ChatBody(stream), "r1");
             CPPUNIT_ASSERT_EQUAL(std::string("other_request_id"),
                                  Verdict(Expect("r1"), answer, stream));
+            // The system gives requests ids of its own; the prompt's hash still tells.
+            Expectation expected = Expect("r2");
+            expected.accept_engine_ids = true;
+            expected.hash = ShortHash("user:another question\n");
+            CPPUNIT_ASSERT_EQUAL(std::string("other_request_id"),
+                                 Verdict(expected, answer, stream));
             while (other.empty()) co_await Sleep(1ms);
             CPPUNIT_ASSERT_EQUAL(std::string("r1"), other);
             co_await Switch(addresses[0], "cross", 0);
@@ -167,6 +174,9 @@
           CPPUNIT_ASSERT_EQUAL(422U, refused.status);
           const auto taken = co_await Send(addresses[1], verb::post, "/admin/kv/import", kv.body);
           CPPUNIT_ASSERT_EQUAL(200U, taken.status);
+          const std::string end = R"({"request_id":"r1","offset":4})";
+          const auto nothing = co_await Send(addresses[1], verb::post, "/admin/resume", end);
+          CPPUNIT_ASSERT_EQUAL(std::string("data: [DONE]\n\n"), nothing.body);
           const auto rest = co_await Send(addresses[1], verb::post, "/admin/resume", command);
           const auto text = [](const HttpResponse& answer) {
             const Json json = Json::parse(answer.body);
@@ -195,6 +205,38 @@
         {engine});
   }
 
+  // A caller that left must not cost a slot later.
+  void CancelReachesWaitingRequests() {
+    EngineSettings settings = FastEngine();
+    settings.slots = 1;
+    EngineServer engine(settings);
+    Run(
+        [](auto addresses) -> Task<void> {
+          const auto executor = co_await net::asio::this_coro::executor;
+          std::map<std::string, unsigned> status;
+          for (const char* id : {"r1", "r2"}) {
+            net::asio::co_spawn(
+                executor,
+                Send(addresses[0], verb::post, "/v1/chat/completions", ChatBody(true, 1'000'000),
+                     id),
+                [&status, id](std::exception_ptr, HttpResponse r) { status[id] = r.status; });
+          }
+          while ((co_await Get(addresses[0], "/admin/state"))["queued"] == 0) {
+          }
+          for (const char* id : {"r1", "r2"}) {
+            const std::string command = R"({"request_id":")" + std::string(id) + "\"}";
+            const auto answer = co_await Send(addresses[0], verb::post, "/admin/cancel", command);
+            CPPUNIT_ASSERT_EQUAL(std::string(R"({"cancelled":true})"), answer.body);
+          }
+          const std::string path = "/v1/chat/completions";
+          const auto next = co_await Send(addresses[0], verb::post, path, ChatBody(false), "r3");
+          CPPUNIT_ASSERT_EQUAL(200U, next.status);
+          while (status.size() < 2) co_await Sleep(1ms);
+          CPPUNIT_ASSERT_EQUAL(409U, status["r2"]);
+        },
+        {engine});
+  }
+
   void SlotsFollowPriority() {
     net::asio::io_context context(1);
     SlotQueue queue(1);
--- a/tests/tools_test.cc
+++ b/tests/tools_test.cc
@@ -3,6 +3,25 @@
 namespace wagtailslip::tools {
 namespace {
 
+/// Answers `GET /v1/addresses` with one address.
+class Directory : public ToolServer {
+ public:
+  Directory() : ToolServer({}, ServerSettings{}) {
+    Route(verb::get, "/v1/addresses", [this](net::HttpExchange& exchange) {
+      ++asked;
+      Json json;
+      json["addresses"][0]["address"] = net::FormatAddress(address);
+      json["max_age_seconds"] = 0.05;
+      return exchange.Respond(200, json.dump());
+    });
+  }
+  tcp::endpoint address;
+  int asked = 0;
+
+ protected:
+  Json Counters() const override { return {}; }
+};
+
 class ToolsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ToolsTest);
   CPPUNIT_TEST(FaultsChangeWholeOrNotAtAll);
@@ -15,6 +34,7 @@
   CPPUNIT_TEST(QuantilesAreWithinTwoPercent);
   CPPUNIT_TEST(LoadRunFindsTruncatedAnswers);
   CPPUNIT_TEST(LoadRunResendsWithTheSameKey);
+  CPPUNIT_TEST(LoadRunFollowsTheAddresses);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -195,6 +215,44 @@
         },
         {service});
   }
+
+  // A departing process must get no new requests once its address has been withdrawn.
+  void LoadRunFollowsTheAddresses() {
+    Directory directory;
+    ServiceServer first(ServiceSettings{});
+    ServiceServer second(ServiceSettings{});
+    Run(
+        [&](auto addresses) -> Task<void> {
+          LoadSettings settings = ShortLoad("k:1:lookup", addresses[0]);
+          settings.targets.clear();
+          settings.directories = {addresses[0]};
+          settings.seconds = 60;
+          LoadRun run(settings);
+          directory.address = addresses[1];
+          std::uint64_t withdrawn_at = 0;
+          const auto withdraw = [&]() -> Task<void> {
+            Json counters;
+            do {
+              counters = co_await Get(addresses[1], "/counters");
+            } while (counters["lookups"] < 5);
+            directory.address = addresses[2];
+            const int asked = directory.asked;
+            while (directory.asked < asked + 2) co_await Sleep(1ms);
+            withdrawn_at = (co_await Get(addresses[1], "/counters"))["requests"];
+            do {
+              counters = co_await Get(addresses[2], "/counters");
+            } while (counters["lookups"] < 5);
+            run.Stop();
+          };
+          net::asio::co_spawn(co_await net::asio::this_coro::executor, withdraw(),
+                              net::asio::detached);
+          co_await run.Run();
+          const Json old = co_await Get(addresses[1], "/counters");
+          CPPUNIT_ASSERT_EQUAL(withdrawn_at, old["requests"].get<std::uint64_t>());
+          CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, run.violations());
+        },
+        {directory, first, second});
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ToolsTest);
 
--- a/tests/tools_test_util.h
+++ b/tests/tools_test_util.h
@@ -86,6 +86,7 @@
   Expectation expected;
   expected.request_id = id;
   expected.model = "m";
+  expected.hash = ShortHash("user:where is the bus\n");
   expected.max_tokens = tokens;
   expected.direct = true;
   return expected;
--- a/tools/common/tool_server.cc
+++ b/tools/common/tool_server.cc
@@ -96,11 +96,13 @@
 
 net::Task<void> RespondError(net::HttpExchange& exchange, unsigned status, std::string code,
                              std::string message, net::HttpHeaders headers) {
+  std::string request_id(exchange.Header("X-Request-Id"));
   Json error;
   error["code"] = std::move(code);
   error["message"] = std::move(message);
   error["field"] = "";
-  error["request_id"] = std::string(exchange.Header("X-Request-Id"));
+  error["request_id"] = request_id;
+  if (!request_id.empty()) headers.emplace_back("X-Request-Id", std::move(request_id));
   Json body;
   body["error"] = std::move(error);
   co_await exchange.Respond(status, body.dump(), std::move(headers));
--- a/tools/engine/admin.cc
+++ b/tools/engine/admin.cc
@@ -43,10 +43,16 @@
                         std::move(headers));
 }
 
+bool EngineServer::Draining(const LoadedVersion& version) const {
+  // An adapter's answers are made with the weights of its base too.
+  return draining_.contains(version.model) ||
+         draining_.contains(version.base.substr(0, version.base.find('/')));
+}
+
 net::Task<bool> EngineServer::Drain(const std::string& model) {
   draining_.insert(model);
   const TimePoint limit = Now() + std::chrono::milliseconds(settings_.drain_ms);
-  const auto serves = [&](const auto& row) { return row.second->version->model == model; };
+  const auto serves = [&](const auto& row) { return Draining(*row.second->version); };
   while (std::any_of(running_.begin(), running_.end(), serves)) {
     if (Now() >= limit || stopping()) co_return false;
     co_await Sleep(kDrainPoll);
--- a/tools/engine/chat.cc
+++ b/tools/engine/chat.cc
@@ -5,9 +5,21 @@
 #include "engine/engine_server.h"
 
 namespace wagtailslip::tools {
+
+std::uint32_t RequestPriority(const net::HttpExchange& exchange, const Json& body,
+                              std::uint32_t otherwise) {
+  const std::string header(exchange.Header("X-Priority"));
+  if (header.empty()) return body.value("priority", otherwise);
+  char* end = nullptr;
+  const unsigned long value = std::strtoul(header.c_str(), &end, 10);
+  if (*end != '\0' || value > UINT32_MAX) throw ToolError("X-Priority is not a number");
+  return static_cast<std::uint32_t>(value);
+}
+
 namespace {
 
 constexpr std::uint32_t kDefaultPriority = 5;
+
 constexpr std::uint64_t kMaxTokens = 1'000'000;
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr std::string_view kDone = "data: [DONE]\n\n";
@@ -16,43 +28,23 @@
 
 Duration FromMs(double ms) { return std::chrono::nanoseconds(std::llround(ms * 1e6)); }
 
-std::string PromptText(const Json& messages) {
-  std::string text;
-  for (const auto& message : messages) {
-    text += message.value("role", "") + ":" + message.value("content", "") + "\n";
-  }
-  return text;
-}
-
-std::uint32_t Priority(const net::HttpExchange& exchange, const Json& body) {
-  const std::string header(exchange.Header("X-Priority"));
-  if (header.empty()) return body.value("priority", kDefaultPriority);
-  char* end = nullptr;
-  const unsigned long value = std::strtoul(header.c_str(), &end, 10);
-  if (*end != '\0' || value > UINT32_MAX) throw ToolError("X-Priority is not a number");
-  return static_cast<std::uint32_t>(value);
-}
-
 Json Envelope(const Job& job, const char* object) {
   Json json;
   json["id"] = job.request_id;
   json["object"] = object;
   json["created"] = 0;
   json["model"] = job.version->model;
+  if (!job.fingerprint.empty()) json["system_fingerprint"] = job.fingerprint;
   return json;
 }
 
-std::string Event(const Job& job, const std::string& content, const char* finish_reason) {
+std::string Event(const Job& job, std::string_view content, const char* finish_reason) {
   Json choice;
   choice["index"] = 0;
   choice["delta"] = Json::object();
-  if (finish_reason == nullptr) {
-    if (job.done == job.offset) choice["delta"]["role"] = "assistant";
-    choice["delta"]["content"] = content;
-    choice["finish_reason"] = nullptr;
-  } else {
-    choice["finish_reason"] = finish_reason;
-  }
+  if (!content.empty()) choice["delta"]["content"] = content;
+  choice["finish_reason"] = nullptr;
+  if (finish_reason != nullptr) choice["finish_reason"] = finish_reason;
   Json json = Envelope(job, "chat.completion.chunk");
   json["choices"] = Json::array();
   json["choices"].push_back(std::move(choice));
@@ -61,6 +53,32 @@
 
 const char* FinishReason(const Job& job) { return job.cancelled ? "cancelled" : "length"; }
 
+/// Events of one stream, each with the token's offset in its `id:` field. Only the token differs
+/// between them, and tokens need no escapes, so the rest is serialised once.
+class TokenEvents {
+ public:
+  explicit TokenEvents(const Job& job) : job_(job) {
+    constexpr std::string_view kMark = "<token>";
+    const std::string event = Event(job, kMark, nullptr);
+    const auto at = event.rfind(kMark);
+    before_ = event.substr(0, at);
+    after_ = event.substr(at + kMark.size());
+  }
+
+  /// The event of the job's next token. The last one also carries the finish reason, because an
+  /// event without a token has no offset.
+  std::string Next(std::string_view token) const {
+    const std::string id = "id: " + std::to_string(job_.done) + "\n";
+    if (job_.done + 1 == job_.max_tokens) return id + Event(job_, token, FinishReason(job_));
+    return id + before_ + std::string(token) + after_;
+  }
+
+ private:
+  const Job& job_;
+  std::string before_;
+  std::string after_;
+};
+
 std::string WholeAnswer(const Job& job, std::string text) {
   Json choice;
   choice["index"] = 0;
@@ -87,12 +105,13 @@
   }
   request.model = body.at("model").get<std::string>();
   request.stream = body.value("stream", false);
-  request.priority = Priority(exchange, body);
+  request.priority = RequestPriority(exchange, body, kDefaultPriority);
   request.job->max_tokens = body.value("max_tokens", settings_.max_tokens);
   if (request.job->max_tokens == 0 || request.job->max_tokens > kMaxTokens) {
     throw ToolError("max_tokens must lie between 1 and " + std::to_string(kMaxTokens));
   }
   const std::string prompt = PromptText(body.at("messages"));
+  request.job->fingerprint = ShortHash(prompt);
   if (!co_await PassFaults(exchange)) co_return;
   const auto version = models_.Find(request.model);
   if (version != nullptr) request.job->blocks = cache_.Blocks(version->root, prompt);
@@ -105,7 +124,7 @@
     refusal = Refusal{503, "wrong_role", "this engine only prefills"};
   } else if (models_.Find(request.model) == nullptr) {
     refusal = Refusal{404, "model_not_loaded", "model " + request.model + " is not loaded"};
-  } else if (draining_.contains(request.model)) {
+  } else if (Draining(*models_.Find(request.model))) {
     refusal = Refusal{503, "loading", "model " + request.model + " is being replaced"};
   } else if (slots_.queued() >= settings_.queue_limit) {
     refusal = Refusal{503, "overloaded", "the queue is full"};
@@ -116,11 +135,15 @@
   }
   // The queue grows once this coroutine waits, so the sample after the wait shows it shrinking.
   RecordLoad();
+  waiting_[request.job->request_id] = request.job;
   const SlotQueue::Lease lease = co_await slots_.Acquire(request.priority);
+  waiting_.erase(request.job->request_id);
   RecordLoad();
   // The version is taken with the slot: a request that waited through a swap gets the new one.
   const LoadedPtr version = models_.Find(request.model);
-  if (version == nullptr || draining_.contains(request.model)) {
+  if (request.job->cancelled) {
+    refusal = Refusal{409, "cancelled", "cancelled before it was started"};
+  } else if (version == nullptr || Draining(*version)) {
     refusal = Refusal{503, "loading", "model " + request.model + " is being replaced"};
   } else if (request.job->version != nullptr && request.job->version->root != version->root) {
     refusal = Refusal{409, "version_mismatch", "the stream's version is no longer loaded"};
@@ -155,6 +178,7 @@
 
 net::Task<void> EngineServer::GenerateTokens(net::HttpExchange& exchange, Job& job, bool stream) {
   const TokenText tokens(job.version->model, job.version->root, job.request_id);
+  const TokenEvents events(job);
   const bool truncate = faults().Hit(&FaultValues::corrupt);
   const std::uint64_t cut = job.offset + (job.max_tokens - job.offset) / 2;
   job.done = job.offset;
@@ -174,7 +198,7 @@
         if (counters_["truncated"] % 2 == 0) co_await exchange.EndStream();
         co_return;
       }
-      co_await exchange.WriteChunk(Event(job, token, nullptr));
+      co_await exchange.WriteChunk(events.Next(token));
     } else {
       text += token;
     }
@@ -198,7 +222,7 @@
     co_await exchange.Respond(200, WholeAnswer(job, std::move(text)), AnswerHeaders(job));
     co_return;
   }
-  co_await exchange.WriteChunk(Event(job, "", FinishReason(job)));
+  if (job.cancelled) co_await exchange.WriteChunk(Event(job, "", FinishReason(job)));
   co_await exchange.WriteChunk(kDone);
   co_await exchange.EndStream();
 }
--- a/tools/engine/engine_server.h
+++ b/tools/engine/engine_server.h
@@ -47,11 +47,17 @@
   /// First token to generate; above 0 for a resumed stream.
   std::uint64_t offset = 0;
   std::vector<std::uint64_t> blocks;
+  /// Hash of the prompt; empty for a stream resumed without its prompt.
+  std::string fingerprint;
   std::uint64_t done = 0;
   bool cancelled = false;
 };
 using JobPtr = std::shared_ptr<Job>;
 
+/// Priority of a request from X-Priority or the body's `priority`; 0 is served first.
+std::uint32_t RequestPriority(const net::HttpExchange& exchange, const Json& body,
+                              std::uint32_t otherwise);
+
 /// Stand-in for a model engine with continuous batching.
 class EngineServer : public ToolServer {
  public:
@@ -99,6 +105,7 @@
   net::Task<void> ReportLoad(net::HttpExchange& exchange);
   net::Task<void> ListCacheEvents(net::HttpExchange& exchange);
   net::Task<bool> Drain(const std::string& model);
+  bool Draining(const LoadedVersion& version) const;
   net::Task<void> RespondRefusal(net::HttpExchange& exchange, const Refusal& refusal);
   void RouteAdmin(net::http::verb method, std::string path,
                   net::Task<void> (EngineServer::*handler)(net::HttpExchange&));
@@ -115,6 +122,8 @@
   /// Models that take no new requests because a command waits for their streams.
   std::set<std::string> draining_;
   std::map<std::string, JobPtr> running_;
+  /// Jobs that wait for a slot.
+  std::map<std::string, JobPtr> waiting_;
   /// Finished and imported jobs that can be resumed or exported, oldest first.
   std::deque<JobPtr> remembered_;
   std::map<std::string, JobPtr> remembered_by_id_;
--- a/tools/engine/model_table.h
+++ b/tools/engine/model_table.h
@@ -50,6 +50,7 @@
   /// @param scope name of a model, or "role"
   Refusal CheckFencing(const std::string& scope, std::uint64_t fencing);
   /// The version served, or nothing.
+  /// @param model name of a model or adapter, or `model/adapter`
   LoadedPtr Find(const std::string& model) const;
   /// Refuses an adapter whose base is not loaded.
   Refusal CheckBase(const LoadedVersion& version) const;
--- a/tools/engine/streams.cc
+++ b/tools/engine/streams.cc
@@ -31,10 +31,16 @@
 
 net::Task<void> EngineServer::Cancel(net::HttpExchange& exchange) {
   const Json body = ParseObject(exchange.request().body());
-  const auto it = running_.find(body.at("request_id").get<std::string>());
+  const auto id = body.at("request_id").get<std::string>();
+  bool found = false;
+  for (const auto* jobs : {&waiting_, &running_}) {
+    const auto it = jobs->find(id);
+    if (it == jobs->end()) continue;
+    it->second->cancelled = true;
+    found = true;
+  }
   Json json;
-  json["cancelled"] = it != running_.end();
-  if (it != running_.end()) it->second->cancelled = true;
+  json["cancelled"] = found;
   co_await exchange.Respond(200, json.dump());
 }
 
@@ -50,16 +56,18 @@
   request.job->request_id = id;
   request.job->cancelled = false;
   request.job->offset = offset;
-  request.job->max_tokens = body.value("max_tokens", request.job->max_tokens);
+  const std::uint64_t otherwise = known != nullptr ? known->max_tokens : settings_.max_tokens;
+  request.job->max_tokens = body.value("max_tokens", otherwise);
   request.model = body.value("model", known != nullptr ? known->version->model : std::string());
   request.stream = body.value("stream", true);
-  request.priority = body.value("priority", kResumePriority);
+  request.priority = RequestPriority(exchange, body, kResumePriority);
   if (request.model.empty()) {
     co_await RespondError(exchange, 404, "unknown_request",
                           "no such request; name its model, version and max_tokens");
     co_return;
   }
-  if (offset >= request.job->max_tokens) throw ToolError("offset is not below max_tokens");
+  // A stream that was cut between its last token and its end is resumed with nothing left.
+  if (offset > request.job->max_tokens) throw ToolError("offset is above max_tokens");
   if (body.contains("version")) {
     // Only the digest counts here; Run compares it with the version that is loaded.
     LoadedVersion version;
@@ -89,6 +97,7 @@
   json["max_tokens"] = job->max_tokens;
   json["offset"] = job->done;
   json["blocks"] = job->blocks;
+  json["fingerprint"] = job->fingerprint;
   json["digest"] = KvDigest(json);
   if (faults().Hit(&FaultValues::corrupt)) json["offset"] = job->done + 1;
   ++counters_["kv_exports"];
@@ -117,6 +126,7 @@
   job->max_tokens = json.at("max_tokens").get<std::uint64_t>();
   job->done = json.at("offset").get<std::uint64_t>();
   job->blocks = json.at("blocks").get<std::vector<std::uint64_t>>();
+  job->fingerprint = json.at("fingerprint").get<std::string>();
   cache_.Use(job->blocks, Now());
   Remember(job);
   ++counters_["kv_imports"];
--- a/tools/load/answer_check.cc
+++ b/tools/load/answer_check.cc
@@ -1,5 +1,6 @@
 #include "load/answer_check.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace wagtailslip::tools {
@@ -7,7 +8,8 @@
 
 using Json = nlohmann::json;
 
-constexpr std::string_view kFieldName = "data: ";
+constexpr std::string_view kDataField = "data: ";
+constexpr std::string_view kOffsetField = "id: ";
 constexpr std::string_view kEventEnd = "\n\n";
 
 bool IdMatches(const Expectation& expected, const std::string& id) {
@@ -31,7 +33,10 @@
     if (!expected.direct && outcome != "not-run") return Violation::kOutcome;
   } else if (answer.status == 200) {
     if (answer.Header("X-Request-Id") != expected.request_id) return Violation::kRequestId;
-    if (!expected.direct && outcome != "complete") return Violation::kOutcome;
+    // The header of a stream goes out before its outcome is known.
+    const bool stream = answer.Header("Content-Type").starts_with("text/event-stream");
+    const bool allowed = outcome == "complete" || (stream && outcome == "streaming");
+    if (!expected.direct && !allowed) return Violation::kOutcome;
   } else if (answer.status == 504 && !expected.direct && outcome != "unknown") {
     return Violation::kOutcome;
   }
@@ -45,6 +50,7 @@
     const Json json = Json::parse(answer.body);
     const auto id = json.at("id").get<std::string>();
     if (!IdMatches(expected, id)) return Violation::kRequestId;
+    if (json.value("system_fingerprint", "") != expected.hash) return Violation::kRequestId;
     const auto& choice = json.at("choices").at(0);
     const auto& text = choice.at("message").at("content").get_ref<const std::string&>();
     const std::string whole = ExpectedText(expected, version, id);
@@ -63,11 +69,14 @@
     if (!IdMatches(expected, json.at("request_id").get<std::string>())) {
       return Violation::kRequestId;
     }
-    if (expected.idempotency_key.empty()) return std::nullopt;
-    // A direct call carries the caller's key; the system may send its own to the endpoint.
-    if (expected.direct && json.at("idempotency_key") != expected.idempotency_key) {
-      return Violation::kRequestId;
+    if (!expected.lookup.empty()) {
+      return json.at("lookup") == expected.lookup ? std::nullopt
+                                                  : std::optional(Violation::kRequestId);
     }
+    if (json.at("body_hash") != expected.hash) return Violation::kRequestId;
+    // The system may put its own text before the caller's key.
+    const auto key = json.at("idempotency_key").get<std::string>();
+    if (!key.ends_with(expected.idempotency_key)) return Violation::kRequestId;
     if (json.at("execution").get<std::uint64_t>() != 1) return Violation::kDuplicate;
     return std::nullopt;
   } catch (const Json::exception&) {
@@ -96,19 +105,36 @@
 }
 
 void StreamCheck::TakeEvent(std::string_view event, const std::function<void()>& on_token) {
-  // Lines that start with a colon are comments, which keep a connection alive.
-  if (event.empty() || event.starts_with(':')) return;
-  if (!event.starts_with(kFieldName) || done_) return Note(Violation::kMalformed);
-  event.remove_prefix(kFieldName.size());
-  if (event == "[DONE]") {
+  // Lines other than data and id are comments and fields that say nothing about the answer.
+  while (!event.empty()) {
+    const auto end = std::min(event.find('\n'), event.size());
+    const std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (line.starts_with(kOffsetField)) {
+      const bool next = line.substr(kOffsetField.size()) == std::to_string(tokens_);
+      if (!next) Note(Violation::kIncomplete);
+    } else if (line.starts_with(kDataField)) {
+      TakeData(line.substr(kDataField.size()), on_token);
+    }
+  }
+}
+
+void StreamCheck::TakeData(std::string_view data, const std::function<void()>& on_token) {
+  if (done_) return Note(Violation::kMalformed);
+  if (data == "[DONE]") {
     done_ = true;
     return;
   }
   try {
-    const Json json = Json::parse(event);
+    const Json json = Json::parse(data);
     const auto& id = json.at("id").get_ref<const std::string&>();
-    if (!IdMatches(expected_, id)) Note(Violation::kRequestId);
-    if (!text_) text_.emplace(expected_.model, version_, id);
+    if (!text_) {
+      if (!IdMatches(expected_, id)) Note(Violation::kRequestId);
+      if (json.value("system_fingerprint", "") != expected_.hash) Note(Violation::kRequestId);
+      text_.emplace(expected_.model, version_, id);
+      id_ = id;
+    }
+    if (id != id_) Note(Violation::kRequestId);
     const auto& choice = json.at("choices").at(0);
     const auto& content = choice.at("delta");
     if (content.contains("content")) {
--- a/tools/load/answer_check.h
+++ b/tools/load/answer_check.h
@@ -37,8 +37,13 @@
 /// The answer that a request must get.
 struct Expectation {
   std::string request_id;
+  /// Name of the model, or of the adapter without its model.
   std::string model;
   std::uint64_t max_tokens = 0;
+  /// Hash of the prompt or of a call's body.
+  std::string hash;
+  /// Path of a lookup after `/lookup/`; empty for others.
+  std::string lookup;
   /// Key of an at-most-once call; empty for others.
   std::string idempotency_key;
   /// The id in a body may differ from the request's.
@@ -67,12 +72,14 @@
 
  private:
   void TakeEvent(std::string_view event, const std::function<void()>& on_token);
+  void TakeData(std::string_view data, const std::function<void()>& on_token);
   void Note(Violation violation);
 
   const Expectation& expected_;
   std::string version_;
   std::string buffer_;
   std::optional<TokenText> text_;
+  std::string id_;
   std::uint64_t tokens_ = 0;
   bool finished_ = false;
   bool done_ = false;
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -118,7 +118,7 @@
   auto& expected = request.expected;
   expected.request_id =
       request.account->name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(number);
-  expected.model = kind.model;
+  expected.model = kind.model.substr(kind.model.find('/') + 1);
   expected.max_tokens = kind.max_tokens;
   expected.accept_engine_ids = settings_.accept_engine_ids;
   expected.direct = settings_.direct;
@@ -129,21 +129,31 @@
     body["max_tokens"] = kind.max_tokens;
     body["stream"] = kind.type == RequestType::kStream;
     body["messages"][0]["role"] = "user";
-    body["messages"][0]["content"] = Prompt(kind, prefix, expected.request_id);
+    const std::string prompt = Prompt(kind, prefix, expected.request_id);
+    body["messages"][0]["content"] = prompt;
+    expected.hash = ShortHash(PromptText(body["messages"]));
+    request.body = body.dump();
+  } else if (kind.type == RequestType::kLookup) {
+    expected.lookup = kind.call + "/" + expected.request_id;
   } else {
-    body["item"] = number;
+    body["item"] = expected.request_id;
+    request.body = body.dump();
+    expected.hash = ShortHash(request.body);
+    expected.idempotency_key = "key-" + expected.request_id;
   }
-  if (kind.type == RequestType::kCall) expected.idempotency_key = "key-" + expected.request_id;
-  request.body = body.dump();
   return request;
 }
 
 net::HttpRequest LoadRun::ToHttp(const Request& request) const {
   const auto& kind = *request.kind;
   std::string path = "/v1/chat/completions";
-  if (!IsChat(kind)) {
-    path =
-        settings_.direct ? "/call/" + kind.call : "/v1/services/" + kind.service + "/" + kind.call;
+  auto method = net::http::verb::post;
+  const std::string service = "/v1/services/" + kind.service + "/";
+  if (kind.type == RequestType::kLookup) {
+    method = net::http::verb::get;
+    path = (settings_.direct ? "/lookup/" : service) + request.expected.lookup;
+  } else if (kind.type == RequestType::kCall) {
+    path = (settings_.direct ? "/call/" : service) + kind.call;
   }
   net::HttpHeaders headers;
   headers.emplace_back("Authorization", "Bearer " + request.account->api_key);
@@ -153,7 +163,7 @@
   if (!request.expected.idempotency_key.empty()) {
     headers.emplace_back("Idempotency-Key", request.expected.idempotency_key);
   }
-  return net::MakeRequest(net::http::verb::post, path, request.body, headers);
+  return net::MakeRequest(method, path, request.body, headers);
 }
 
 net::Task<void> LoadRun::SendOne(Request request) {
--- a/tools/service/service_server.cc
+++ b/tools/service/service_server.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "common/pacing.h"
+#include "common/token_text.h"
 
 namespace wagtailslip::tools {
 namespace {
@@ -119,6 +120,7 @@
   body["request_id"] = std::string(exchange.Header("X-Request-Id"));
   body["idempotency_key"] = key;
   body["execution"] = execution;
+  body["body_hash"] = ShortHash(exchange.request().body());
   co_await Answer(exchange, std::move(body));
 }
 
