--- a/include/wagtailslip/config/record.h
+++ b/include/wagtailslip/config/record.h
@@ -9,6 +9,7 @@
 
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/base/enum_table.h"
+#include "wagtailslip/base/error.h"
 #include "wagtailslip/base/time.h"
 
 namespace wagtailslip::config {
@@ -52,8 +53,13 @@
   std::string request_id;
   /// Revision of the named object that the operator saw; 0 for an object that must not exist yet.
   Revision base_revision = 0;
+  /// Configuration revision that the operator saw when the command was first sent; 0 if unknown.
+  /// A resend keeps it, so that a command older than the request-id memory is recognised.
+  Revision seen_revision = 0;
   /// Name of the operator, for the audit trail.
   std::string operator_name;
+
+  bool operator==(const CommandId&) const = default;
 };
 
 /// Starts the distribution of a version to all endpoints that serve a model.
@@ -62,6 +68,9 @@
   std::string model;
   std::string version;
   ArtifactKind kind = ArtifactKind::kModel;
+  /// Name of the adapter and the version of the model that it needs; empty for a model.
+  std::string adapter;
+  std::string base_version;
   /// Address "ip:port" of the origin that has the manifest and the chunks.
   std::string origin;
   /// Root digest of the manifest.
@@ -73,6 +82,8 @@
   std::uint32_t batch_size = 1;
   /// Failed replicas at which the rollout halts and returns to the last good version.
   std::uint32_t failure_limit = 1;
+
+  bool operator==(const CreateRollout&) const = default;
 };
 
 /// Operator action on a rollout.
@@ -87,9 +98,14 @@
   std::string rollout_id;
   /// Event of the rollout state chart.
   std::string event;
-  /// Endpoints that may swap from now on.
+  /// Endpoints that may swap from now on, that have swapped, or that failed.
   std::vector<std::string> endpoints;
   std::string reason;
+  /// Number of the batch that an "open" starts. One that is not the next is stale and refused, so
+  /// that two decisions made from the same state do not open two batches.
+  std::uint32_t batch = 0;
+  /// Whether the event belongs to the way back to the last good version.
+  bool returning = false;
 };
 
 /// Priority rule for a client account and a request kind. "*" matches any.
@@ -105,17 +121,23 @@
   double rate_limit = 0;
   /// Time in which an answer is useful; 0 for the caller's own deadline.
   Duration deadline{};
+
+  bool operator==(const Rule&) const = default;
 };
 
 struct SetRule {
   CommandId command;
   Rule rule;
+
+  bool operator==(const SetRule&) const = default;
 };
 
 /// A change of the planners' sheet that takes effect at a time.
 struct ScheduledChange {
   UtcTime effective_at{};
   std::variant<CreateRollout, SetRule> change;
+
+  bool operator==(const ScheduledChange&) const = default;
 };
 
 /// Replaces all scheduled changes that have not yet taken effect.
@@ -145,6 +167,8 @@
   std::string failure_domain;
   bool obeys_fencing = false;
   bool checks_sender = false;
+
+  bool operator==(const EndpointJoined&) const = default;
 };
 
 struct EndpointLeft {
@@ -169,6 +193,9 @@
   std::string owner;
   std::uint64_t owner_incarnation = 0;
   UtcTime at{};
+  /// 1 for a new key; one more than the last attempt for a key whose last attempt was not run. A
+  /// record that is committed twice must not start a second run.
+  std::uint32_t attempt = 1;
 };
 
 /// How an at-most-once call ended.
@@ -187,6 +214,8 @@
   std::uint32_t status = 0;
   std::string content_type;
   std::string body;
+  /// Attempt of the intent that ended; a late copy must not end a later attempt.
+  std::uint32_t attempt = 1;
 };
 
 /// An entry process that started or ended; intents of an older incarnation become unknown.
@@ -195,8 +224,12 @@
   std::uint64_t incarnation = 0;
   /// Address "ip:port" for callers.
   std::string http_address;
+  /// Address "ip:port" for frames from other processes.
+  std::string peer_address;
   std::string region;
   std::string failure_domain;
+
+  bool operator==(const ProcessStarted&) const = default;
 };
 
 struct ProcessLeft {
--- /dev/null
+++ b/src/agreement/replica_membership.cc
@@ -0,0 +1,164 @@
+#include <algorithm>
+
+#include "wagtailslip/agreement/replica.h"
+
+namespace wagtailslip::agreement {
+
+MembershipChange Replica::ChangeAt(Index index) const {
+  const auto change = DecodeChange(log_.At(index).data);
+  if (!change) {
+    throw AgreementError("the membership entry " + std::to_string(index) + " cannot be decoded");
+  }
+  return *change;
+}
+
+std::optional<MembershipChange> Replica::pending_change() const {
+  if (!pending_change_) return std::nullopt;
+  return ChangeAt(*pending_change_);
+}
+
+bool Replica::ChangesVoters(const MembershipChange& change) const {
+  return change.kind == ChangeKind::kPromote ||
+         (change.kind == ChangeKind::kRemove && membership_.IsVoter(change.id));
+}
+
+void Replica::NoteMembershipEntry(Index index) {
+  const MembershipChange change = ChangeAt(index);
+  // A leader proposes a change of the voters, or of the same member, only after the earlier one is
+  // committed; so an entry in the log proves that the earlier one is committed, even after a
+  // restart.
+  if (pending_change_ && (ChangesVoters(change) || ChangeAt(*pending_change_).id == change.id)) {
+    ApplyPendingChange();
+  }
+  if (ChangesVoters(change)) {
+    pending_change_ = index;
+  } else {
+    membership_.Apply(change);
+  }
+}
+
+void Replica::ApplyPendingChange() {
+  committed_change_ = *pending_change_;
+  membership_.Apply(ChangeAt(*pending_change_));
+  pending_change_.reset();
+  if (role_ == Role::kLeader) RefreshProgress();
+}
+
+void Replica::RebuildMembership() {
+  while (!change_indexes_.empty() && change_indexes_.back() > log_.last()) {
+    change_indexes_.pop_back();
+  }
+  while (!change_indexes_.empty() && change_indexes_.front() <= base_index_) {
+    change_indexes_.pop_front();
+  }
+  membership_ = base_membership_;
+  pending_change_.reset();
+  for (const Index index : change_indexes_) NoteMembershipEntry(index);
+  if (pending_change_ && *pending_change_ <= commit_) ApplyPendingChange();
+}
+
+Membership Replica::MembershipAt(Index index) const {
+  Membership membership = base_membership_;
+  for (const Index i : change_indexes_) {
+    if (i > index) break;
+    membership.Apply(ChangeAt(i));
+  }
+  return membership;
+}
+
+void Replica::RefreshProgress() {
+  std::erase_if(progress_, [this](const auto& row) { return !membership_.Role(row.first); });
+  for (const auto& [id, role] : membership_.members()) {
+    if (id == config_.id) continue;
+    const auto [it, added] = progress_.try_emplace(id);
+    it->second.voter = role == MemberRole::kVoter;
+    if (added) it->second.next = (it->second.voter ? log_.last() : commit_) + 1;
+  }
+}
+
+bool Replica::KeepsQuorum(const MembershipChange& change, TimePoint now) const {
+  Membership after = membership_;
+  after.Apply(change);
+  // A voter that stopped within the last two heartbeats cannot be told from one that answers.
+  const Duration fresh = 2 * config_.heartbeat;
+  std::size_t answering = after.IsVoter(config_.id) ? 1 : 0;
+  for (const auto& [id, progress] : progress_) {
+    const bool recent = progress.contact != TimePoint::min() && now < progress.contact + fresh;
+    if (recent && after.IsVoter(id)) ++answering;
+  }
+  return answering >= after.quorum();
+}
+
+ProposeStatus Replica::CheckChange(const MembershipChange& change, TimePoint now) const {
+  const ProposeStatus status = CheckProposal(now);
+  if (status != ProposeStatus::kAccepted) return status;
+  if (change.id.process.empty()) return ProposeStatus::kUnknownMember;
+  if (commit_ < term_start_) return ProposeStatus::kChangePending;
+  if (pending_change_ && (ChangesVoters(change) || ChangeAt(*pending_change_).id == change.id)) {
+    return ProposeStatus::kChangePending;
+  }
+  const auto role = membership_.Role(change.id);
+  switch (change.kind) {
+    case ChangeKind::kAddLearner:
+    case ChangeKind::kAddStandby:
+      return role ? ProposeStatus::kAlreadyMember : ProposeStatus::kAccepted;
+    case ChangeKind::kRemove:
+      if (!role) return ProposeStatus::kUnknownMember;
+      if (role != MemberRole::kVoter) return ProposeStatus::kAccepted;
+      if (membership_.voter_count() == 1) return ProposeStatus::kLastVoter;
+      // A leader that commits its own removal may be the only one that knows of the commit, while
+      // its log is longer than those of the voters that need its vote.
+      if (change.id == config_.id) return ProposeStatus::kRemovesLeader;
+      break;
+    case ChangeKind::kPromote: {
+      if (!role) return ProposeStatus::kUnknownMember;
+      if (role == MemberRole::kVoter) return ProposeStatus::kAlreadyMember;
+      const Progress* standby = progress(change.id);
+      const bool ready = role == MemberRole::kStandby && standby != nullptr &&
+                         standby->caught_up != TimePoint::min() &&
+                         now < standby->caught_up + config_.lease;
+      if (!ready) return ProposeStatus::kNotCaughtUp;
+      break;
+    }
+    case ChangeKind::kAddVoter:
+      // A voter without a learner's history could take part in a majority that knows nothing.
+      return ProposeStatus::kNotCaughtUp;
+  }
+  return KeepsQuorum(change, now) ? ProposeStatus::kAccepted : ProposeStatus::kQuorumAtRisk;
+}
+
+ProposeResult Replica::ChangeMembership(const MembershipChange& change, TimePoint now) {
+  ProposeResult result;
+  result.status = CheckChange(change, now);
+  if (result.status != ProposeStatus::kAccepted) return result;
+  result.first_index = log_.last() + 1;
+  result.term = term_;
+  AppendEntry(EntryKind::kMembership, EncodeChange(change));
+  RefreshProgress();
+  Broadcast(now);
+  result.effects = TakeEffects();
+  return result;
+}
+
+std::optional<MembershipChange> Replica::PlanRepair(std::size_t target_voters, Duration dead_after,
+                                                    TimePoint now) const {
+  if (!HasLease(now) || pending_change_ || commit_ < term_start_) return std::nullopt;
+  std::optional<ReplicaId> dead;
+  std::optional<ReplicaId> ready;
+  for (const auto& [id, progress] : progress_) {
+    const TimePoint contact = std::max(progress.contact, elected_at_);
+    if (progress.voter && now >= contact + dead_after) dead = id;
+    const bool caught_up =
+        progress.caught_up != TimePoint::min() && now < progress.caught_up + config_.lease;
+    if (membership_.Role(id) == MemberRole::kStandby && caught_up) ready = id;
+  }
+  // The dead voter leaves before the standby is promoted: with three voters, one of them dead, the
+  // quorum then stays at two throughout, and adding first would raise it to three of four.
+  if (dead && ready) return MembershipChange{ChangeKind::kRemove, *dead};
+  if (ready && membership_.voter_count() < target_voters) {
+    return MembershipChange{ChangeKind::kPromote, *ready};
+  }
+  return std::nullopt;
+}
+
+}  // namespace wagtailslip::agreement
