--- a/tools/engine/chat.cc
+++ b/tools/engine/chat.cc
@@ -48,9 +48,7 @@
   Json json = Envelope(job, "chat.completion.chunk");
   json["choices"] = Json::array();
   json["choices"].push_back(std::move(choice));
-  // The event id is the offset of the token, so that a cut stream can be resumed after it. The last
-  // event, which names the finish reason, counts as one more token without text.
-  return "id: " + std::to_string(job.done) + "\ndata: " + json.dump() + "\n\n";
+  return "data: " + json.dump() + "\n\n";
 }
 
 const char* FinishReason(const Job& job) { return job.cancelled ? "cancelled" : "length"; }
