Wire sheets, account limits, the retry budget and attempts of at-most-once calls

Cause: the decision modules existed but no request passed them; a not-run key could never run again because every intent named attempt 1; proposal numbers began at 1 in each start, so a late reply to an earlier start could be taken for another record's answer. A key that this process has in hand is run by one request only, which lets a repeated answer to the process's own intent count as its own.

--- a/include/wagtailslip/process/published.h
+++ b/include/wagtailslip/process/published.h
@@ -20,6 +20,7 @@
   explicit RuleBook(std::map<std::string, config::Rule> rules) : rules_(std::move(rules)) {}
   /// Most specific rule; a rule with default values if none matches.
   const config::Rule& Find(const std::string& account, const std::string& kind) const;
+  const std::map<std::string, config::Rule>& rules() const { return rules_; }
 
  private:
   std::map<std::string, config::Rule> rules_;
@@ -33,6 +34,8 @@
   std::vector<directory::EntryProcess> processes;
   config::Revision applied = 0;
   config::Revision in_force = 0;
+  /// Number of changes of the entry processes applied so far.
+  std::uint64_t process_changes = 0;
   /// Incarnation under which this process is registered.
   std::uint64_t incarnation = 0;
   /// The process is registered and has applied what the leader named at its lease's start.
--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -10290,6 +10290,522 @@
 }
 
 
+LimitRow::~LimitRow() noexcept {
+}
+
+
+void LimitRow::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void LimitRow::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void LimitRow::__set_demand(const double val) {
+  this->demand = val;
+}
+
+void LimitRow::__set_lent(const double val) {
+  this->lent = val;
+}
+
+void LimitRow::__set_rate(const double val) {
+  this->rate = val;
+}
+
+void LimitRow::__set_wanted(const bool val) {
+  this->wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->demand);
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->lent);
+          this->__isset.lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->rate);
+          this->__isset.rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitRow");
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_DOUBLE, 3);
+  xfer += oprot->writeDouble(this->demand);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->lent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rate", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitRow &a, LimitRow &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.kind, b.kind);
+  swap(a.demand, b.demand);
+  swap(a.lent, b.lent);
+  swap(a.rate, b.rate);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+LimitRow::LimitRow(const LimitRow& other270) {
+  account = other270.account;
+  kind = other270.kind;
+  demand = other270.demand;
+  lent = other270.lent;
+  rate = other270.rate;
+  wanted = other270.wanted;
+  __isset = other270.__isset;
+}
+LimitRow& LimitRow::operator=(const LimitRow& other271) {
+  account = other271.account;
+  kind = other271.kind;
+  demand = other271.demand;
+  lent = other271.lent;
+  rate = other271.rate;
+  wanted = other271.wanted;
+  __isset = other271.__isset;
+  return *this;
+}
+void LimitRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitRow(";
+  out << "account=" << to_string(account);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "demand=" << to_string(demand);
+  out << ", " << "lent=" << to_string(lent);
+  out << ", " << "rate=" << to_string(rate);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ")";
+}
+
+
+LocalStamp::~LocalStamp() noexcept {
+}
+
+
+void LocalStamp::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void LocalStamp::__set_nanoseconds(const int64_t val) {
+  this->nanoseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const LocalStamp& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LocalStamp::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->nanoseconds);
+          this->__isset.nanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LocalStamp::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LocalStamp");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nanoseconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->nanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LocalStamp &a, LocalStamp &b) {
+  using ::std::swap;
+  swap(a.incarnation, b.incarnation);
+  swap(a.nanoseconds, b.nanoseconds);
+  swap(a.__isset, b.__isset);
+}
+
+LocalStamp::LocalStamp(const LocalStamp& other272) noexcept {
+  incarnation = other272.incarnation;
+  nanoseconds = other272.nanoseconds;
+  __isset = other272.__isset;
+}
+LocalStamp& LocalStamp::operator=(const LocalStamp& other273) noexcept {
+  incarnation = other273.incarnation;
+  nanoseconds = other273.nanoseconds;
+  __isset = other273.__isset;
+  return *this;
+}
+void LocalStamp::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LocalStamp(";
+  out << "incarnation=" << to_string(incarnation);
+  out << ", " << "nanoseconds=" << to_string(nanoseconds);
+  out << ")";
+}
+
+
+LimitMessage::~LimitMessage() noexcept {
+}
+
+
+void LimitMessage::__set_grant(const bool val) {
+  this->grant = val;
+}
+
+void LimitMessage::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void LimitMessage::__set_receiver(const std::string& val) {
+  this->receiver = val;
+}
+
+void LimitMessage::__set_stamp(const LocalStamp& val) {
+  this->stamp = val;
+}
+
+void LimitMessage::__set_echo(const LocalStamp& val) {
+  this->echo = val;
+}
+
+void LimitMessage::__set_rows(const std::vector<LimitRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const LimitMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LimitMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->receiver);
+          this->__isset.receiver = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->stamp.read(iprot);
+          this->__isset.stamp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->echo.read(iprot);
+          this->__isset.echo = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size274;
+            ::apache::thrift::protocol::TType _etype277;
+            xfer += iprot->readListBegin(_etype277, _size274);
+            this->rows.resize(_size274);
+            uint32_t _i278;
+            for (_i278 = 0; _i278 < _size274; ++_i278)
+            {
+              xfer += this->rows[_i278].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LimitMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LimitMessage");
+
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->grant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("receiver", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->receiver);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_STRUCT, 4);
+  xfer += this->stamp.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("echo", ::apache::thrift::protocol::T_STRUCT, 5);
+  xfer += this->echo.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<LimitRow> ::const_iterator _iter279;
+    for (_iter279 = this->rows.begin(); _iter279 != this->rows.end(); ++_iter279)
+    {
+      xfer += (*_iter279).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LimitMessage &a, LimitMessage &b) {
+  using ::std::swap;
+  swap(a.grant, b.grant);
+  swap(a.sender, b.sender);
+  swap(a.receiver, b.receiver);
+  swap(a.stamp, b.stamp);
+  swap(a.echo, b.echo);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+LimitMessage::LimitMessage(const LimitMessage& other280) {
+  grant = other280.grant;
+  sender = other280.sender;
+  receiver = other280.receiver;
+  stamp = other280.stamp;
+  echo = other280.echo;
+  rows = other280.rows;
+  __isset = other280.__isset;
+}
+LimitMessage& LimitMessage::operator=(const LimitMessage& other281) {
+  grant = other281.grant;
+  sender = other281.sender;
+  receiver = other281.receiver;
+  stamp = other281.stamp;
+  echo = other281.echo;
+  rows = other281.rows;
+  __isset = other281.__isset;
+  return *this;
+}
+void LimitMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LimitMessage(";
+  out << "grant=" << to_string(grant);
+  out << ", " << "sender=" << to_string(sender);
+  out << ", " << "receiver=" << to_string(receiver);
+  out << ", " << "stamp=" << to_string(stamp);
+  out << ", " << "echo=" << to_string(echo);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 PeerMessage::~PeerMessage() noexcept {
 }
 
@@ -10333,6 +10849,11 @@
   this->join_request = val;
 __isset.join_request = true;
 }
+
+void PeerMessage::__set_limits(const LimitMessage& val) {
+  this->limits = val;
+__isset.limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const PeerMessage& obj)
 {
   obj.printTo(out);
@@ -10425,6 +10946,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->limits.read(iprot);
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -10482,6 +11011,11 @@
     xfer += this->join_request.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->limits.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -10497,30 +11031,33 @@
   swap(a.order_batch, b.order_batch);
   swap(a.load_batch, b.load_batch);
   swap(a.join_request, b.join_request);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-PeerMessage::PeerMessage(const PeerMessage& other270) {
-  agreement = other270.agreement;
-  propose_request = other270.propose_request;
-  propose_reply = other270.propose_reply;
-  agent_heartbeat = other270.agent_heartbeat;
-  home_reply = other270.home_reply;
-  order_batch = other270.order_batch;
-  load_batch = other270.load_batch;
-  join_request = other270.join_request;
-  __isset = other270.__isset;
-}
-PeerMessage& PeerMessage::operator=(const PeerMessage& other271) {
-  agreement = other271.agreement;
-  propose_request = other271.propose_request;
-  propose_reply = other271.propose_reply;
-  agent_heartbeat = other271.agent_heartbeat;
-  home_reply = other271.home_reply;
-  order_batch = other271.order_batch;
-  load_batch = other271.load_batch;
-  join_request = other271.join_request;
-  __isset = other271.__isset;
+PeerMessage::PeerMessage(const PeerMessage& other282) {
+  agreement = other282.agreement;
+  propose_request = other282.propose_request;
+  propose_reply = other282.propose_reply;
+  agent_heartbeat = other282.agent_heartbeat;
+  home_reply = other282.home_reply;
+  order_batch = other282.order_batch;
+  load_batch = other282.load_batch;
+  join_request = other282.join_request;
+  limits = other282.limits;
+  __isset = other282.__isset;
+}
+PeerMessage& PeerMessage::operator=(const PeerMessage& other283) {
+  agreement = other283.agreement;
+  propose_request = other283.propose_request;
+  propose_reply = other283.propose_reply;
+  agent_heartbeat = other283.agent_heartbeat;
+  home_reply = other283.home_reply;
+  order_batch = other283.order_batch;
+  load_batch = other283.load_batch;
+  join_request = other283.join_request;
+  limits = other283.limits;
+  __isset = other283.__isset;
   return *this;
 }
 void PeerMessage::printTo(std::ostream& out) const {
@@ -10534,6 +11071,7 @@
   out << ", " << "order_batch="; (__isset.order_batch ? (out << to_string(order_batch)) : (out << "<null>"));
   out << ", " << "load_batch="; (__isset.load_batch ? (out << to_string(load_batch)) : (out << "<null>"));
   out << ", " << "join_request="; (__isset.join_request ? (out << to_string(join_request)) : (out << "<null>"));
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -10749,29 +11287,29 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other272) {
-  protocol = other272.protocol;
-  sender = other272.sender;
-  incarnation = other272.incarnation;
-  sender_address = other272.sender_address;
-  sent_at_ns = other272.sent_at_ns;
-  echo_ns = other272.echo_ns;
-  applied_revision = other272.applied_revision;
-  body = other272.body;
-  in_force_revision = other272.in_force_revision;
-  __isset = other272.__isset;
-}
-Frame& Frame::operator=(const Frame& other273) {
-  protocol = other273.protocol;
-  sender = other273.sender;
-  incarnation = other273.incarnation;
-  sender_address = other273.sender_address;
-  sent_at_ns = other273.sent_at_ns;
-  echo_ns = other273.echo_ns;
-  applied_revision = other273.applied_revision;
-  body = other273.body;
-  in_force_revision = other273.in_force_revision;
-  __isset = other273.__isset;
+Frame::Frame(const Frame& other284) {
+  protocol = other284.protocol;
+  sender = other284.sender;
+  incarnation = other284.incarnation;
+  sender_address = other284.sender_address;
+  sent_at_ns = other284.sent_at_ns;
+  echo_ns = other284.echo_ns;
+  applied_revision = other284.applied_revision;
+  body = other284.body;
+  in_force_revision = other284.in_force_revision;
+  __isset = other284.__isset;
+}
+Frame& Frame::operator=(const Frame& other285) {
+  protocol = other285.protocol;
+  sender = other285.sender;
+  incarnation = other285.incarnation;
+  sender_address = other285.sender_address;
+  sent_at_ns = other285.sent_at_ns;
+  echo_ns = other285.echo_ns;
+  applied_revision = other285.applied_revision;
+  body = other285.body;
+  in_force_revision = other285.in_force_revision;
+  __isset = other285.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -131,6 +131,12 @@
 
 class JoinRequest;
 
+class LimitRow;
+
+class LocalStamp;
+
+class LimitMessage;
+
 class PeerMessage;
 
 class Frame;
@@ -4102,8 +4108,211 @@
 
 std::ostream& operator<<(std::ostream& out, const JoinRequest& obj);
 
+typedef struct _LimitRow__isset {
+  _LimitRow__isset() : account(false), kind(false), demand(false), lent(false), rate(false), wanted(false) {}
+  bool account :1;
+  bool kind :1;
+  bool demand :1;
+  bool lent :1;
+  bool rate :1;
+  bool wanted :1;
+} _LimitRow__isset;
+
+class LimitRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitRow(const LimitRow&);
+  LimitRow& operator=(const LimitRow&);
+  LimitRow() noexcept
+           : account(),
+             kind(),
+             demand(0),
+             lent(0),
+             rate(0),
+             wanted(0) {
+  }
+
+  virtual ~LimitRow() noexcept;
+  std::string account;
+  std::string kind;
+  double demand;
+  double lent;
+  double rate;
+  bool wanted;
+
+  _LimitRow__isset __isset;
+
+  void __set_account(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_demand(const double val);
+
+  void __set_lent(const double val);
+
+  void __set_rate(const double val);
+
+  void __set_wanted(const bool val);
+
+  bool operator == (const LimitRow & rhs) const
+  {
+    if (!(account == rhs.account))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
+    if (!(lent == rhs.lent))
+      return false;
+    if (!(rate == rhs.rate))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitRow &a, LimitRow &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitRow& obj);
+
+typedef struct _LocalStamp__isset {
+  _LocalStamp__isset() : incarnation(false), nanoseconds(false) {}
+  bool incarnation :1;
+  bool nanoseconds :1;
+} _LocalStamp__isset;
+
+class LocalStamp : public virtual ::apache::thrift::TBase {
+ public:
+
+  LocalStamp(const LocalStamp&) noexcept;
+  LocalStamp& operator=(const LocalStamp&) noexcept;
+  LocalStamp() noexcept
+             : incarnation(0),
+               nanoseconds(0) {
+  }
+
+  virtual ~LocalStamp() noexcept;
+  int64_t incarnation;
+  int64_t nanoseconds;
+
+  _LocalStamp__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_nanoseconds(const int64_t val);
+
+  bool operator == (const LocalStamp & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(nanoseconds == rhs.nanoseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const LocalStamp &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LocalStamp & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LocalStamp &a, LocalStamp &b);
+
+std::ostream& operator<<(std::ostream& out, const LocalStamp& obj);
+
+typedef struct _LimitMessage__isset {
+  _LimitMessage__isset() : grant(false), sender(false), receiver(false), stamp(false), echo(false), rows(false) {}
+  bool grant :1;
+  bool sender :1;
+  bool receiver :1;
+  bool stamp :1;
+  bool echo :1;
+  bool rows :1;
+} _LimitMessage__isset;
+
+class LimitMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  LimitMessage(const LimitMessage&);
+  LimitMessage& operator=(const LimitMessage&);
+  LimitMessage() noexcept
+               : grant(0),
+                 sender(),
+                 receiver() {
+  }
+
+  virtual ~LimitMessage() noexcept;
+  bool grant;
+  std::string sender;
+  std::string receiver;
+  LocalStamp stamp;
+  LocalStamp echo;
+  std::vector<LimitRow>  rows;
+
+  _LimitMessage__isset __isset;
+
+  void __set_grant(const bool val);
+
+  void __set_sender(const std::string& val);
+
+  void __set_receiver(const std::string& val);
+
+  void __set_stamp(const LocalStamp& val);
+
+  void __set_echo(const LocalStamp& val);
+
+  void __set_rows(const std::vector<LimitRow> & val);
+
+  bool operator == (const LimitMessage & rhs) const
+  {
+    if (!(grant == rhs.grant))
+      return false;
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(receiver == rhs.receiver))
+      return false;
+    if (!(stamp == rhs.stamp))
+      return false;
+    if (!(echo == rhs.echo))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const LimitMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LimitMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LimitMessage &a, LimitMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const LimitMessage& obj);
+
 typedef struct _PeerMessage__isset {
-  _PeerMessage__isset() : agreement(false), propose_request(false), propose_reply(false), agent_heartbeat(false), home_reply(false), order_batch(false), load_batch(false), join_request(false) {}
+  _PeerMessage__isset() : agreement(false), propose_request(false), propose_reply(false), agent_heartbeat(false), home_reply(false), order_batch(false), load_batch(false), join_request(false), limits(false) {}
   bool agreement :1;
   bool propose_request :1;
   bool propose_reply :1;
@@ -4112,6 +4321,7 @@
   bool order_batch :1;
   bool load_batch :1;
   bool join_request :1;
+  bool limits :1;
 } _PeerMessage__isset;
 
 class PeerMessage : public virtual ::apache::thrift::TBase {
@@ -4131,6 +4341,7 @@
   OrderBatch order_batch;
   LoadBatch load_batch;
   JoinRequest join_request;
+  LimitMessage limits;
 
   _PeerMessage__isset __isset;
 
@@ -4150,6 +4361,8 @@
 
   void __set_join_request(const JoinRequest& val);
 
+  void __set_limits(const LimitMessage& val);
+
   bool operator == (const PeerMessage & rhs) const
   {
     if (__isset.agreement != rhs.__isset.agreement)
@@ -4184,6 +4397,10 @@
       return false;
     else if (__isset.join_request && !(join_request == rhs.join_request))
       return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const PeerMessage &rhs) const {
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -464,6 +464,30 @@
   2: bool has_disk
 }
 
+// Shares of a limit between entry processes; a report lends and a grant answers it.
+struct LimitRow {
+  1: string account
+  2: string kind
+  3: double demand
+  4: double lent
+  5: double rate
+  6: bool wanted
+}
+
+struct LocalStamp {
+  1: i64 incarnation
+  2: i64 nanoseconds
+}
+
+struct LimitMessage {
+  1: bool grant
+  2: string sender
+  3: string receiver
+  4: LocalStamp stamp
+  5: LocalStamp echo
+  6: list<LimitRow> rows
+}
+
 union PeerMessage {
   1: AgreementMessage agreement
   2: ProposeRequest propose_request
@@ -473,6 +497,7 @@
   6: OrderBatch order_batch
   7: LoadBatch load_batch
   8: JoinRequest join_request
+  9: LimitMessage limits
 }
 
 // Every frame between processes. sent_at_ns is the sender's monotonic clock; echo_ns returns the
--- a/src/process/admin_api.cc
+++ b/src/process/admin_api.cc
@@ -119,6 +119,9 @@
   } else if (path == "/v1/rules") {
     RequireMethod(exchange, verb::put);
     co_await SetRule(exchange, op);
+  } else if (path == "/v1/sheets") {
+    RequireMethod(exchange, verb::post);
+    co_await HandleSheet(exchange, op);
   } else if (parts.size() == 4 && path.starts_with("/v1/rollouts/")) {
     RequireMethod(exchange, verb::post);
     co_await ControlRollout(exchange, op, parts[2], parts[3]);
@@ -316,6 +319,11 @@
   traffic["no_route"] = status.router.no_route;
   traffic["prefix_hits"] = status.router.prefix_hits;
   traffic["ejections"] = status.ejector.ejections;
+  traffic["retries_granted"] = status.retries.granted;
+  traffic["retries_denied"] = status.retries.denied;
+  traffic["limit_allowed"] = status.limits.allowed;
+  traffic["limit_refused"] = status.limits.refused;
+  traffic["once_keys_in_hand"] = shared_.once_keys.size();
   body["traffic"] = std::move(traffic);
   Json counters;
   for (const auto& [counter, name] : kCounters.rows) {
--- a/src/process/admin_api.h
+++ b/src/process/admin_api.h
@@ -29,6 +29,7 @@
   net::Task<void> ControlRollout(net::HttpExchange& exchange, const Operator& op, std::string id,
                                  std::string action);
   net::Task<void> SetRule(net::HttpExchange& exchange, const Operator& op);
+  net::Task<void> HandleSheet(net::HttpExchange& exchange, const Operator& op);
   net::Task<void> Drain(net::HttpExchange& exchange, const Operator& op, std::string id);
   net::Task<void> ShowRevision(net::HttpExchange& exchange, std::string number);
   net::Task<void> ShowDump(net::HttpExchange& exchange);
--- a/src/process/dispatcher.h
+++ b/src/process/dispatcher.h
@@ -12,6 +12,8 @@
 #include "wagtailslip/process/published.h"
 #include "wagtailslip/traffic/ejector.h"
 #include "wagtailslip/traffic/fair_queue.h"
+#include "wagtailslip/traffic/rate_limiter.h"
+#include "wagtailslip/traffic/retry_budget.h"
 #include "wagtailslip/traffic/router.h"
 
 namespace wagtailslip::process {
@@ -46,6 +48,19 @@
   directory::AddressAnswer Addresses(const directory::Location& caller, bool has_lease,
                                      TimePoint now);
 
+  /// Asks the limits of an account and a request kind for one request.
+  traffic::LimitDecision TakeLimit(const std::string& account, const std::string& kind,
+                                   TimePoint now);
+  /// Takes one retry from the budget.
+  bool TakeRetry(TimePoint now);
+  /// Counts a request for the retry budget.
+  /// @param outer_retry whether the caller marked it as a retry of its own
+  void CountRequest(bool outer_retry, TimePoint now);
+  /// Takes a message of the rate limiter of another process.
+  void OnLimits(const traffic::LimitMessage& message, TimePoint now);
+  /// Messages of the rate limiter that are due.
+  std::vector<traffic::LimitMessage> TakeLimitMessages();
+
   /// Takes over what the control thread published and lets due requests leave the queue. Called
   /// every few milliseconds by one traffic thread.
   void Refresh(TimePoint now);
@@ -57,11 +72,15 @@
     traffic::FairQueue::Counters queue;
     traffic::Router::Counters router;
     traffic::Ejector::Counters ejector;
+    traffic::RetryBudget::Counters retries;
+    traffic::RateLimiter::Counters limits;
   };
   Status status() const;
 
  private:
   void Advance(TimePoint now);
+  void AdoptLimits(TimePoint now);
+  void HandleLimitMessages(std::vector<traffic::LimitMessage> messages, TimePoint now);
   void Deliver(std::uint64_t id, QueueOutcome outcome);
 
   mutable std::mutex mutex_;
@@ -71,6 +90,14 @@
   traffic::Router router_;
   traffic::FairQueue queue_;
   directory::AddressBook addresses_;
+  traffic::RetryBudget retries_;
+  std::string self_;
+  /// Made with the first registration of this process and with each new incarnation.
+  std::unique_ptr<traffic::RateLimiter> limiter_;
+  std::uint64_t limiter_incarnation_ = 0;
+  std::uint64_t process_changes_ = 0;
+  std::map<std::string, config::Rule> limited_rules_;
+  std::vector<traffic::LimitMessage> outgoing_;
   std::map<std::uint64_t, std::shared_ptr<AsyncResult<QueueOutcome>>> waiting_;
   std::uint64_t next_id_ = 1;
 };
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -40,9 +40,14 @@
   net::HttpServer server;
 };
 
-net::Task<void> RefreshLoop(Dispatcher& dispatcher) {
+net::Task<void> RefreshLoop(Dispatcher& dispatcher, const PostToEntry& post) {
   while (true) {
     dispatcher.Refresh(MonotonicNow());
+    for (auto& message : dispatcher.TakeLimitMessages()) {
+      post([message = std::move(message)](EntryControl& control, TimePoint now) {
+        control.SendLimits(message, now);
+      });
+    }
     co_await Sleep(kRefreshPeriod);
   }
 }
@@ -111,6 +116,9 @@
   outlets.post_flush = [&post] {
     post([](EntryControl& control, TimePoint now) { control.Flush(now); });
   };
+  outlets.limits = [&dispatcher](const traffic::LimitMessage& message) {
+    dispatcher.OnLimits(message, MonotonicNow());
+  };
   outlets.published = published;
 
   caf::actor_system_config caf_config;
@@ -123,7 +131,9 @@
     post = [&control](std::function<void(EntryControl&, TimePoint)> task) {
       control.Post(std::move(task));
     };
-    EntryShared shared{settings, access, metrics, dispatcher, *published, ControlClient(post)};
+    OnceKeys once_keys;
+    EntryShared shared{settings,           access, metrics, dispatcher, *published, once_keys,
+                       ControlClient(post)};
     net::HttpLimits limits;
     limits.body_bytes = settings.max_body_bytes;
     limits.connections = settings.max_connections;
@@ -132,7 +142,7 @@
       threads.push_back(
           std::make_unique<TrafficThread>(shared, net::ParseAddress(settings.listen), limits));
     }
-    net::asio::co_spawn(threads.front()->io.context(), RefreshLoop(dispatcher),
+    net::asio::co_spawn(threads.front()->io.context(), RefreshLoop(dispatcher, post),
                         net::asio::detached);
     transport.Start();
     peer_thread.Start();
--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -35,6 +35,8 @@
     : settings_(std::move(settings)),
       outlets_(std::move(outlets)),
       incarnation_(NewIncarnation()),
+      // Numbers of an earlier start never come again, so a late reply to one of them matches nothing.
+      next_proposal_(static_cast<std::int64_t>(incarnation_)),
       rules_(std::make_shared<const RuleBook>(std::map<std::string, config::Rule>())) {
   for (const auto* known : {&settings_.voters, &settings_.peers}) {
     for (const auto& [id, address] : *known) {
@@ -86,6 +88,8 @@
   if (effects.install) {
     machine_.Restore(codec::DecodeState(effects.install->data));
     applied_since_snapshot_ = 0;
+    // Several changes of the processes may be in the snapshot.
+    process_changes_ += 2;
     publish_due_ = true;
   }
   for (const auto& entry : effects.committed) ApplyEntry(entry, now);
@@ -110,6 +114,10 @@
                                     : config::Record(config::NoOp{});
   const auto result = machine_.Apply(record, entry.index);
   ++applied_since_snapshot_;
+  if (std::holds_alternative<config::ProcessStarted>(record) ||
+      std::holds_alternative<config::ProcessLeft>(record)) {
+    ++process_changes_;
+  }
   if (std::holds_alternative<config::EndpointJoined>(record) ||
       std::holds_alternative<config::EndpointLeft>(record)) {
     endpoints_revision_ = entry.index;
@@ -275,7 +283,7 @@
   if (applied_since_snapshot_ < settings_.snapshot_entries) return;
   applied_since_snapshot_ = 0;
   const auto snapshot =
-      replica_->Compact(machine_.revision(), codec::EncodeState(machine_.EncodeSnapshot()));
+      replica_->Compact(machine_.revision(), codec::EncodeState(machine_.state()));
   if (store_ && snapshot) store_->SaveSnapshot(*snapshot);
 }
 
--- a/src/process/entry_control.h
+++ b/src/process/entry_control.h
@@ -14,6 +14,7 @@
 #include "wagtailslip/process/entry_settings.h"
 #include "wagtailslip/process/published.h"
 #include "wagtailslip/rollout/controller.h"
+#include "wagtailslip/traffic/rate_limiter.h"
 
 namespace wagtailslip::wire {
 class AgentHeartbeat;
@@ -36,6 +37,8 @@
   std::function<void(const std::string& address, std::string frame)> send;
   /// Calls Flush on the control thread after the work that is queued already.
   std::function<void()> post_flush;
+  /// Takes a message of the rate limiter from another entry process.
+  std::function<void(const traffic::LimitMessage& message)> limits;
   std::shared_ptr<PublishedCell> published;
 };
 
@@ -54,6 +57,9 @@
   /// @param timeout time after which the outcome is reported as unknown
   void Propose(config::Record record, Duration timeout, ProposalDone done, TimePoint now);
 
+  /// Sends a message of the rate limiter to another entry process.
+  void SendLimits(const traffic::LimitMessage& message, TimePoint now);
+
   /// Starts a graceful stop: the process is withdrawn from the address answers.
   void Leave(TimePoint now);
   /// Whether the withdrawal is committed.
@@ -143,7 +149,7 @@
 
   std::map<std::string, PeerState> peers_;
   std::map<std::int64_t, LocalProposal> local_;
-  std::int64_t next_proposal_ = 1;
+  std::int64_t next_proposal_;
   std::vector<QueuedRecord> queued_;
   std::map<agreement::Index, LogOrigin> in_log_;
 
@@ -151,6 +157,7 @@
   bool caught_up_ = false;
   config::Revision required_ = 0;
   config::Revision in_force_ = 0;
+  std::uint64_t process_changes_ = 0;
   bool registering_ = false;
   bool leaving_ = false;
 
--- a/src/process/entry_lease.cc
+++ b/src/process/entry_lease.cc
@@ -5,6 +5,7 @@
 #include "gen/wagtailslip_types.h"
 #include "wagtailslip/codec/agreement_codec.h"
 #include "wagtailslip/codec/compact.h"
+#include "wagtailslip/codec/limit_codec.h"
 #include "wagtailslip/codec/record_codec.h"
 #include "wagtailslip/process/events.h"
 
@@ -73,6 +74,8 @@
   } else if (body.__isset.load_batch) {
     for (const auto& it : body.load_batch.reports) reports_.Take(it, frame.sender, now);
     publish_due_ = true;
+  } else if (body.__isset.limits) {
+    outlets_.limits(codec::LimitsFromWire(body.limits));
   } else if (body.__isset.join_request && Leading(now)) {
     const agreement::ReplicaId id{body.join_request.id.process,
                                   static_cast<std::uint64_t>(body.join_request.id.incarnation)};
@@ -88,6 +91,12 @@
   NoteLease(frame, now);
 }
 
+void EntryControl::SendLimits(const traffic::LimitMessage& message, TimePoint now) {
+  wire::PeerMessage body;
+  body.__set_limits(codec::ToWire(message));
+  Send(std::visit([](const auto& it) { return it.to; }, message), body, now);
+}
+
 void EntryControl::NoteLease(const wire::Frame& frame, TimePoint) {
   const auto& leader = replica_->leader();
   if (frame.echo_ns == 0 || !leader || leader->process != frame.sender ||
@@ -247,6 +256,7 @@
   published->applied = machine_.revision();
   published->in_force = in_force_;
   published->incarnation = incarnation_;
+  published->process_changes = process_changes_;
   published->caught_up = caught_up_;
   published->lease_until = lease_until_;
   std::uint32_t live = 0;
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -215,6 +215,18 @@
   if (!published->routing || published->routing->OfModel(call.model).empty()) {
     throw ApiError(404, "unknown_model", "no endpoint serves '" + call.model + "'", "model");
   }
+  const bool outer_retry = !exchange.Header("X-Retry-Attempt").empty();
+  shared_.dispatcher.CountRequest(outer_retry, call.received);
+  const auto limit = shared_.dispatcher.TakeLimit(call.account, call.kind, call.received);
+  if (!limit.allowed) {
+    Ending ending;
+    ending.outcome = config::CallOutcome::kNotRun;
+    ending.code = "rate_limited";
+    ending.message = "the account's limit for this request kind is reached";
+    ending.retry_after = limit.retry_after;
+    co_await Finish(exchange, call, std::move(ending));
+    co_return;
+  }
   if (call.call_class == config::CallClass::kAtMostOnce) {
     co_await ServeOnce(exchange, call);
     co_return;
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -7,6 +7,7 @@
 
 #include "control_client.h"
 #include "dispatcher.h"
+#include "once_keys.h"
 #include "wagtailslip/net/http_client.h"
 #include "wagtailslip/net/http_server.h"
 #include "wagtailslip/process/access.h"
@@ -24,6 +25,7 @@
   Metrics& metrics;
   Dispatcher& dispatcher;
   const PublishedCell& published;
+  OnceKeys& once_keys;
   ControlClient control;
 };
 
@@ -91,7 +93,14 @@
   net::Task<void> Serve(net::HttpExchange& exchange, Call& call);
   net::Task<QueueOutcome> WaitForSlot(const Call& call);
   net::Task<void> ServeOnce(net::HttpExchange& exchange, Call& call);
-  net::Task<bool> ServeRecorded(net::HttpExchange& exchange, const Call& call);
+  using RecordedCall = std::optional<config::Call>;
+  net::Task<RecordedCall> FindRecorded(const Call& call);
+  /// Answers from the recorded outcome, waiting for it until the deadline.
+  net::Task<void> ServeRecorded(net::HttpExchange& exchange, const Call& call);
+  /// Answers that the call was not run.
+  net::Task<void> RespondNotRun(net::HttpExchange& exchange, const Call& call, std::string code,
+                                std::string message, Duration retry_after);
+  net::Task<void> RunOnce(net::HttpExchange& exchange, const Call& call, std::uint32_t attempt);
   net::Task<Ending> RunAttempts(net::HttpExchange& exchange, const Call& call);
   net::Task<void> TryOnce(net::HttpExchange& exchange, const Call& call, Attempt& attempt);
   net::Task<void> ReadAnswer(net::HttpExchange& exchange, const Call& call, Attempt& attempt,
--- a/src/process/gateway_attempts.cc
+++ b/src/process/gateway_attempts.cc
@@ -278,8 +278,10 @@
     ending.message = "the endpoint failed";
     ending.retry_after = attempt.retry_after;
     attempt.excluded.push_back(choice.endpoint->id);
-    const bool possible = n + 1 < kMostAttempts && MonotonicNow() < call.deadline &&
-                          (!exchange.responded() || attempt.check->resumable());
+    const TimePoint now = MonotonicNow();
+    const bool possible = n + 1 < kMostAttempts && now < call.deadline &&
+                          (!exchange.responded() || attempt.check->resumable()) &&
+                          shared_.dispatcher.TakeRetry(now);
     action = attempt.policy.OnFailure(*attempt.failure, possible);
     attempt.resume = action == CallAction::kResumeStream;
     if (action == CallAction::kRetryElsewhere) attempt.check.reset();
