--- a/src/process/admin_api.cc
+++ b/src/process/admin_api.cc
@@ -45,6 +45,22 @@
   return command;
 }
 
+/// Frame counters in Prometheus text form.
+std::string FrameMetrics(const net::PeerCounters& counters) {
+  const std::pair<const char*, std::uint64_t> rows[] = {
+      {"frames_sent_total", counters.frames_sent},
+      {"frames_received_total", counters.frames_received},
+      {"frames_dropped_total", counters.frames_dropped},
+      {"frame_bytes_sent_total", counters.bytes_sent},
+      {"frame_bytes_received_total", counters.bytes_received}};
+  std::string text;
+  for (const auto& [name, value] : rows) {
+    text += std::string("# TYPE wagtailslip_") + name + " counter\nwagtailslip_" + name + " " +
+            std::to_string(value) + "\n";
+  }
+  return text;
+}
+
 void RequireScope(const Operator& op, const std::string& object) {
   if (op.MayChange(object)) return;
   throw ApiError(403, "forbidden", "operator '" + op.name + "' may not change '" + object + "'");
@@ -63,7 +79,8 @@
   try {
     const auto path = exchange.path();
     if (path == "/metrics") {
-      co_await exchange.Respond(200, shared_.metrics.Text(), {}, "text/plain; version=0.0.4");
+      const std::string text = shared_.metrics.Text() + FrameMetrics(shared_.frames());
+      co_await exchange.Respond(200, text, {}, "text/plain; version=0.0.4");
       co_return;
     }
     const auto op = shared_.access.FindOperator(exchange.Header("Authorization"));
@@ -330,6 +347,12 @@
     counters[std::string(name)] = shared_.metrics.Value(counter);
   }
   body["counters"] = std::move(counters);
+  const auto frames = shared_.frames();
+  body["frames"]["sent"] = frames.frames_sent;
+  body["frames"]["received"] = frames.frames_received;
+  body["frames"]["dropped"] = frames.frames_dropped;
+  body["frames"]["bytes_sent"] = frames.bytes_sent;
+  body["frames"]["bytes_received"] = frames.bytes_received;
   co_await exchange.Respond(200, body.dump());
 }
 
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -132,7 +132,13 @@
       control.Post(std::move(task));
     };
     OnceKeys once_keys;
-    EntryShared shared{settings,           access, metrics, dispatcher, *published, once_keys,
+    EntryShared shared{settings,
+                       access,
+                       metrics,
+                       dispatcher,
+                       *published,
+                       once_keys,
+                       [&transport] { return transport.counters(); },
                        ControlClient(post)};
     net::HttpLimits limits;
     limits.body_bytes = settings.max_body_bytes;
--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -35,7 +35,8 @@
     : settings_(std::move(settings)),
       outlets_(std::move(outlets)),
       incarnation_(NewIncarnation()),
-      // Numbers of an earlier start never come again, so a late reply to one of them matches nothing.
+      // Numbers of an earlier start never come again, so a late reply to one of them matches
+      // nothing.
       next_proposal_(static_cast<std::int64_t>(incarnation_)),
       rules_(std::make_shared<const RuleBook>(std::map<std::string, config::Rule>())) {
   for (const auto* known : {&settings_.voters, &settings_.peers}) {
--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -10,6 +10,7 @@
 #include "once_keys.h"
 #include "wagtailslip/net/http_client.h"
 #include "wagtailslip/net/http_server.h"
+#include "wagtailslip/net/peer_transport.h"
 #include "wagtailslip/process/access.h"
 #include "wagtailslip/process/entry_settings.h"
 #include "wagtailslip/process/metrics.h"
@@ -26,6 +27,8 @@
   Dispatcher& dispatcher;
   const PublishedCell& published;
   OnceKeys& once_keys;
+  /// Counters of the frames between processes.
+  std::function<net::PeerCounters()> frames;
   ControlClient control;
 };
 
