Report the engine's load after its slot is free

Cause: the last load sample of an answer was taken while the answer still held its slot, so an idle engine went on reporting one running request. The sample is now taken after the slot is released. Measured: IdleEngineReportsNoLoad reports 1 running before and 0 after.

--- a/tests/tools_engine_test.cc
+++ b/tests/tools_engine_test.cc
@@ -6,6 +6,7 @@
 class EngineTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EngineTest);
   CPPUNIT_TEST(EngineAnswersPassTheCheck);
+  CPPUNIT_TEST(IdleEngineReportsNoLoad);
   CPPUNIT_TEST(EngineFaultsAreTold);
   CPPUNIT_TEST(EngineLoadsOnlyRightWeights);
   CPPUNIT_TEST(FencingIsObeyedOrIgnored);
@@ -34,6 +35,21 @@
         {engine});
   }
 
+  // An idle engine that reports work is never drained, which once held up a rollout for ever.
+  void IdleEngineReportsNoLoad() {
+    EngineSettings settings = FastEngine();
+    settings.report_lag_ms = 0;
+    EngineServer engine(settings);
+    Run(
+        [](auto addresses) -> Task<void> {
+          co_await Send(addresses[0], verb::post, "/v1/chat/completions", ChatBody(true), "r1");
+          const Json report = co_await Get(addresses[0], "/admin/load-report");
+          CPPUNIT_ASSERT_EQUAL(0, report["running"].get<int>());
+          CPPUNIT_ASSERT_EQUAL(1, report["completed"].get<int>());
+        },
+        {engine});
+  }
+
   // Each fault must be visible to the load generator's check, or a run would hide it.
   void EngineFaultsAreTold() {
     EngineServer engine(FastEngine());
--- a/tools/engine/chat.cc
+++ b/tools/engine/chat.cc
@@ -133,8 +133,19 @@
     co_await RespondRefusal(exchange, refusal);
     co_return;
   }
-  // The queue grows once this coroutine waits, so the sample after the wait shows it shrinking.
+  bool failed = false;
+  try {
+    co_await RunInSlot(exchange, std::move(request));
+  } catch (const net::NetError&) {
+    failed = true;
+  }
+  // Only now is the slot free again; an earlier sample would leave an idle engine looking busy.
   RecordLoad();
+  if (failed) throw net::NetError("the caller's connection failed");
+}
+
+net::Task<void> EngineServer::RunInSlot(net::HttpExchange& exchange, ChatRequest request) {
+  Refusal refusal;
   waiting_[request.job->request_id] = request.job;
   const SlotQueue::Lease lease = co_await slots_.Acquire(request.priority);
   waiting_.erase(request.job->request_id);
@@ -172,7 +183,6 @@
   if (it != running_.end() && it->second == job) running_.erase(it);
   Remember(job);
   ++counters_[failed ? "connections_lost" : job->cancelled ? "cancelled" : "completed"];
-  RecordLoad();
   if (failed) throw net::NetError("the caller's connection failed");
 }
 
--- a/tools/engine/engine_server.h
+++ b/tools/engine/engine_server.h
@@ -80,6 +80,7 @@
   // Requests, in chat.cc.
   net::Task<void> Chat(net::HttpExchange& exchange);
   net::Task<void> Run(net::HttpExchange& exchange, ChatRequest request);
+  net::Task<void> RunInSlot(net::HttpExchange& exchange, ChatRequest request);
   net::Task<void> Generate(net::HttpExchange& exchange, JobPtr job, bool stream);
   net::Task<void> GenerateTokens(net::HttpExchange& exchange, Job& job, bool stream);
   net::Task<void> EndAnswer(net::HttpExchange& exchange, const Job& job, bool stream,
