Fill only free slots of endpoints that hold a prefix

Cause: at 600 replicas and 360 processes all processes preferred the same two holders of a popular prefix and one report later found them overloaded: p99 wait 36910 ms, 39 requests per slot.

--- a/include/wagtailslip/traffic/prefix_hints.h
+++ b/include/wagtailslip/traffic/prefix_hints.h
@@ -29,7 +29,7 @@
 class PrefixHints {
  public:
   /// Endpoints remembered for one block; the oldest gives way.
-  static constexpr std::size_t kHoldersPerBlock = 4;
+  static constexpr std::size_t kHoldersPerBlock = 16;
   /// Blocks of one prompt that are remembered.
   static constexpr std::size_t kBlocksPerPrompt = 32;
 
--- a/include/wagtailslip/traffic/route_strategy.h
+++ b/include/wagtailslip/traffic/route_strategy.h
@@ -16,6 +16,9 @@
   virtual ~RouteView() = default;
   /// Estimated requests at the endpoint per slot after one more was sent; 1 means full.
   virtual double Load(std::uint32_t index) const = 0;
+  /// Whether this process still has a part in the endpoint's slots that the last report showed as
+  /// free. Where all processes prefer the same endpoint, only its free slots are filled.
+  virtual bool HasRoom(std::uint32_t index) const = 0;
   /// Extra cost of the way to the endpoint, in the unit of Load.
   virtual double Distance(std::uint32_t index) const = 0;
   /// Leading blocks of the request's prompt that the endpoint probably holds.
--- a/include/wagtailslip/traffic/router.h
+++ b/include/wagtailslip/traffic/router.h
@@ -146,6 +146,8 @@
     /// Own requests in flight at the report's measurement.
     std::uint32_t at_report = 0;
     /// Own net starts since the report that leave room for the other processes.
+    /// Own net starts since the report that leave the other processes their part of what was free.
+    int allowance = 0;
     bool serving = false;
     /// Start of the current serving period; the ramp begins here.
     TimePoint serving_since{};
@@ -158,6 +160,7 @@
 
   // RouteView
   double Load(std::uint32_t index) const override;
+  bool HasRoom(std::uint32_t index) const override;
   double Distance(std::uint32_t index) const override { return distances_[index]; }
   std::uint32_t CachedBlocks(std::uint32_t index) const override;
   std::span<const PrefixHints::Match> matches() const override { return matches_; }
--- a/src/traffic/route_strategy.cc
+++ b/src/traffic/route_strategy.cc
@@ -60,13 +60,18 @@
       best = index;
     }
   };
+  // Holders are tried from a random one on: all processes know them in the same order.
+  const auto matches = view.matches();
+  const std::uint64_t first = matches.empty() ? 0 : view.Random(matches.size());
   std::uint32_t holders = 0;
-  for (const auto& match : view.matches()) {
+  for (std::size_t i = 0; i < matches.size() && holders < kHolderChoices; ++i) {
+    const auto& match = matches[(first + i) % matches.size()];
     const std::uint32_t index = view.IndexOf(match.endpoint);
     if (index == RouteView::kNowhere) continue;
     if (!std::binary_search(candidates.begin(), candidates.end(), index)) continue;
+    if (!view.HasRoom(index)) continue;
     consider(index);
-    if (++holders == kHolderChoices) break;
+    ++holders;
   }
   for (std::uint32_t i = 0; i < kRandomChoices; ++i) {
     consider(candidates[view.Random(candidates.size())]);
--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -1,6 +1,7 @@
 #include "wagtailslip/traffic/router.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "wagtailslip/base/error.h"
@@ -36,8 +37,9 @@
   current_.clear();
   distances_.clear();
   eligible_.clear();
+  snapshot_ = std::move(snapshot);
   std::uint32_t index = 0;
-  for (const RoutingEndpoint& endpoint : snapshot->endpoints()) {
+  for (const RoutingEndpoint& endpoint : snapshot_->endpoints()) {
     auto [it, added] = states_.try_emplace(endpoint.id);
     State& state = it->second;
     if (added) {
@@ -87,7 +89,6 @@
       ++it;
     }
   }
-  snapshot_ = std::move(snapshot);
   ++counters_.snapshots;
   return true;
 }
@@ -100,6 +101,10 @@
   for (const auto& [time, change] : state.changes) state.since_report += change;
   state.at_report = static_cast<std::uint32_t>(
       std::max(0, static_cast<int>(state.in_flight) - state.since_report));
+  const double free = static_cast<double>(load.slots) - load.running - load.waiting;
+  // A part below one slot becomes a whole slot for some processes and none for the others.
+  const double dither = static_cast<double>(Random(1 << 20)) / (1 << 20);
+  state.allowance = static_cast<int>(std::floor(free / snapshot_->entry_processes() + dither));
 }
 
 void Router::Note(State& state, int change, TimePoint now) {
@@ -127,6 +132,11 @@
   return (reported + own * snapshot_->entry_processes()) / 2;
 }
 
+bool Router::HasRoom(std::uint32_t index) const {
+  const State& state = *current_[index];
+  return state.since_report < state.allowance;
+}
+
 double Router::Load(std::uint32_t index) const {
   const State& state = *current_[index];
   const double slots = std::max<std::uint32_t>(1, snapshot_->endpoints()[index].load.slots);
