--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -101,7 +101,7 @@
   for (const auto& [time, change] : state.changes) state.since_report += change;
   state.at_report = static_cast<std::uint32_t>(
       std::max(0, static_cast<int>(state.in_flight) - state.since_report));
-  const double free = static_cast<double>(load.slots) - load.running - load.waiting;
+  const double free = kOvercommit * load.slots - load.running - load.waiting;
   // A part below one slot becomes a whole slot for some processes and none for the others.
   const double dither = static_cast<double>(Random(1 << 20)) / (1 << 20);
   state.allowance = static_cast<int>(std::floor(free / snapshot_->entry_processes() + dither));
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -103,11 +103,13 @@
   CPPUNIT_TEST(OwnRequestsCorrectALaggingReport);
   CPPUNIT_TEST(ReportedRequestsAreNotCountedTwice);
   CPPUNIT_TEST(PrefixGoesToItsHolderUntilItIsBusy);
+  CPPUNIT_TEST(ManyProcessesDoNotCrowdOneHolder);
   CPPUNIT_TEST(CacheHintsEndWithGapsAndRestarts);
   CPPUNIT_TEST(ReturningEndpointStartsSlowly);
   CPPUNIT_TEST(NearEndpointIsPreferredUntilItIsBusy);
   CPPUNIT_TEST(EjectedEndpointIsAvoidedAndProbed);
   CPPUNIT_TEST(SlotsAreSharedBetweenProcesses);
+  CPPUNIT_TEST(CrowdedEnginesTakeSlotsAway);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -172,6 +174,26 @@
     CPPUNIT_ASSERT(sent.size() > 4);
   }
 
+  // All processes see the same holder of a popular prefix in the same report; together they must
+  // not send it much more than the slots that were free.
+  void ManyProcessesDoNotCrowdOneHolder() {
+    constexpr std::uint32_t kProcesses = 64;
+    const auto snapshot = Snapshot(Endpoints(100), kProcesses);
+    const std::uint64_t prefix[] = {11, 12};
+    const CacheEvent stored[] = {{11, true}, {12, true}};
+    RouteRequest request{"m"};
+    request.prefix = prefix;
+    int sent = 0;
+    for (std::uint32_t i = 0; i < kProcesses; ++i) {
+      Fixture fixture(i + 1);
+      fixture.router.Swap(snapshot, At(seconds(0)));
+      fixture.router.OnCacheEvents("e7", 0, stored, At(seconds(0)));
+      sent += fixture.Send(request, At(seconds(1))).endpoint->id == "e7" ? 1 : 0;
+    }
+    CPPUNIT_ASSERT(sent >= 1);
+    CPPUNIT_ASSERT(sent <= 16);
+  }
+
   // A hint that outlives the cache would send requests to an endpoint that must compute all anew.
   void CacheHintsEndWithGapsAndRestarts() {
     Fixture fixture;
@@ -266,6 +288,22 @@
     CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(Router::kOvercommit * 3 * 8 / 4),
                          fixture.router.Slots("m"));
   }
+
+  // Requests that wait first in, first out inside the engines would undo the fair order, so a
+  // process that has too many there must not send more.
+  void CrowdedEnginesTakeSlotsAway() {
+    Fixture fixture;
+    auto endpoints = Endpoints(4);
+    fixture.router.Swap(Snapshot(endpoints, 4), At(seconds(0)));
+    for (int i = 0; i < 64; ++i) fixture.Send({"m"}, At(seconds(1)));
+    for (auto& endpoint : endpoints) {
+      endpoint.load.running = endpoint.load.waiting = 8;
+      endpoint.load.measured_at = At(seconds(2));
+    }
+    fixture.router.Swap(Snapshot(endpoints, 4), At(seconds(3)));
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(Router::kOvercommit * 4 * 8),
+                         fixture.router.Slots("m"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RouterTest);
 
