Leave ejected endpoints out of the slots

Cause: the slots of an ejected endpoint were filled at the others. Two rules of the rate limiter's loans were not guarded: removing either passed 2000 cases of the property.

--- a/include/wagtailslip/traffic/router.h
+++ b/include/wagtailslip/traffic/router.h
@@ -127,6 +127,7 @@
 
   /// Requests of a model or service that this process may have running at once: its even share of
   /// all slots, or what it already uses plus its even share of the free ones, if that is more.
+  /// Ejected endpoints don't count.
   std::uint32_t Slots(const std::string& model) const;
 
   const std::shared_ptr<const RoutingSnapshot>& snapshot() const { return snapshot_; }
--- a/src/traffic/router.cc
+++ b/src/traffic/router.cc
@@ -321,6 +321,7 @@
   for (const std::uint32_t index : snapshot_->OfModel(model)) {
     const RoutingEndpoint& endpoint = snapshot_->endpoints()[index];
     if (endpoint.serving != ServingState::kServing || endpoint.draining) continue;
+    if (!ejector_.Allows(*current_[index]->health)) continue;
     const double all = kOvercommit * endpoint.load.slots;
     const double used = static_cast<double>(endpoint.load.running) + endpoint.load.waiting;
     const double own = current_[index]->at_report;
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -134,6 +134,8 @@
   CPPUNIT_TEST(SharesFollowDemand);
   CPPUNIT_TEST(CutOffProcessLosesItsShareAndFreesItsLoans);
   CPPUNIT_TEST(SharesNeverExceedTheLimit);
+  CPPUNIT_TEST(LoanWithoutACurrentStampIsNotUsed);
+  CPPUNIT_TEST(NewHomeGetsNoLoanBeforeTheOldOneEnds);
   CPPUNIT_TEST(LimitForEachAccountIsSeparate);
   CPPUNIT_TEST(RetriesStayWithinTheBudget);
   CPPUNIT_TEST(OuterRetriesEarnNothing);
@@ -211,6 +213,50 @@
     }));
   }
 
+  // A restarted home that trusted a stamp of its earlier clock would use a loan after its end.
+  void LoanWithoutACurrentStampIsNotUsed() {
+    for (const std::uint64_t incarnation : {1, 2}) {
+      // The only member is the home of each key.
+      RateLimiter home("a", 2);
+      home.SetLease(TimePoint::max());
+      home.SetMembers({"a"}, At(seconds(0)));
+      home.SetLimit(kKey, kLimit, At(seconds(0)));
+      const LocalStamp echo{incarnation, Duration(seconds(10)).count()};
+      home.OnMessage(ShareReport{"x", "a", {1, 1}, echo, {{kKey, 0, 30}}}, At(seconds(10)));
+      const auto replies =
+          home.OnMessage(ShareReport{"y", "a", {1, 1}, {}, {{kKey, 200, 0}}}, At(seconds(10)));
+      const double rate = std::get<ShareGrant>(replies.at(0)).rows.at(0).rate;
+      CPPUNIT_ASSERT_DOUBLES_EQUAL(incarnation == 2 ? 30.0 : 0.0, rate, 1e-6);
+    }
+  }
+
+  // Two homes that both use the same loan would pass the limit.
+  void NewHomeGetsNoLoanBeforeTheOldOneEnds() {
+    RateLimiter lender("p0", 1);
+    lender.SetLease(TimePoint::max());
+    lender.SetLimit(kKey, kLimit, At(seconds(0)));
+    const auto lent = [&](Duration at) {
+      double sum = 0;
+      for (const auto& message : lender.Tick(At(at))) {
+        sum += std::get<ShareReport>(message).rows.at(0).lent;
+      }
+      return sum;
+    };
+    // Members that are the key's home beside p0, one after the other.
+    std::vector<std::string> homes;
+    for (int i = 1; homes.size() < 2; ++i) {
+      const std::string other = "p" + std::to_string(i);
+      lender.SetMembers({"p0", other}, At(seconds(0)));
+      if (lender.Status(kKey, At(seconds(0)))->home == other) homes.push_back(other);
+      lender.OnMessage(ShareGrant{other, "p0", {1, 1}, {}, {}}, At(seconds(0)));
+    }
+    lender.SetMembers({"p0", homes[0]}, At(seconds(0)));
+    CPPUNIT_ASSERT(lent(seconds(10)) > 0);
+    lender.SetMembers({"p0", homes[1]}, At(seconds(11)));
+    CPPUNIT_ASSERT_EQUAL(0.0, lent(seconds(11)));
+    CPPUNIT_ASSERT(lent(seconds(14)) > 0);
+  }
+
   void LimitForEachAccountIsSeparate() {
     RateLimiter limiter("p", 1);
     limiter.SetLease(TimePoint::max());
--- a/tests/router_test.cc
+++ b/tests/router_test.cc
@@ -259,6 +259,9 @@
     Fixture fixture;
     fixture.router.Swap(Snapshot(Endpoints(4)), At(seconds(0)));
     fixture.router.Finished("e0", AttemptResult::kConnectFailed, At(seconds(0)));
+    // Its slots must not be filled at the others.
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::uint32_t>(Router::kOvercommit * 3 * 8),
+                         fixture.router.Slots("m"));
     for (int i = 0; i < 64; ++i) {
       CPPUNIT_ASSERT(fixture.router.Choose({"m"}, At(milliseconds(500))).endpoint->id != "e0");
     }
