--- a/include/wagtailslip/spread/manifest.h
+++ b/include/wagtailslip/spread/manifest.h
@@ -59,8 +59,8 @@
   ChunkResult Check(ChunkIndex chunk, std::string_view body) const;
 };
 
-/// Smallest and largest accepted number of chunks and the largest accepted chunk size. The chunk
-/// size bounds what one whole-chunk deadline and one corrupt transfer can cost.
+/// Largest accepted number of chunks and chunk size. The chunk size bounds what one whole-chunk
+/// deadline and one corrupt transfer can cost.
 inline constexpr std::size_t kMaxChunks = 65536;
 inline constexpr std::uint64_t kMaxChunkBytes = std::uint64_t{256} << 20;
 
--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -29,6 +29,8 @@
   std::size_t outstanding = 5;
   std::size_t per_peer = 2;
   std::size_t to_origin = 1;
+  /// Requests under way to fetchers of other regions, over all of them.
+  std::size_t across_regions = 3;
   /// Sources asked for the same chunk at the same time.
   std::size_t sources_per_chunk = 2;
   /// Time between two requests for the bitmap of one neighbour, and their deadline.
@@ -175,12 +177,12 @@
   bool MayAskOrigin(TimePoint now) const;
   bool Hopeless(Slot slot, TimePoint now) const;
   bool Owns(ChunkIndex chunk, TimePoint now) const;
-  bool Available(ChunkIndex chunk) const;
+  bool Available(ChunkIndex chunk, bool remote) const;
   bool FromOrigin(ChunkIndex chunk, TimePoint now) const;
   bool WindowOpen() const;
   void FindSuspects(TimePoint now);
   bool Settled(TimePoint now) const;
-  bool InFlight(ChunkIndex chunk) const { return in_flight_[chunk] > 0; }
+  bool UnderWay(ChunkIndex chunk) const;
   Slot BestPeer(ChunkIndex chunk, TimePoint now, bool local, bool remote) const;
   void Ask(ChunkIndex chunk, Slot slot, TimePoint now, TickResult& result);
   void AskAssigned(TimePoint now, TickResult& result);
@@ -204,11 +206,13 @@
 
   bool started_ = false;
   bool ended_ = false;
-  TimePoint started_at_;
+  /// Time of the last change of the plan.
+  TimePoint planned_at_;
   Bitmap have_;
   std::size_t present_ = 0;
   Plan plan_;
   std::vector<Peer> peers_;
+  std::size_t local_peers_ = 0;
   std::vector<Request> requests_;
   /// Per chunk: requests under way, local neighbours that have it, order among equals.
   std::vector<std::uint8_t> in_flight_;
@@ -223,6 +227,10 @@
   /// the first.
   double seconds_per_byte_ = 0;
   double deviation_ = 0;
+  /// Factor of deadlines, above 1 while requests time out.
+  double patience_ = 1;
+  /// Mean size of the chunks in bytes.
+  double mean_chunk_ = 0;
   /// Chunks of rank 0, present or not.
   Bitmap owned_;
   /// Last time that a neighbour gained a chunk.
--- a/src/spread/session.cc
+++ b/src/spread/session.cc
@@ -20,6 +20,8 @@
 // A damaged chunk is damaged on the way or at one sender. After this time the same sender may be
 // asked again, so that a sole sender with one transfer error does not stop the session.
 constexpr Duration kCorruptPause = std::chrono::seconds(10);
+constexpr double kMostPatience = 8;
+constexpr Duration kSuspectPause = std::chrono::seconds(2);
 constexpr Duration kMissingPause = std::chrono::seconds(3);
 // One intact chunk makes up for a tenth of a corrupt one: a sender with 1% transfer errors stays in
 // use, one that damages more than a tenth is blocked for ever longer times.
@@ -50,6 +52,7 @@
   copies_.resize(n);
   priority_.resize(n);
   for (auto& value : priority_) value = static_cast<std::uint16_t>(Random());
+  mean_chunk_ = static_cast<double>(manifest_->TotalSize()) / static_cast<double>(n);
 }
 
 Session::~Session() = default;
@@ -81,7 +84,7 @@
 void Session::Start(TimePoint now) {
   WTS_INVARIANT(!started_);
   started_ = true;
-  started_at_ = progress_at_ = idle_since_ = next_takeover_check_ = now;
+  progress_at_ = idle_since_ = next_takeover_check_ = now;
   Replan(now);
 }
 
@@ -93,6 +96,7 @@
 
 void Session::Replan(TimePoint now) {
   const MemberIndex self = members_->Find(self_);
+  planned_at_ = now;
   plan_ = strategy_->MakePlan(*manifest_, *members_, self, limits_.neighbours);
   std::vector<Peer> peers;
   std::vector<Slot> moved(peers_.size(), kNoSlot);
@@ -117,6 +121,8 @@
     peers.push_back(std::move(peer));
   }
   peers_ = std::move(peers);
+  local_peers_ = static_cast<std::size_t>(
+      std::count_if(peers_.begin(), peers_.end(), [](const Peer& peer) { return peer.local; }));
   // Requests to peers that are no longer neighbours are forgotten; a late answer is still accepted.
   std::erase_if(requests_, [&](Request& request) {
     if (request.slot == kOriginSlot) return false;
@@ -200,6 +206,7 @@
     deviation_ = seconds_per_byte_ == 0 ? sample / 2
                                         : Mean(deviation_, std::abs(sample - seconds_per_byte_));
     seconds_per_byte_ = Mean(seconds_per_byte_, sample);
+    patience_ = 1;
     if (slot != kOriginSlot) {
       peers_[slot].seconds_per_byte = Mean(peers_[slot].seconds_per_byte, sample);
     }
@@ -238,6 +245,7 @@
     Peer& peer = peers_[slot];
     peer.failures = 0;
     peer.last_success = now;
+    peer.refused_since = TimePoint::max();
     peer.strikes = std::max(0.0, peer.strikes - kStrikeRelief);
     ++stats_.from_peers;
     if (!peer.local) ++stats_.across_regions;
@@ -263,8 +271,7 @@
 }
 
 Duration Session::BusyPause() {
-  const double chunk = seconds_per_byte_ * static_cast<double>(manifest_->TotalSize()) /
-                       static_cast<double>(have_.size());
+  const double chunk = seconds_per_byte_ * mean_chunk_;
   const double seconds = chunk / kBusyDivisor * (0.75 + static_cast<double>(Random() % 512) / 1024);
   return std::max(kBusyPause, std::chrono::duration_cast<Duration>(
                                   std::chrono::duration<double>(std::min(seconds, 2.0))));
@@ -298,6 +305,11 @@
   }
   switch (reason) {
     case FailureReason::kBusy:
+      peer.refused_since = std::min(peer.refused_since, now);
+      if (peer.Suspect()) {
+        Block(peer, std::max(retry_after, kSuspectPause), now);
+        break;
+      }
       peer.blocked_until = std::max(peer.blocked_until, now + std::max(retry_after, BusyPause()));
       break;
     case FailureReason::kMissing:
@@ -311,7 +323,7 @@
     case FailureReason::kTimeout:
       // Deadlines grow while requests time out, so that a rate that fell everywhere does not make
       // every request fail.
-      seconds_per_byte_ *= 1.25;
+      patience_ = std::min(kMostPatience, patience_ * 1.25);
       Punish(peer, now);
       break;
     case FailureReason::kUnreachable:
--- a/src/spread/session_state.h
+++ b/src/spread/session_state.h
@@ -26,6 +26,8 @@
   /// Failed chunk requests since the last success, and failed bitmap requests.
   std::uint32_t failures = 0;
   std::uint32_t poll_failures = 0;
+  /// First refusal since the last success; the far future if there was none.
+  TimePoint refused_since = TimePoint::max();
   /// Corrupt chunks received, reduced by intact ones.
   double strikes = 0;
   std::size_t outstanding = 0;
--- a/src/spread/session_tick.cc
+++ b/src/spread/session_tick.cc
@@ -11,7 +11,7 @@
 constexpr Duration kTakeoverCheck = milliseconds(250);
 constexpr Duration kLongestTick = milliseconds(250);
 // Time in which the neighbours must have answered once before the origin is asked, so that a
-// restarted agent does not fetch what its neighbours hold.
+// restarted agent, or one that has become a fetcher, does not fetch what they hold.
 constexpr Duration kSettleTime = seconds(1);
 // In mean deviations above the mean time of a request: from the first on, the sender is suspect and
 // the request is doubled at another source; at the second it is given up. Queueing at a sender with
@@ -22,7 +22,15 @@
 constexpr double kSlowFactor = 5;
 // Chunks that a fetcher takes from the origin before a neighbour shows the first of them. A fetcher
 // whose uploads are stalled stops here, which bounds the bytes fetched in vain.
-constexpr int kUnconfirmedChunks = 16;
+// It is a part of the manifest, between 2 and 8 chunks.
+constexpr std::size_t kUnconfirmedPart = 64;
+constexpr std::size_t kMostUnconfirmed = 8;
+// A peer that has refused all requests for this time and this many times the mean time of a request
+// is suspect, so that a sole sender that is always busy is replaced.
+constexpr Duration kRefusalLimit = seconds(10);
+constexpr double kRefusalFactor = 20;
+// Requests under way to all suspect peers.
+constexpr std::size_t kSuspectRequests = 2;
 // Makes a suspect peer the last choice.
 constexpr double kSuspectCost = 1000;
 // A neighbour that offers this many wanted chunks is asked for its bitmap less often.
@@ -109,8 +117,13 @@
     Peer& peer = peers_[i];
     const bool slow =
         seconds_per_byte_ > 0 && peer.seconds_per_byte > kSlowFactor * seconds_per_byte_;
-    if (peer.failures == 0 && peer.poll_failures < 2 && !slow &&
-        (late[i / 64] >> i % 64 & 1) == 0) {
+    const bool refusing =
+        peer.refused_since < now &&
+        ToSeconds(now - peer.refused_since) >
+            std::max(ToSeconds(kRefusalLimit), kRefusalFactor * seconds_per_byte_ * mean_chunk_);
+    const bool failing = peer.failures > 0 || peer.poll_failures > 1;
+    const bool too_late = (late[i / 64] >> i % 64 & 1) != 0;
+    if (!failing && !slow && !refusing && !too_late) {
       peer.suspect_since = TimePoint::max();
     } else if (!peer.Suspect()) {
       peer.suspect_since = now;
@@ -118,16 +131,37 @@
   }
 }
 
-bool Session::Available(ChunkIndex chunk) const {
-  if (copies_[chunk] == 0) return false;
+bool Session::Available(ChunkIndex chunk, bool remote) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& peer) {
-    return peer.local && !peer.Suspect() && peer.have.Test(chunk);
+    return (peer.local || remote) && !peer.Suspect() && peer.have.Test(chunk);
+  });
+}
+
+bool Session::UnderWay(ChunkIndex chunk) const {
+  if (in_flight_[chunk] == 0) return false;
+  if (in_flight_[chunk] >= limits_.sources_per_chunk) return true;
+  return std::any_of(requests_.begin(), requests_.end(), [&](const Request& request) {
+    return request.chunk == chunk &&
+           (request.slot == kOriginSlot || !peers_[request.slot].Suspect());
   });
 }
 
 bool Session::MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const {
   if (!peer.have.Test(chunk) || now < peer.blocked_until) return false;
   if (peer.outstanding >= (peer.Suspect() ? 1 : limits_.per_peer)) return false;
+  const auto under_way = [&](auto matches) {
+    return static_cast<std::size_t>(
+        std::count_if(requests_.begin(), requests_.end(), [&](const Request& request) {
+          return request.slot != kOriginSlot && matches(peers_[request.slot]);
+        }));
+  };
+  // Behind a link that was cut, requests end only by their deadline; they must not hold the places
+  // of requests inside the region.
+  const std::size_t across = local_peers_ == 0 ? limits_.outstanding : limits_.across_regions;
+  if (!peer.local && under_way([](const Peer& p) { return !p.local; }) >= across) return false;
+  if (peer.Suspect() && under_way([](const Peer& p) { return p.Suspect(); }) >= kSuspectRequests) {
+    return false;
+  }
   return std::none_of(peer.refused.begin(), peer.refused.end(),
                       [&](const auto& entry) { return entry.first == chunk; });
 }
@@ -138,7 +172,7 @@
 }
 
 bool Session::Settled(TimePoint now) const {
-  if (now - started_at_ >= kSettleTime) return true;
+  if (now - planned_at_ >= kSettleTime) return true;
   return std::all_of(peers_.begin(), peers_.end(), [](const Peer& peer) { return peer.contacted; });
 }
 
@@ -160,13 +194,14 @@
 
 bool Session::WindowOpen() const {
   if (peers_.empty()) return true;
-  int unconfirmed = 0;
+  std::size_t unconfirmed = 0;
   for (std::size_t w = 0; w < have_.words().size(); ++w) {
     std::uint64_t own = have_.words()[w] & owned_.words()[w];
     for (const Peer& peer : peers_) own &= ~peer.have.words()[w];
-    unconfirmed += std::popcount(own);
+    unconfirmed += static_cast<std::size_t>(std::popcount(own));
   }
-  return unconfirmed < kUnconfirmedChunks;
+  return unconfirmed <
+         std::clamp<std::size_t>(have_.size() / kUnconfirmedPart, 2, kMostUnconfirmed);
 }
 
 bool Session::Owns(ChunkIndex chunk, TimePoint now) const {
@@ -228,11 +263,12 @@
   const bool origin_open = MayAskOrigin(now) && Settled(now) && WindowOpen();
   for (const ChunkIndex c : assigned_) {
     if (requests_.size() >= limits_.outstanding) return;
-    if (InFlight(c)) continue;
-    const Slot peer = BestPeer(c, now, true, true);
+    if (UnderWay(c)) continue;
+    Slot peer = BestPeer(c, now, true, false);
+    if (peer == kNoSlot && !Available(c, false)) peer = BestPeer(c, now, false, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
-    } else if (origin_open && MayAskOrigin(now) && !Available(c) && FromOrigin(c, now)) {
+    } else if (origin_open && MayAskOrigin(now) && !Available(c, true) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
     }
   }
@@ -269,12 +305,12 @@
   std::erase_if(substitute_, [&](ChunkIndex c) { return have_.Test(c); });
   for (const ChunkIndex c : substitute_) {
     if (requests_.size() >= limits_.outstanding) return;
-    if (InFlight(c) || Available(c) || !Owns(c, now)) continue;
+    if (UnderWay(c) || Available(c, false) || !Owns(c, now)) continue;
     const Slot peer = BestPeer(c, now, false, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
       ++stats_.takeovers;
-    } else if (MayAskOrigin(now) && FromOrigin(c, now)) {
+    } else if (MayAskOrigin(now) && !Available(c, true) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
       ++stats_.takeovers;
     }
@@ -289,7 +325,7 @@
   if (!MayAskOrigin(now)) return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || InFlight(c) || Available(c)) continue;
+    if (have_.Test(c) || UnderWay(c) || Available(c, true)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
@@ -309,7 +345,7 @@
     return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || InFlight(c) || Available(c)) continue;
+    if (have_.Test(c) || UnderWay(c) || Available(c, true)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
--- a/src/spread/store_budget.cc
+++ b/src/spread/store_budget.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
-constexpr Duration kLongestPause = std::chrono::seconds(15);
+constexpr Duration kLongestPause = std::chrono::seconds(5);
 
 // Up to a quarter more than the pause, so that agents refused together do not return together.
 Duration Spread(Duration pause, std::uint64_t jitter) {
--- a/src/spread/strategy.cc
+++ b/src/spread/strategy.cc
@@ -184,8 +184,8 @@
 }  // namespace
 
 std::shared_ptr<const Strategy> MakeStrategy(StrategyKind kind) {
-  // Fan-out 2 and 4 stripes: with fan-out 2 a tree's depth stays at log2 of the members, and 4
-  // stripes let each member's link carry about as much up as down.
+  // With 4 stripes of fan-out 4 each member is inner in about one tree and sends there as much as
+  // it receives in all.
   switch (kind) {
     case StrategyKind::kOriginOnly:
       return std::make_shared<OriginOnly>();
