Take additional origin copies later in time-first

Cause: an agent without a useful peer took an additional copy after 0.5 s, before the next fetcher could take over a stalled one's chunks.

--- a/src/spread/session_tick.cc
+++ b/src/spread/session_tick.cc
@@ -39,8 +39,8 @@
 }  // namespace
 
 const Session::Waiting& Session::WaitingFor(config::SpreadPolicy policy) {
-  static const Waiting kTimeFirst{seconds(3),        seconds(5),        seconds(10),
-                                  milliseconds(250), milliseconds(500), 2};
+  static const Waiting kTimeFirst{seconds(3),        seconds(5), seconds(10),
+                                  milliseconds(250), seconds(3), 2};
   static const Waiting kBytesFirst{seconds(6), seconds(30), seconds(60), seconds(2), seconds(0), 0};
   return policy == config::SpreadPolicy::kTimeFirst ? kTimeFirst : kBytesFirst;
 }
