Bound the uploads of an agent

Cause: the swarm sessions expect at most four uploads at a time; more of them finish late together. Conclusion: further requests get 429 and the session asks another peer.

--- a/src/process/agent_traffic.cc
+++ b/src/process/agent_traffic.cc
@@ -18,6 +18,7 @@
 
 constexpr Duration kManifestTimeout = std::chrono::seconds(10);
 constexpr Duration kDumpTimeout = std::chrono::seconds(2);
+constexpr std::size_t kMostUploads = 4;
 constexpr Duration kShortest = std::chrono::milliseconds(10);
 
 std::string ErrorBody(std::string_view code, std::string_view message) {
@@ -183,10 +184,23 @@
     co_await exchange.Respond(404, ErrorBody("unknown_chunk", "this agent does not hold it"));
     co_return;
   }
-  const Duration pause = upload_.Reserve(data->size(), MonotonicNow());
-  if (pause > kShortest) co_await Sleep(pause);
-  metrics_.Add(Counter::kServedChunkBytes, data->size());
-  co_await exchange.Respond(200, *data, {}, "application/octet-stream");
+  // Few uploads at a time finish early and spread at once; the rest is told to ask elsewhere.
+  if (uploads_ >= kMostUploads) {
+    co_await exchange.Respond(429, ErrorBody("busy", "enough uploads are under way"));
+    co_return;
+  }
+  ++uploads_;
+  std::exception_ptr problem;
+  try {
+    const Duration pause = upload_.Reserve(data->size(), MonotonicNow());
+    if (pause > kShortest) co_await Sleep(pause);
+    metrics_.Add(Counter::kServedChunkBytes, data->size());
+    co_await exchange.Respond(200, *data, {}, "application/octet-stream");
+  } catch (const net::NetError&) {
+    problem = std::current_exception();
+  }
+  --uploads_;
+  if (problem) std::rethrow_exception(problem);
 }
 
 Task<void> AgentTraffic::ServeHave(net::HttpExchange& exchange, std::string_view hex) {
--- a/src/process/agent_traffic.h
+++ b/src/process/agent_traffic.h
@@ -67,6 +67,7 @@
   disk::ArtifactStore store_;
   std::unique_ptr<EngineClient> engine_;
   net::HttpPool pool_;
+  std::size_t uploads_ = 0;
   RateGate upload_;
   RateGate download_;
   PostToAgent post_;
