Look only at the voters for the lease and the commit index

Cause: each acknowledgement and each proposal scanned the progress of every member, so the leader's cost grew with the square of the learners.

--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -278,6 +278,9 @@
 
   // Leader.
   std::map<ReplicaId, Progress> progress_;
+  /// The voters in progress_ without this replica. The lease and the commit index look only at
+  /// these, so that hundreds of learners cost nothing per message.
+  std::vector<std::pair<const ReplicaId*, Progress*>> voter_progress_;
   TimePoint elected_at_{};
   Index term_start_ = 0;
 
--- a/src/agreement/replica_election.cc
+++ b/src/agreement/replica_election.cc
@@ -55,6 +55,7 @@
   echo_ = TimePoint{};
   acknowledgement_due_ = false;
   progress_.clear();
+  voter_progress_.clear();
   votes_.clear();
   ResetElectionDeadline(now, config_.election_min, config_.election_max);
 }
@@ -151,9 +152,7 @@
   std::vector<TimePoint> contacts;
   contacts.reserve(membership_.voter_count());
   if (membership_.IsVoter(config_.id)) contacts.push_back(now);
-  for (const auto& [id, progress] : progress_) {
-    if (progress.voter) contacts.push_back(progress.contact);
-  }
+  for (const auto& [id, progress] : voter_progress_) contacts.push_back(progress->contact);
   const std::size_t quorum = membership_.quorum();
   if (contacts.size() < quorum) return TimePoint::min();
   std::nth_element(contacts.begin(), contacts.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
--- a/src/agreement/replica_membership.cc
+++ b/src/agreement/replica_membership.cc
@@ -67,12 +67,14 @@
 }
 
 void Replica::RefreshProgress() {
+  voter_progress_.clear();
   std::erase_if(progress_, [this](const auto& row) { return !membership_.Role(row.first); });
   for (const auto& [id, role] : membership_.members()) {
     if (id == config_.id) continue;
     const auto [it, added] = progress_.try_emplace(id);
     it->second.voter = role == MemberRole::kVoter;
     if (added) it->second.next = (it->second.voter ? log_.last() : commit_) + 1;
+    if (it->second.voter) voter_progress_.emplace_back(&it->first, &it->second);
   }
 }
 
--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -123,7 +123,7 @@
     progress.state = SendState::kProbe;
   }
   progress.probe_sent = false;
-  MaybeCommit(now);
+  if (progress.voter) MaybeCommit(now);
   // A commit may have removed this replica, which ends its leadership, or the sender.
   if (role_ != Role::kLeader || !progress_.contains(m.from)) return;
   const Index limit = progress.voter ? log_.last() : commit_;
@@ -133,9 +133,9 @@
 }
 
 void Replica::Broadcast(TimePoint now) {
-  for (auto& [id, progress] : progress_) {
-    if (progress.voter && !progress.probe_sent && progress.state != SendState::kSnapshot) {
-      SendAppend(id, progress, now);
+  for (const auto& [id, progress] : voter_progress_) {
+    if (!progress->probe_sent && progress->state != SendState::kSnapshot) {
+      SendAppend(*id, *progress, now);
     }
   }
   MaybeCommit(now);
@@ -188,9 +188,7 @@
   std::vector<Index> matches;
   matches.reserve(membership_.voter_count());
   if (membership_.IsVoter(config_.id)) matches.push_back(persisted_);
-  for (const auto& [id, progress] : progress_) {
-    if (progress.voter) matches.push_back(progress.match);
-  }
+  for (const auto& [id, progress] : voter_progress_) matches.push_back(progress->match);
   const std::size_t quorum = membership_.quorum();
   if (matches.size() < quorum) return;
   std::nth_element(matches.begin(), matches.begin() + static_cast<std::ptrdiff_t>(quorum - 1),
@@ -204,9 +202,7 @@
   if (committed_change_ != change) {
     // Until another voter knows of the change, the loss of this replica's disk would leave the
     // others with the old quorum.
-    for (auto& [id, progress] : progress_) {
-      if (progress.voter) SendAppend(id, progress, now);
-    }
+    for (const auto& [id, progress] : voter_progress_) SendAppend(*id, *progress, now);
   }
   if (!membership_.IsVoter(config_.id)) {
     BecomeFollower(term_, std::nullopt, now);
