Add parameterised tests of the agreement rules

Cause: votes, conflicts, membership changes and acknowledgements were only covered by random runs, which don't name the rule that a change broke. Conclusion: each row names the failure that it guards against.

--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -90,10 +90,102 @@
 
 const std::vector<ReplicaId> kThree = {Id("a"), Id("b"), Id("c")};
 
+PersistentState StateWithTerms(const std::vector<Term>& terms, Term term) {
+  PersistentState state = BootstrapState(kThree);
+  state.hard_state.term = term;
+  for (const Term t : terms) {
+    state.entries.push_back({state.entries.size() + 1, t, EntryKind::kCommand, "t"});
+  }
+  return state;
+}
+
+Replica MakeReplica(const ReplicaId& id, PersistentState state, TimePoint now) {
+  ReplicaConfig config;
+  config.id = id;
+  return Replica(config, std::move(state), 1, now);
+}
+
+template <typename T>
+const T* FindMessage(const Effects& effects) {
+  for (const Message& m : effects.messages) {
+    if (const T* body = std::get_if<T>(&m.body)) return body;
+  }
+  return nullptr;
+}
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr TimePoint kLater = kStart + std::chrono::milliseconds(1001);
+
+// The receiver is in term 3 with six entries, the last of term 3, and nothing heard since kStart.
+struct VoteRow {
+  const char* guards;
+  bool pre_vote;
+  Term term;
+  Index last_index;
+  Term last_term;
+  bool voted_for_other;
+  TimePoint now;
+  bool granted;
+  Term term_after;
+};
+constexpr VoteRow kVoteRows[] = {
+    {"a candidate with the same log is elected", false, 4, 6, 3, false, kLater, true, 4},
+    {"a longer log of an older term loses committed entries", false, 4, 9, 2, false, kLater, false,
+     4},
+    {"a shorter log loses committed entries", false, 4, 5, 3, false, kLater, false, 4},
+    {"two votes in one term", false, 3, 6, 3, true, kLater, false, 3},
+    {"a vote in an old term", false, 2, 6, 3, false, kLater, false, 3},
+    {"a vote while a lease may hold", false, 4, 6, 3, false, kStart, false, 3},
+    {"a pre-vote while a lease may hold", true, 4, 6, 3, false, kStart, false, 3},
+    {"a pre-vote must not move the term", true, 4, 6, 3, true, kLater, true, 3},
+    {"a pre-vote for the current term", true, 3, 6, 3, false, kLater, false, 3},
+};
+
+// Terms of the entries after the three initial ones: the leader's and a follower's.
+struct ConflictRow {
+  const char* guards;
+  std::vector<Term> leader;
+  std::vector<Term> follower;
+};
+const ConflictRow kConflictRows[] = {
+    {"missing entries", {2, 2, 3, 3}, {2}},
+    {"an empty follower", {2, 2, 3, 3}, {}},
+    {"extra entries of an old term", {2, 3}, {2, 2, 2, 2, 2}},
+    {"extra entries of several terms", {2, 5, 5}, {2, 3, 3, 4, 4, 4}},
+    {"other terms in between", {2, 2, 4, 4, 5}, {2, 2, 3, 3, 3, 3, 3}},
+};
+
+struct ChangeRow {
+  const char* guards;
+  ChangeKind kind;
+  ReplicaId id;
+  ProposeStatus status;
+};
+const ChangeRow kChangeRows[] = {
+    {"a voter without history", ChangeKind::kAddVoter, Id("d"), ProposeStatus::kNotCaughtUp},
+    {"promotion of a stranger", ChangeKind::kPromote, Id("d"), ProposeStatus::kUnknownMember},
+    {"a second copy of a member", ChangeKind::kAddStandby, Id("a"), ProposeStatus::kAlreadyMember},
+    {"removal of a stranger", ChangeKind::kRemove, Id("a", 2), ProposeStatus::kUnknownMember},
+    {"a new incarnation may join", ChangeKind::kAddStandby, Id("a", 2), ProposeStatus::kAccepted},
+    {"a learner without a disk may not vote", ChangeKind::kPromote, Id("l"),
+     ProposeStatus::kNotCaughtUp},
+};
+
 class AgreementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AgreementTest);
   CPPUNIT_TEST(ElectsAndReplicates);
   CPPUNIT_TEST(IsolatedLeaderStopsBeforeItsSuccessor);
+  CPPUNIT_TEST(VotesFollowTheTable);
+  CPPUNIT_TEST(ConflictsAreResolved);
+  CPPUNIT_TEST(ChangesFollowTheTable);
+  CPPUNIT_TEST(FollowerAcknowledgesOnlySyncedEntries);
+  CPPUNIT_TEST(LateSyncOfATruncatedWriteCountsNothing);
+  CPPUNIT_TEST(OldTermEchoDoesNotRenewTheLease);
+  CPPUNIT_TEST(MessagesToAnOldIncarnationAreDropped);
+  CPPUNIT_TEST(CommittedEntriesAreNeverTruncated);
+  CPPUNIT_TEST(PromotedStandbyCountsAfterTheCommit);
+  CPPUNIT_TEST(SnapshotArrivesInParts);
+  CPPUNIT_TEST(RestartKeepsTheCommittedVoters);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -119,6 +211,182 @@
     CPPUNIT_ASSERT(!old->HasLease(group.now_));
     CPPUNIT_ASSERT(old->Propose("y", group.now_).status != ProposeStatus::kAccepted);
   }
+
+  void VotesFollowTheTable() {
+    for (const VoteRow& row : kVoteRows) {
+      PersistentState state = StateWithTerms({2, 2, 3}, 3);
+      if (row.voted_for_other) state.hard_state.vote = Id("c");
+      Replica replica = MakeReplica(Id("a"), std::move(state), kStart);
+      const Effects effects = replica.Step(
+          {Id("b"), Id("a"), row.term, VoteRequest{row.pre_vote, row.last_index, row.last_term}},
+          row.now);
+      const auto* reply = FindMessage<VoteReply>(effects);
+      CPPUNIT_ASSERT_MESSAGE(row.guards, reply != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.granted, reply->granted);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.term_after, replica.term());
+      // The vote is saved before the reply may be sent.
+      const bool saved = effects.hard_state && effects.hard_state->vote == Id("b");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.granted && !row.pre_vote, saved);
+    }
+  }
+
+  void ConflictsAreResolved() {
+    for (const ConflictRow& row : kConflictRows) {
+      Group group({});
+      // Only a and b run, so the candidate with the newer log wins.
+      group.Add(Id("a"), StateWithTerms(row.leader, 5));
+      group.Add(Id("b"), StateWithTerms(row.follower, 5));
+      group.Run(milliseconds(4000));
+      CPPUNIT_ASSERT_MESSAGE(row.guards, group.Leader() == &group[Id("a")]);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.leader.size() + 4,
+                                   static_cast<std::size_t>(group[Id("b")].commit_index()));
+      CPPUNIT_ASSERT_MESSAGE(row.guards, group.committed_[Id("a")] == group.committed_[Id("b")]);
+      CPPUNIT_ASSERT_MESSAGE(row.guards, group[Id("b")].counters().append_conflicts <= 3);
+    }
+  }
+
+  void ChangesFollowTheTable() {
+    for (const ChangeRow& row : kChangeRows) {
+      Group group(kThree);
+      group.Run(milliseconds(3000));
+      CPPUNIT_ASSERT(group.Change(ChangeKind::kAddLearner, Id("l")) == ProposeStatus::kAccepted);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.guards, std::string(kProposeStatuses.Name(row.status)),
+          std::string(kProposeStatuses.Name(group.Change(row.kind, row.id))));
+    }
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    Replica& leader = *group.Leader();
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kRemove, leader.id()) == ProposeStatus::kRemovesLeader);
+    const ReplicaId other = leader.id() == Id("a") ? Id("b") : Id("a");
+    const ReplicaId third = leader.id() == Id("c") ? Id("b") : Id("c");
+    group.isolated_.insert(third);
+    group.Run(milliseconds(500));
+    // Without the other voter only the leader and a silent voter would be left.
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kRemove, other) == ProposeStatus::kQuorumAtRisk);
+    auto first = leader.ChangeMembership({ChangeKind::kRemove, third}, group.now_);
+    CPPUNIT_ASSERT(first.status == ProposeStatus::kAccepted);
+    CPPUNIT_ASSERT(leader.ChangeMembership({ChangeKind::kRemove, other}, group.now_).status ==
+                   ProposeStatus::kChangePending);
+  }
+
+  // Guards against an acknowledged entry that a power failure can still lose.
+  void FollowerAcknowledgesOnlySyncedEntries() {
+    Replica replica = MakeReplica(Id("a"), StateWithTerms({}, 1), kStart);
+    const Effects first = replica.Step(Append(2, 3, 1, {2, 2}, 5), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.append.size());
+    CPPUNIT_ASSERT(FindMessage<AppendReply>(first) == nullptr);
+    const Effects heartbeat = replica.Step(Append(2, 5, 2, {}, 5), kStart);
+    CPPUNIT_ASSERT_EQUAL(Index{3}, FindMessage<AppendReply>(heartbeat)->match);
+    const Effects synced = replica.Persisted(first.write, kStart);
+    CPPUNIT_ASSERT_EQUAL(Index{5}, FindMessage<AppendReply>(synced)->match);
+  }
+
+  void LateSyncOfATruncatedWriteCountsNothing() {
+    Replica replica = MakeReplica(Id("a"), StateWithTerms({}, 1), kStart);
+    const Effects old = replica.Step(Append(2, 3, 1, {2, 2}, 3), kStart);
+    const Effects replaced = replica.Step(Append(3, 3, 1, {3}, 3, Id("c")), kStart);
+    CPPUNIT_ASSERT(replaced.truncate_from == Index{4});
+    CPPUNIT_ASSERT_EQUAL(Index{3},
+                         FindMessage<AppendReply>(replica.Persisted(old.write, kStart))->match);
+    CPPUNIT_ASSERT_EQUAL(
+        Index{4}, FindMessage<AppendReply>(replica.Persisted(replaced.write, kStart))->match);
+  }
+
+  // Found by random run seed 1323.
+  void OldTermEchoDoesNotRenewTheLease() {
+    Replica replica = MakeReplica(Id("a"), StateWithTerms({3}, 3), kStart);
+    const Effects effects = replica.Step(Append(2, 3, 1, {}, 3), kStart);
+    const auto* reply = FindMessage<AppendReply>(effects);
+    CPPUNIT_ASSERT(!reply->success);
+    CPPUNIT_ASSERT(reply->sent_at == TimePoint::min());
+    CPPUNIT_ASSERT_EQUAL(Term{3}, effects.messages[0].term);
+  }
+
+  void MessagesToAnOldIncarnationAreDropped() {
+    Replica replica = MakeReplica(Id("a", 2), {}, kStart);
+    const Effects effects =
+        replica.Step({Id("b"), Id("a", 1), 9, VoteRequest{false, 100, 8}}, kLater);
+    CPPUNIT_ASSERT(effects.messages.empty() && !effects.hard_state);
+    CPPUNIT_ASSERT_EQUAL(Term{0}, replica.term());
+  }
+
+  void CommittedEntriesAreNeverTruncated() {
+    Replica replica = MakeReplica(Id("a"), StateWithTerms({2, 2}, 2), kStart);
+    replica.Step(Append(2, 5, 2, {}, 5), kStart);
+    CPPUNIT_ASSERT_EQUAL(Index{5}, replica.commit_index());
+    CPPUNIT_ASSERT_THROW(replica.Step(Append(3, 3, 1, {3}, 3, Id("c")), kStart),
+                         InvariantViolation);
+  }
+
+  void PromotedStandbyCountsAfterTheCommit() {
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kAddStandby, Id("d")) == ProposeStatus::kAccepted);
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kPromote, Id("d")) == ProposeStatus::kNotCaughtUp);
+    group.Add(Id("d"), {});
+    group.Run(milliseconds(1000));
+    Replica& leader = *group.Leader();
+    auto result = leader.ChangeMembership({ChangeKind::kPromote, Id("d")}, group.now_);
+    CPPUNIT_ASSERT(result.status == ProposeStatus::kAccepted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, leader.membership().voter_count());
+    group.Take(leader.id(), std::move(result.effects));
+    group.Deliver();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, leader.membership().voter_count());
+  }
+
+  void SnapshotArrivesInParts() {
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    for (int i = 0; i < 20; ++i) group.Propose("x");
+    Replica& leader = *group.Leader();
+    std::string state;
+    for (int i = 0; i < 4500; ++i) state.push_back(static_cast<char>('a' + i % 26));
+    leader.Compact(leader.commit_index(), state);
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kAddStandby, Id("d")) == ProposeStatus::kAccepted);
+    group.Add(Id("d"), {});
+    group.Run(milliseconds(1500));
+    CPPUNIT_ASSERT(group.installed_.contains(Id("d")));
+    CPPUNIT_ASSERT_EQUAL(state, group.installed_[Id("d")]->data);
+    CPPUNIT_ASSERT_EQUAL(leader.commit_index(), group[Id("d")].commit_index());
+    CPPUNIT_ASSERT(group[Id("d")].membership() == leader.membership());
+  }
+
+  // Guards against a restarted replica that waits for voters that were replaced.
+  void RestartKeepsTheCommittedVoters() {
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    Replica& leader = *group.Leader();
+    const ReplicaId removed = leader.id() == Id("a") ? Id("b") : Id("a");
+    std::optional<HardState> saved;
+    auto result = leader.ChangeMembership({ChangeKind::kRemove, removed}, group.now_);
+    group.Take(leader.id(), std::move(result.effects));
+    const ReplicaId third = leader.id() == Id("c") ? Id("b") : Id("c");
+    while (!group.queue_.empty()) {
+      const Message m = group.queue_.front();
+      group.queue_.pop_front();
+      Effects effects = group[m.to].Step(m, group.now_);
+      if (m.to == third && effects.hard_state) saved = effects.hard_state;
+      group.Take(m.to, std::move(effects));
+    }
+    CPPUNIT_ASSERT(saved && saved->commit == group[third].commit_index());
+    PersistentState state{*saved, nullptr, {}};
+    for (Index i = 1; i <= group[third].last_index(); ++i) {
+      state.entries.push_back(group[third].log().At(i));
+    }
+    const Replica restarted = MakeReplica(third, std::move(state), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restarted.membership().voter_count());
+  }
+
+ private:
+  static Message Append(Term term, Index prev, Term prev_term, const std::vector<Term>& terms,
+                        Index commit, const ReplicaId& from = Id("b")) {
+    auto entries = std::make_shared<std::vector<Entry>>();
+    for (const Term t : terms) {
+      entries->push_back({prev + entries->size() + 1, t, EntryKind::kCommand, "t"});
+    }
+    return {from, Id("a"), term, AppendRequest{prev, prev_term, entries, commit, TimePoint{}}};
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AgreementTest);
 
