Ask the voters before a change of the voters is proposed

Cause:: a standby and a voter lost their disks within the 300 ms in which their last answers still counted, and the promotion of the lost standby left two of four voters.

The leader asks again and proposes when a majority of the voters after the change, and the promoted standby, have answered the new request; otherwise the change is dropped after two heartbeats. Conclusion: the window shrinks from 300 ms to one round trip.

--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -76,6 +76,7 @@
 /// Answer to a proposal or a membership change.
 enum class ProposeStatus {
   kAccepted,
+  kConfirming,  ///< The change is proposed when a majority of the voters after it has answered.
   kNotLeader,
   kNoLease,
   kTooLarge,
@@ -88,8 +89,9 @@
   kRemovesLeader,  ///< The leader leaves only after StepDown, by its successor's change.
   kQuorumAtRisk,   ///< Too few of the voters after the change answer.
 };
-inline constexpr EnumTable<ProposeStatus, 12> kProposeStatuses{{{
+inline constexpr EnumTable<ProposeStatus, 13> kProposeStatuses{{{
     {ProposeStatus::kAccepted, "accepted"},
+    {ProposeStatus::kConfirming, "confirming"},
     {ProposeStatus::kNotLeader, "not-leader"},
     {ProposeStatus::kNoLease, "no-lease"},
     {ProposeStatus::kTooLarge, "too-large"},
@@ -144,7 +146,9 @@
   ProposeResult ProposeBatch(std::vector<std::string> batch, TimePoint now);
   /// The write with this number, and all before it, are synced.
   Effects Persisted(std::uint64_t write, TimePoint now);
-  /// Proposes a change. Changes of the voters go one at a time.
+  /// Proposes a change. Changes of the voters go one at a time, and only after a majority of the
+  /// voters after the change has answered a new request: a voter or standby that stopped a moment
+  /// ago must not be counted on.
   ProposeResult ChangeMembership(const MembershipChange& change, TimePoint now);
   /// Gives up leadership and does not campaign for twice the longest election timeout, so that
   /// another voter leads. For a planned stop.
@@ -231,7 +235,9 @@
   bool ChangesVoters(const MembershipChange& change) const;
   void ApplyPendingChange();
   MembershipChange ChangeAt(Index index) const;
-  bool KeepsQuorum(const MembershipChange& change, TimePoint now) const;
+  bool KeepsQuorum(const MembershipChange& change, TimePoint since) const;
+  void ProposeChange(const MembershipChange& change, TimePoint now);
+  void ContinueChange(TimePoint now);
   ProposeStatus CheckChange(const MembershipChange& change, TimePoint now) const;
 
   void Send(const ReplicaId& to, MessageBody body);
@@ -283,6 +289,7 @@
   std::vector<std::pair<const ReplicaId*, Progress*>> voter_progress_;
   TimePoint elected_at_{};
   Index term_start_ = 0;
+  std::optional<std::pair<MembershipChange, TimePoint>> confirming_;
 
   Effects out_;
   ReplicaCounters counters_;
--- a/src/agreement/replica_election.cc
+++ b/src/agreement/replica_election.cc
@@ -56,6 +56,7 @@
   acknowledgement_due_ = false;
   progress_.clear();
   voter_progress_.clear();
+  confirming_.reset();
   votes_.clear();
   ResetElectionDeadline(now, config_.election_min, config_.election_max);
 }
--- a/src/agreement/replica_membership.cc
+++ b/src/agreement/replica_membership.cc
@@ -78,17 +78,17 @@
   }
 }
 
-bool Replica::KeepsQuorum(const MembershipChange& change, TimePoint now) const {
+bool Replica::KeepsQuorum(const MembershipChange& change, TimePoint since) const {
   Membership after = membership_;
   after.Apply(change);
-  // A voter that stopped within the last two heartbeats cannot be told from one that answers.
-  const Duration fresh = 2 * config_.heartbeat;
   std::size_t answering = after.IsVoter(config_.id) ? 1 : 0;
+  bool promoted_answers = change.kind != ChangeKind::kPromote;
   for (const auto& [id, progress] : progress_) {
-    const bool recent = progress.contact != TimePoint::min() && now < progress.contact + fresh;
-    if (recent && after.IsVoter(id)) ++answering;
+    if (progress.contact < since || !after.IsVoter(id)) continue;
+    ++answering;
+    promoted_answers = promoted_answers || id == change.id;
   }
-  return answering >= after.quorum();
+  return promoted_answers && answering >= after.quorum();
 }
 
 ProposeStatus Replica::CheckChange(const MembershipChange& change, TimePoint now) const {
@@ -126,7 +126,8 @@
       // A voter without a learner's history could take part in a majority that knows nothing.
       return ProposeStatus::kNotCaughtUp;
   }
-  return KeepsQuorum(change, now) ? ProposeStatus::kAccepted : ProposeStatus::kQuorumAtRisk;
+  return KeepsQuorum(change, now - config_.lease) ? ProposeStatus::kAccepted
+                                                  : ProposeStatus::kQuorumAtRisk;
 }
 
 ProposeResult Replica::ChangeMembership(const MembershipChange& change, TimePoint now) {
@@ -135,11 +136,38 @@
   if (result.status != ProposeStatus::kAccepted) return result;
   result.first_index = log_.last() + 1;
   result.term = term_;
+  if (!ChangesVoters(change) || KeepsQuorum(change, now)) {
+    ProposeChange(change, now);
+    result.effects = TakeEffects();
+    return result;
+  }
+  if (confirming_ && now < confirming_->second + 2 * config_.heartbeat) {
+    result.status =
+        confirming_->first == change ? ProposeStatus::kConfirming : ProposeStatus::kChangePending;
+    return result;
+  }
+  result.status = ProposeStatus::kConfirming;
+  result.first_index = 0;
+  confirming_.emplace(change, now);
+  for (auto& [id, progress] : progress_) {
+    if (progress.voter || id == change.id) SendAppend(id, progress, now);
+  }
+  result.effects = TakeEffects();
+  return result;
+}
+
+void Replica::ProposeChange(const MembershipChange& change, TimePoint now) {
   AppendEntry(EntryKind::kMembership, EncodeChange(change));
   RefreshProgress();
   Broadcast(now);
-  result.effects = TakeEffects();
-  return result;
+}
+
+void Replica::ContinueChange(TimePoint now) {
+  const auto [change, since] = *confirming_;
+  const bool expired = now >= since + 2 * config_.heartbeat;
+  if (!expired && !KeepsQuorum(change, since)) return;
+  confirming_.reset();
+  if (!expired && CheckChange(change, now) == ProposeStatus::kAccepted) ProposeChange(change, now);
 }
 
 std::optional<MembershipChange> Replica::PlanRepair(std::size_t target_voters, Duration dead_after,
--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -124,6 +124,7 @@
   }
   progress.probe_sent = false;
   if (progress.voter) MaybeCommit(now);
+  if (confirming_ && role_ == Role::kLeader) ContinueChange(now);
   // A commit may have removed this replica, which ends its leadership, or the sender.
   if (role_ != Role::kLeader || !progress_.contains(m.from)) return;
   const Index limit = progress.voter ? log_.last() : commit_;
