--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -219,6 +219,9 @@
   void Truncate(Index from);
   void Broadcast(TimePoint now);
   void SendAppend(const ReplicaId& to, Progress& progress, TimePoint now);
+  bool HasRoom(const Progress& progress) const {
+    return progress.next - progress.match <= config_.max_unacknowledged;
+  }
   void FeedMember(const ReplicaId& to, Progress& progress, TimePoint now);
   void MaybeCommit(TimePoint now);
   void CommitTo(Index index);
--- a/src/agreement/replica_replication.cc
+++ b/src/agreement/replica_replication.cc
@@ -128,14 +128,16 @@
   // A commit may have removed this replica, which ends its leadership, or the sender.
   if (role_ != Role::kLeader || !progress_.contains(m.from)) return;
   const Index limit = progress.voter ? log_.last() : commit_;
-  if (progress.state != SendState::kSnapshot && progress.next <= limit) {
+  // A full window is not answered: a request without entries would draw the next reply at once, and
+  // each duplicated message would add another such exchange.
+  if (progress.state != SendState::kSnapshot && progress.next <= limit && HasRoom(progress)) {
     SendAppend(m.from, progress, now);
   }
 }
 
 void Replica::Broadcast(TimePoint now) {
   for (const auto& [id, progress] : voter_progress_) {
-    if (!progress->probe_sent && progress->state != SendState::kSnapshot) {
+    if (!progress->probe_sent && progress->state != SendState::kSnapshot && HasRoom(*progress)) {
       SendAppend(*id, *progress, now);
     }
   }
@@ -165,10 +167,9 @@
   // While a snapshot is sent, the request only renews the lease: position 0 always matches.
   if (progress.state != SendState::kSnapshot) {
     const Index limit = progress.voter ? log_.last() : commit_;
-    const bool room = progress.next - progress.match <= config_.max_unacknowledged;
     request.prev_index = progress.next - 1;
     request.prev_term = log_.TermAt(request.prev_index);
-    if (room) {
+    if (HasRoom(progress)) {
       request.entries =
           log_.Slice(progress.next, limit, config_.max_batch_entries, config_.max_batch_bytes);
     }
--- a/tools/simulation/cluster.cc
+++ b/tools/simulation/cluster.cc
@@ -191,13 +191,13 @@
   if (to == positions_.end()) return;
   ++messages_;
   if (cuts_.contains({from, to->second}) || random_.Chance(options_.drop)) return;
-  const int copies = random_.Chance(options_.duplicate) ? 2 : 1;
-  for (int copy = 0; copy < copies; ++copy) {
+  const auto deliver = [&](agreement::Message sent) {
     Duration delay = random_.Between(options_.delay_min, options_.delay_max);
     if (random_.Chance(options_.late)) delay = random_.Between(delay, options_.late_max);
-    agreement::Message sent = copy + 1 < copies ? message : std::move(message);
     Schedule(now_ + delay, {EventKind::kMessage, to->second, 0, 0, std::move(sent)});
-  }
+  };
+  if (random_.Chance(options_.duplicate)) deliver(message);
+  deliver(std::move(message));
 }
 
 void Cluster::Apply(std::size_t i, const agreement::Effects& effects) {
