--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -41,8 +41,8 @@
   Duration election_min = std::chrono::seconds(1);
   Duration election_max = std::chrono::seconds(2);
   /// Time until a candidate without a majority tries again.
-  Duration retry_min = std::chrono::milliseconds(150);
-  Duration retry_max = std::chrono::milliseconds(450);
+  Duration retry_min = std::chrono::milliseconds(100);
+  Duration retry_max = std::chrono::milliseconds(300);
   std::size_t max_batch_entries = 1024;
   std::size_t max_batch_bytes = 1024UL * 1024;
   /// Entries sent to a member and not yet acknowledged.
