Test three faults that random runs found by name

Cause: the seeds take other paths after later changes, so they no longer reach the faults that they found. Conclusion: each fault has a test that doesn't depend on a seed.

--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -187,6 +187,9 @@
   CPPUNIT_TEST(PromotedStandbyCountsAfterTheCommit);
   CPPUNIT_TEST(SnapshotArrivesInParts);
   CPPUNIT_TEST(RestartKeepsTheCommittedVoters);
+  CPPUNIT_TEST(RecoveredEntriesDoNotFollowASnapshot);
+  CPPUNIT_TEST(LateSnapshotReplyIsCorrected);
+  CPPUNIT_TEST(FullWindowSendsNothing);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -397,6 +400,58 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, restarted.membership().voter_count());
   }
 
+  // Found by random run seed 100484.
+  void RecoveredEntriesDoNotFollowASnapshot() {
+    PersistentState state = StateWithTerms({2}, 2);
+    state.hard_state.commit = 3;
+    Replica replica = MakeReplica(Id("a"), std::move(state), kStart);
+    SnapshotPart part;
+    part.index = 10;
+    part.index_term = 2;
+    const Effects effects = replica.Step({Id("b"), Id("a"), 2, part}, kStart);
+    CPPUNIT_ASSERT(effects.install);
+    CPPUNIT_ASSERT(effects.committed.empty());
+  }
+
+  // Found by random run seed 10000199: the transfer stopped for ever.
+  void LateSnapshotReplyIsCorrected() {
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    for (int i = 0; i < 20; ++i) group.Propose("x");
+    Replica& leader = *group.Leader();
+    leader.Compact(leader.commit_index(), std::string(4500, 's'));
+    CPPUNIT_ASSERT(group.Change(ChangeKind::kAddStandby, Id("d")) == ProposeStatus::kAccepted);
+    group.Run(milliseconds(100));
+    const SnapshotReply late{leader.snapshot()->index, 3000, TimePoint{}};
+    // The standby's log is empty, so its first answer starts the transfer.
+    AppendReply empty;
+    empty.prev_index = leader.progress(Id("d"))->next - 1;
+    leader.Step({Id("d"), leader.id(), leader.term(), empty}, group.now_);
+    CPPUNIT_ASSERT(leader.progress(Id("d"))->state == SendState::kSnapshot);
+    leader.Step({Id("d"), leader.id(), leader.term(), late}, group.now_);
+    group.Add(Id("d"), {});
+    group.Run(milliseconds(3000));
+    CPPUNIT_ASSERT(group.installed_.contains(Id("d")));
+  }
+
+  // Guards against an exchange of empty messages, which duplicates multiply.
+  void FullWindowSendsNothing() {
+    Group group(kThree);
+    group.Run(milliseconds(3000));
+    Replica& leader = *group.Leader();
+    const ReplicaId other = leader.id() == Id("a") ? Id("b") : Id("a");
+    const Index match = leader.progress(other)->match;
+    for (int i = 0; i < 5; ++i) {
+      leader.ProposeBatch(std::vector<std::string>(1000, "x"), group.now_);
+    }
+    AppendReply reply;
+    reply.success = true;
+    reply.match = reply.prev_index = match;
+    reply.sent_at = group.now_;
+    const Effects effects = leader.Step({other, leader.id(), leader.term(), reply}, group.now_);
+    CPPUNIT_ASSERT(effects.messages.empty());
+  }
+
  private:
   static Message Append(Term term, Index prev, Term prev_term, const std::vector<Term>& terms,
                         Index commit, const ReplicaId& from = Id("b")) {
