--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -190,6 +190,7 @@
   CPPUNIT_TEST(RecoveredEntriesDoNotFollowASnapshot);
   CPPUNIT_TEST(LateSnapshotReplyIsCorrected);
   CPPUNIT_TEST(FullWindowSendsNothing);
+  CPPUNIT_TEST(EntriesOfOldTermsWaitForTheOwnTerm);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -452,6 +453,23 @@
     CPPUNIT_ASSERT(effects.messages.empty());
   }
 
+  // Guards against committing an entry of an old term that a later leader may still replace.
+  void EntriesOfOldTermsWaitForTheOwnTerm() {
+    Replica replica = MakeReplica(Id("a"), StateWithTerms({2, 2}, 3), kStart);
+    const TimePoint late = kStart + std::chrono::seconds(3);
+    replica.Tick(late);
+    replica.Step({Id("b"), Id("a"), 4, VoteReply{true, true}}, late);
+    const Effects won = replica.Step({Id("b"), Id("a"), 4, VoteReply{false, true}}, late);
+    CPPUNIT_ASSERT(replica.role() == Role::kLeader);
+    replica.Persisted(won.write, late);
+    AppendReply reply{.success = true, .match = 5, .prev_index = 5, .sent_at = late};
+    replica.Step({Id("b"), Id("a"), 4, reply}, late);
+    CPPUNIT_ASSERT_EQUAL(Index{0}, replica.commit_index());
+    reply.match = reply.prev_index = 6;
+    replica.Step({Id("b"), Id("a"), 4, reply}, late);
+    CPPUNIT_ASSERT_EQUAL(Index{6}, replica.commit_index());
+  }
+
  private:
   static Message Append(Term term, Index prev, Term prev_term, const std::vector<Term>& terms,
                         Index commit, const ReplicaId& from = Id("b")) {
--- a/tools/random_run/faults.cc
+++ b/tools/random_run/faults.cc
@@ -13,6 +13,8 @@
     {"restart", 12, &FaultInjector::RestartOne},
     {"freeze", 5, &FaultInjector::FreezeOne},
     {"disk-loss", 5, &FaultInjector::LoseOneDisk},
+    {"crash-all", 3, &FaultInjector::CrashAll},
+    {"cut-from-leader", 6, &FaultInjector::CutFromLeader},
     {"cut-one-way", 4, &FaultInjector::CutOneWay},
     {"cut-both-ways", 4, &FaultInjector::CutBothWays},
     {"isolate", 3, &FaultInjector::IsolateOne},
@@ -45,6 +47,24 @@
   ++counts_["crash"];
 }
 
+void FaultInjector::CrashAll() {
+  // A power failure: what was not synced anywhere is lost everywhere.
+  for (std::size_t i = 0; i < cluster_.size(); ++i) {
+    cluster_.Crash(i);
+    if (cluster_.random().Chance(0.8)) cluster_.Restart(i);
+  }
+  ++counts_["crash-all"];
+}
+
+void FaultInjector::CutFromLeader() {
+  // The other voters still hear both sides, so a wrong vote gives two leaders.
+  const auto leader = cluster_.Leader();
+  if (!leader) return;
+  cluster_.CutBoth(*leader, Any());
+  next_ = cluster_.now() + std::chrono::milliseconds(2500);
+  ++counts_["cut-from-leader"];
+}
+
 void FaultInjector::RestartOne() {
   for (std::size_t i = 0; i < cluster_.size(); ++i) {
     if (cluster_.up(i) || cluster_.random().Chance(0.3)) continue;
--- a/tools/random_run/faults.h
+++ b/tools/random_run/faults.h
@@ -25,6 +25,8 @@
   void RestartOne();
   void FreezeOne();
   void LoseOneDisk();
+  void CrashAll();
+  void CutFromLeader();
   void CutOneWay();
   void CutBothWays();
   void IsolateOne();
