Check a new leader only against entries of earlier terms

Cause:: a frozen replica thawed and won term 2 from late replies while term 3 had committed an entry. The trace shows that it had no lease and could commit nothing, and the protocol allows it; the check asked for entries that were committed after the term began.

The check now compares with the entries committed in earlier terms.

--- a/tools/simulation/checker.cc
+++ b/tools/simulation/checker.cc
@@ -4,8 +4,9 @@
 
 namespace wagtailslip::simulation {
 
-void Checker::Applied(const std::string& replica, const agreement::Entry& entry,
+void Checker::Applied(const agreement::Replica& applier, const agreement::Entry& entry,
                       std::uint64_t hash) {
+  const std::string replica = applier.id().Text();
   const std::uint64_t data_hash = Hash64(entry.data, static_cast<std::uint64_t>(entry.kind));
   if (entry.index <= log_.size()) {
     const Row& row = log_[entry.index - 1];
@@ -18,7 +19,7 @@
     throw CheckFailed(replica + " applied index " + std::to_string(entry.index) +
                       " before any replica applied " + std::to_string(log_.size() + 1));
   }
-  log_.push_back({entry.term, data_hash, hash});
+  log_.push_back({entry.term, data_hash, hash, applier.term()});
   if (entry.kind == agreement::EntryKind::kMembership) {
     membership_.Apply(*agreement::DecodeChange(entry.data));
   }
@@ -46,7 +47,8 @@
     throw CheckFailed("term " + std::to_string(replica.term()) + " has leaders " +
                       row->second.Text() + " and " + replica.id().Text());
   }
-  const agreement::Index last = log_.size();
+  agreement::Index last = log_.size();
+  while (last > 0 && log_[last - 1].committed_in >= replica.term()) --last;
   if (last == 0) return;
   const bool complete =
       replica.last_index() >= last &&
