--- a/tools/simulation/cluster_faults.cc
+++ b/tools/simulation/cluster_faults.cc
@@ -133,6 +133,11 @@
                      std::to_string(static_cast<int>(HasLease(i))) + " members";
   for (const auto& [id, role] : replica.membership().members()) {
     text += " " + id.Text() + ":" + std::string(agreement::kMemberRoles.Name(role));
+    if (const agreement::Progress* progress = replica.progress(id)) {
+      text += "(match " + std::to_string(progress->match) + ", next " +
+              std::to_string(progress->next) + ", state " +
+              std::to_string(static_cast<int>(progress->state)) + ")";
+    }
   }
   if (const auto pending = replica.pending_change()) {
     text += " pending " + std::string(agreement::kChangeKinds.Name(pending->kind)) + " " +
