--- a/tools/simulation/cluster.cc
+++ b/tools/simulation/cluster.cc
@@ -191,13 +191,13 @@
   if (to == positions_.end()) return;
   ++messages_;
   if (cuts_.contains({from, to->second}) || random_.Chance(options_.drop)) return;
-  const int copies = random_.Chance(options_.duplicate) ? 2 : 1;
-  for (int copy = 0; copy < copies; ++copy) {
+  const auto deliver = [&](agreement::Message sent) {
     Duration delay = random_.Between(options_.delay_min, options_.delay_max);
     if (random_.Chance(options_.late)) delay = random_.Between(delay, options_.late_max);
-    agreement::Message sent = copy + 1 < copies ? message : std::move(message);
     Schedule(now_ + delay, {EventKind::kMessage, to->second, 0, 0, std::move(sent)});
-  }
+  };
+  if (random_.Chance(options_.duplicate)) deliver(message);
+  deliver(std::move(message));
 }
 
 void Cluster::Apply(std::size_t i, const agreement::Effects& effects) {
@@ -209,7 +209,7 @@
   }
   for (const agreement::Entry& entry : effects.committed) {
     const auto answer = node.application.Apply(entry);
-    checker_.Applied(node.id.Text(), entry, node.application.hash());
+    checker_.Applied(*node.replica, entry, node.application.hash());
     if (!answer || node.waiting.erase(answer->first) == 0) continue;
     checker_.Answered(answer->first, answer->second);
     Client& client = clients_[answer->first.client];
@@ -290,7 +290,7 @@
   Node& node = *nodes_[i];
   if (!node.replica) return agreement::ProposeStatus::kNotLeader;
   agreement::ProposeResult result = node.replica->ChangeMembership(change, LocalTime(node));
-  if (result.status == agreement::ProposeStatus::kAccepted) {
+  if (result.status <= agreement::ProposeStatus::kConfirming) {
     Trace(node.id.Text() + " proposes " + std::string(agreement::kChangeKinds.Name(change.kind)) +
           " " + change.id.Text());
   }
