--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -275,6 +275,11 @@
   Join(now);
   Register(now);
   if (Leading(now)) Lead(now);
+  // A leader that leaves hands over once its withdrawal is committed, instead of leaving the others
+  // to wait for the end of its lease.
+  if (leaving_ && Withdrawn() && replica_->role() == agreement::Role::kLeader) {
+    HandleEffects(replica_->StepDown(now), now);
+  }
   RelayReports(now);
   MaybeCompact(now);
   if (publish_due_ || now >= publish_at_) Publish(now);
