--- a/include/wagtailslip/cli/api_client.h
+++ b/include/wagtailslip/cli/api_client.h
@@ -32,7 +32,7 @@
   /// @return the answer's JSON
   /// @throws CommandError with the API's message for a status other than 2xx
   nlohmann::json Get(const std::string& target);
-  nlohmann::json Send(net::http::verb method, const std::string& target, std::string body,
+  nlohmann::json Send(net::http::verb method, const std::string& target, const std::string& body,
                       const std::string& content_type = "application/json");
   /// The answer's text as it is.
   std::string GetText(const std::string& target);
--- a/include/wagtailslip/net/http_server.h
+++ b/include/wagtailslip/net/http_server.h
@@ -26,7 +26,7 @@
 /// Limits that a server holds each connection to.
 struct HttpLimits {
   std::uint32_t header_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 1024 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
   std::size_t connections = 4096;
   Duration read_timeout = std::chrono::seconds(30);
   Duration write_timeout = std::chrono::seconds(30);
--- a/include/wagtailslip/net/peer_transport.h
+++ b/include/wagtailslip/net/peer_transport.h
@@ -14,7 +14,7 @@
 /// Bounds of the transport between processes.
 struct PeerLimits {
   std::uint32_t frame_bytes = 16 * 1024 * 1024;
-  std::size_t queue_bytes_per_peer = 32 * 1024 * 1024;
+  std::size_t queue_bytes_per_peer = std::size_t{32} * 1024 * 1024;
   std::size_t inbound_connections = 4096;
   Duration connect_timeout = std::chrono::seconds(1);
   Duration write_timeout = std::chrono::seconds(3);
--- a/include/wagtailslip/process/entry_settings.h
+++ b/include/wagtailslip/process/entry_settings.h
@@ -33,7 +33,7 @@
   std::string access_file;
   std::uint32_t traffic_threads = 2;
   std::uint32_t max_connections = 4096;
-  std::uint64_t max_body_bytes = 1024 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{1024} * 1024;
   Duration default_deadline = std::chrono::seconds(60);
   /// Entries between two snapshots of the configuration.
   std::uint32_t snapshot_entries = 10000;
--- a/src/cli/api_client.cc
+++ b/src/cli/api_client.cc
@@ -54,7 +54,7 @@
     net::asio::co_spawn(context,
                         net::CallOnce(net::ParseAddress(entry),
                                       net::MakeRequest(method, target, body, headers), timeout_),
-                        [&](std::exception_ptr e, net::HttpResponse result) {
+                        [&](const std::exception_ptr& e, net::HttpResponse result) {
                           problem = e;
                           response = std::move(result);
                         });
@@ -75,8 +75,8 @@
   return Send(net::http::verb::get, target, "");
 }
 
-nlohmann::json ApiClient::Send(net::http::verb method, const std::string& target, std::string body,
-                               const std::string& content_type) {
+nlohmann::json ApiClient::Send(net::http::verb method, const std::string& target,
+                               const std::string& body, const std::string& content_type) {
   const auto response = Call(method, target, body, content_type);
   if (response.status / 100 != 2) {
     throw CommandError(CodeOf(response.status), MessageOf(response));
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -61,6 +61,7 @@
   std::vector<std::vector<std::string>> cells;
   for (const auto& row : rows) {
     std::vector<std::string> line;
+    line.reserve(columns.size());
     for (const auto& it : columns) line.push_back(row.contains(it) ? Cell(row[it]) : "-");
     cells.push_back(std::move(line));
   }
--- a/src/cli/table.cc
+++ b/src/cli/table.cc
@@ -21,6 +21,7 @@
 std::string FormatTable(const std::vector<std::string>& header,
                         const std::vector<std::vector<std::string>>& rows) {
   std::vector<std::size_t> widths;
+  widths.reserve(header.size());
   for (const auto& it : header) widths.push_back(it.size());
   for (const auto& row : rows) {
     for (std::size_t i = 0; i < widths.size(); ++i) widths[i] = std::max(widths[i], row[i].size());
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -7,7 +7,7 @@
 namespace wagtailslip::net {
 namespace {
 
-constexpr std::size_t kReadBytes = 64 * 1024;
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
 
 [[noreturn]] void RaiseCallError(const char* action, const error_code& ec) {
   const std::string message = std::string(action) + ": " + ec.message();
