Drop moves that copy in the process layer

Cause: clang-tidy reports std::move of wire frames whose generated class has no move constructor. Changed: the frames are passed as they are, which copies them as before. Conclusion: no behaviour changes.

--- a/src/process/agent_control.cc
+++ b/src/process/agent_control.cc
@@ -129,7 +129,7 @@
   }
   wire::Frame frame;
   frame.body.__set_agent_heartbeat(beat);
-  effects_->SendHeartbeat(entry, std::move(frame));
+  effects_->SendHeartbeat(entry, frame);
 }
 
 void AgentControl::OnFrame(const wire::Frame& frame, TimePoint now) {
--- a/src/process/entry.cc
+++ b/src/process/entry.cc
@@ -100,10 +100,8 @@
       peer_thread.context(), net::ParseAddress(settings.peer_listen), net::PeerLimits{},
       [&post](const std::string& bytes) {
         try {
-          auto frame = codec::DecodeCompact<wire::Frame>(bytes);
-          post([frame = std::move(frame)](EntryControl& control, TimePoint now) {
-            control.OnFrame(frame, now);
-          });
+          const auto frame = codec::DecodeCompact<wire::Frame>(bytes);
+          post([frame](EntryControl& control, TimePoint now) { control.OnFrame(frame, now); });
         } catch (const codec::CodecError& e) {
           LogEvent(Event::kFrameRejected, {{"error", e.what()}});
         }
