Number proposals from the incarnation of the process

Cause: proposal numbers started at 1 at each start. The leader could answer a proposal of an earlier start, and the answer ended another proposal of the same number: an intent could count as committed that was not. The leader also dropped a new proposal whose number was still in its log. Found by reading the code; no run has shown it. Conclusion: numbers of two starts no longer overlap.

--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -35,6 +35,9 @@
     : settings_(std::move(settings)),
       outlets_(std::move(outlets)),
       incarnation_(NewIncarnation()),
+      // Numbers of an earlier start are not used again: the leader may still answer those
+      // proposals, and the answer would end another proposal of the same number.
+      next_proposal_(static_cast<std::int64_t>(incarnation_)),
       rules_(std::make_shared<const RuleBook>(std::map<std::string, config::Rule>())) {
   for (const auto* known : {&settings_.voters, &settings_.peers}) {
     for (const auto& [id, address] : *known) {
--- a/src/process/entry_control.h
+++ b/src/process/entry_control.h
@@ -143,7 +143,7 @@
 
   std::map<std::string, PeerState> peers_;
   std::map<std::int64_t, LocalProposal> local_;
-  std::int64_t next_proposal_ = 1;
+  std::int64_t next_proposal_;
   std::vector<QueuedRecord> queued_;
   std::map<agreement::Index, LogOrigin> in_log_;
 
