--- a/src/process/gateway.h
+++ b/src/process/gateway.h
@@ -91,7 +91,11 @@
   net::Task<void> Serve(net::HttpExchange& exchange, Call& call);
   net::Task<QueueOutcome> WaitForSlot(const Call& call);
   net::Task<void> ServeOnce(net::HttpExchange& exchange, Call& call);
-  net::Task<bool> ServeRecorded(net::HttpExchange& exchange, const Call& call);
+  /// Answers from the record of an earlier request of the same key.
+  /// @param attempt set to the number of the next attempt if the last one was not run
+  /// @return false if the call may be attempted
+  net::Task<bool> ServeRecorded(net::HttpExchange& exchange, const Call& call,
+                                std::uint32_t& attempt);
   net::Task<Ending> RunAttempts(net::HttpExchange& exchange, const Call& call);
   net::Task<void> TryOnce(net::HttpExchange& exchange, const Call& call, Attempt& attempt);
   net::Task<void> ReadAnswer(net::HttpExchange& exchange, const Call& call, Attempt& attempt,
--- a/src/process/gateway_once.cc
+++ b/src/process/gateway_once.cc
@@ -22,7 +22,8 @@
 
 }  // namespace
 
-Task<bool> Gateway::ServeRecorded(net::HttpExchange& exchange, const Call& call) {
+Task<bool> Gateway::ServeRecorded(net::HttpExchange& exchange, const Call& call,
+                                  std::uint32_t& attempt) {
   using Record = std::optional<config::Call>;
   const Digest digest = RequestDigest(call);
   const std::function<Record(const EntryControl&, TimePoint)> find_call =
@@ -32,12 +33,16 @@
       };
   while (true) {
     const auto found = co_await shared_.control.Ask<Record>(find_call);
-    if (!found || !*found || (*found)->outcome == config::CallOutcome::kNotRun) co_return false;
+    if (!found || !*found) co_return false;
     const config::Call& record = **found;
     if (record.request != digest) {
       throw ApiError(409, "key_reused", "the idempotency key belongs to another request",
                      "Idempotency-Key");
     }
+    if (record.outcome == config::CallOutcome::kNotRun) {
+      attempt = record.attempt + 1;
+      co_return false;
+    }
     Ending ending;
     ending.outcome = record.outcome;
     if (record.outcome == config::CallOutcome::kComplete) {
@@ -67,7 +72,8 @@
 }
 
 Task<void> Gateway::ServeOnce(net::HttpExchange& exchange, Call& call) {
-  if (co_await ServeRecorded(exchange, call)) co_return;
+  std::uint32_t attempt = 1;
+  if (co_await ServeRecorded(exchange, call, attempt)) co_return;
   // The slot comes first: a call that is refused here leaves no intent behind.
   const QueueOutcome refusal = co_await WaitForSlot(call);
   if (refusal) {
@@ -86,6 +92,7 @@
   intent.request = RequestDigest(call);
   intent.owner = shared_.settings.id;
   intent.owner_incarnation = published->incarnation;
+  intent.attempt = attempt;
   const TimePoint asked = MonotonicNow();
   const auto answer = co_await shared_.control.Propose(intent, kIntentTimeout);
   shared_.metrics.Record(Latency::kCommit, MonotonicNow() - asked);
@@ -93,14 +100,17 @@
   if (!mine) {
     shared_.dispatcher.Finish(call.queue_id, std::nullopt, MonotonicNow());
     if (answer && answer->status == config::ApplyStatus::kRepeated &&
-        co_await ServeRecorded(exchange, call)) {
+        co_await ServeRecorded(exchange, call, attempt)) {
       co_return;
     }
     if (!answer) {
-      // The intent may still be committed; without an outcome every resend would wait for one.
-      config::OutcomeRecorded not_run{call.account, call.key, intent.owner,
-                                      intent.owner_incarnation, config::CallOutcome::kNotRun};
-      co_await shared_.control.Propose(not_run, kIntentTimeout);
+      // The intent may still be committed; without an outcome every resend would wait for one. It
+      // is not "not-run", which permits another attempt: a concurrent request of the same key on
+      // this process may own the intent and run the call.
+      config::OutcomeRecorded unresolved{call.account, call.key, intent.owner,
+                                         intent.owner_incarnation, config::CallOutcome::kUnknown};
+      unresolved.attempt = attempt;
+      co_await shared_.control.Propose(unresolved, kIntentTimeout);
     }
     Ending ending;
     ending.outcome = config::CallOutcome::kNotRun;
@@ -126,6 +136,7 @@
   record.owner = intent.owner;
   record.owner_incarnation = intent.owner_incarnation;
   record.outcome = ending.outcome;
+  record.attempt = intent.attempt;
   if (ending.answer) {
     record.status = ending.answer->status;
     record.content_type = ending.answer->content_type;
