--- a/src/process/entry_control.cc
+++ b/src/process/entry_control.cc
@@ -39,6 +39,7 @@
       // nothing.
       next_proposal_(static_cast<std::int64_t>(incarnation_)),
       rules_(std::make_shared<const RuleBook>(std::map<std::string, config::Rule>())) {
+  started_at_ = now;
   for (const auto* known : {&settings_.voters, &settings_.peers}) {
     for (const auto& [id, address] : *known) {
       if (id != settings_.id) peers_[id].address = address;
--- a/src/process/entry_control.h
+++ b/src/process/entry_control.h
@@ -153,6 +153,7 @@
   std::vector<QueuedRecord> queued_;
   std::map<agreement::Index, LogOrigin> in_log_;
 
+  TimePoint started_at_{};
   TimePoint lease_until_{};
   bool caught_up_ = false;
   config::Revision required_ = 0;
--- a/src/process/entry_lease.cc
+++ b/src/process/entry_lease.cc
@@ -18,6 +18,8 @@
 // after which a successor may call a change in force.
 constexpr Duration kLeaderRenewal = std::chrono::milliseconds(300);
 constexpr Duration kPublishPeriod = std::chrono::milliseconds(100);
+// Longer than an election, in which no process has a lease.
+constexpr Duration kForgottenAfter = std::chrono::seconds(4);
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(500);
 constexpr Duration kRegisterTimeout = std::chrono::seconds(5);
 constexpr Duration kJoinRecordTimeout = std::chrono::seconds(3);
@@ -148,7 +150,11 @@
 }
 
 void EntryControl::Join(TimePoint now) {
-  if (now < join_at_ || replica_->membership().Role(replica_->id()).has_value()) return;
+  // A voter that was removed while it was cut off is still a member in its own log, so a process
+  // without a lease asks as well. The leader ignores the request of a member.
+  const bool member = replica_->membership().Role(replica_->id()).has_value();
+  const bool forgotten = now - std::max(lease_until_, started_at_) > kForgottenAfter;
+  if (now < join_at_ || (member && !forgotten) || Leading(now)) return;
   join_at_ = now + kJoinPeriod;
   wire::PeerMessage body;
   wire::JoinRequest request;
