Correct linter findings of the load generator

Cause: clang-tidy reports a constant that cannot be moved out and a parameter that is copied without need. Changed: both by the smallest edit. Conclusion: no behaviour changes.

--- a/tools/load/load_settings.cc
+++ b/tools/load/load_settings.cc
@@ -92,7 +92,7 @@
 }
 
 net::tcp::endpoint ParseLoopback(std::string_view text) {
-  const auto address = net::ParseAddress(text);
+  auto address = net::ParseAddress(text);
   if (!address.address().is_loopback()) {
     throw ToolError(std::string(text) + " is not a loopback address");
   }
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -20,7 +20,7 @@
     if (!ec) run.Stop();
   });
   std::exception_ptr problem;
-  net::asio::co_spawn(context, run.Run(), [&](std::exception_ptr e) {
+  net::asio::co_spawn(context, run.Run(), [&](const std::exception_ptr& e) {
     problem = e;
     context.stop();
   });
