--- a/src/process/admin_api.cc
+++ b/src/process/admin_api.cc
@@ -177,7 +177,7 @@
       message = "command '" + result->winner + "' came first; the object is at revision " +
                 std::to_string(result->object_revision);
     }
-    const bool missing = result->code == "unknown_rollout" || result->code == "unknown_endpoint";
+    const bool missing = result->code == "not_found";
     throw ApiError(conflict  ? 409
                    : missing ? 404
                              : 422,
