--- a/src/codec/chat_codec.cc
+++ b/src/codec/chat_codec.cc
@@ -40,7 +40,11 @@
     if (!message.is_object()) throw FieldError("messages", "each message must be an object");
     const auto content = message.find("content");
     if (content == message.end()) throw FieldError("messages.content", "content is missing");
-    text += message.value("role", "user");
+    const auto role = message.find("role");
+    if (role != message.end() && !role->is_string()) {
+      throw FieldError("messages.role", "role must be a string");
+    }
+    text += role == message.end() ? "user" : role->get<std::string>();
     text += '\n';
     text += content->is_string() ? content->get<std::string>() : content->dump();
     text += '\n';
--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -3961,6 +3961,14 @@
 void Rollout::__set_reason(const std::string& val) {
   this->reason = val;
 }
+
+void Rollout::__set_turned(const int64_t val) {
+  this->turned = val;
+}
+
+void Rollout::__set_batches(const int32_t val) {
+  this->batches = val;
+}
 std::ostream& operator<<(std::ostream& out, const Rollout& obj)
 {
   obj.printTo(out);
@@ -4077,6 +4085,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->turned);
+          this->__isset.turned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->batches);
+          this->__isset.batches = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4142,6 +4166,14 @@
   xfer += oprot->writeString(this->reason);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("turned", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->turned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("batches", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->batches);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4157,6 +4189,8 @@
   swap(a.failed, b.failed);
   swap(a.return_failed, b.return_failed);
   swap(a.reason, b.reason);
+  swap(a.turned, b.turned);
+  swap(a.batches, b.batches);
   swap(a.__isset, b.__isset);
 }
 
@@ -4169,6 +4203,8 @@
   failed = other68.failed;
   return_failed = other68.return_failed;
   reason = other68.reason;
+  turned = other68.turned;
+  batches = other68.batches;
   __isset = other68.__isset;
 }
 Rollout& Rollout::operator=(const Rollout& other69) {
@@ -4180,6 +4216,8 @@
   failed = other69.failed;
   return_failed = other69.return_failed;
   reason = other69.reason;
+  turned = other69.turned;
+  batches = other69.batches;
   __isset = other69.__isset;
   return *this;
 }
@@ -4194,6 +4232,8 @@
   out << ", " << "failed=" << to_string(failed);
   out << ", " << "return_failed=" << to_string(return_failed);
   out << ", " << "reason=" << to_string(reason);
+  out << ", " << "turned=" << to_string(turned);
+  out << ", " << "batches=" << to_string(batches);
   out << ")";
 }
 
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -1726,7 +1726,7 @@
 std::ostream& operator<<(std::ostream& out, const Artifact& obj);
 
 typedef struct _Rollout__isset {
-  _Rollout__isset() : id(false), spec(false), state(false), created(false), revision(false), failed(false), return_failed(false), reason(false) {}
+  _Rollout__isset() : id(false), spec(false), state(false), created(false), revision(false), failed(false), return_failed(false), reason(false), turned(false), batches(false) {}
   bool id :1;
   bool spec :1;
   bool state :1;
@@ -1735,6 +1735,8 @@
   bool failed :1;
   bool return_failed :1;
   bool reason :1;
+  bool turned :1;
+  bool batches :1;
 } _Rollout__isset;
 
 class Rollout : public virtual ::apache::thrift::TBase {
@@ -1747,7 +1749,9 @@
             state(),
             created(0),
             revision(0),
-            reason() {
+            reason(),
+            turned(0),
+            batches(0) {
   }
 
   virtual ~Rollout() noexcept;
@@ -1759,6 +1763,8 @@
   std::vector<std::string>  failed;
   std::vector<std::string>  return_failed;
   std::string reason;
+  int64_t turned;
+  int32_t batches;
 
   _Rollout__isset __isset;
 
@@ -1778,6 +1784,10 @@
 
   void __set_reason(const std::string& val);
 
+  void __set_turned(const int64_t val);
+
+  void __set_batches(const int32_t val);
+
   bool operator == (const Rollout & rhs) const
   {
     if (!(id == rhs.id))
@@ -1796,6 +1806,10 @@
       return false;
     if (!(reason == rhs.reason))
       return false;
+    if (!(turned == rhs.turned))
+      return false;
+    if (!(batches == rhs.batches))
+      return false;
     return true;
   }
   bool operator != (const Rollout &rhs) const {
--- a/src/codec/manifest_codec.cc
+++ b/src/codec/manifest_codec.cc
@@ -13,6 +13,12 @@
   return *digest;
 }
 
+std::uint64_t ParseSize(const json& value) {
+  // A conversion would wrap negative numbers and is undefined for large fractions.
+  if (!value.is_number_unsigned()) throw CodecError("manifest: chunk size is not a whole number");
+  return value.get<std::uint64_t>();
+}
+
 }  // namespace
 
 spread::Manifest ParseManifest(std::string_view text) {
@@ -27,7 +33,7 @@
     if (body.contains("base") && body["base"].is_string()) manifest.base_version = body["base"];
     for (const auto& it : body.at("chunks")) {
       manifest.chunks.push_back(
-          {ParseDigest(it.at("digest"), "chunk digest"), it.at("size").get<std::uint64_t>()});
+          {ParseDigest(it.at("digest"), "chunk digest"), ParseSize(it.at("size"))});
     }
     manifest.root = ParseDigest(body.at("root"), "root");
     manifest.Validate();
--- a/src/codec/state_codec.cc
+++ b/src/codec/state_codec.cc
@@ -34,6 +34,8 @@
   copy(d.failed, w.failed);
   copy(d.return_failed, w.return_failed);
   copy(d.reason, w.reason);
+  copy(d.turned, w.turned);
+  copy(d.batches, w.batches);
 }
 
 template <typename C, typename D, typename W>
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -191,6 +191,8 @@
   6: list<string> failed
   7: list<string> return_failed
   8: string reason
+  9: i64 turned
+  10: i32 batches
 }
 
 struct Assignment {
