Refuse unknown enumeration values when decoding records

Cause: the decoder accepted every value below 32 for an enumeration, against its documented contract; a value that no table names reached the state.

Guarded: each enumeration has its own size, taken from its name table; one that is not listed stops the build. UnknownEnumerationValuesAreRefused checks an endpoint role and a call class just after the last value.

--- a/src/codec/field_copy.h
+++ b/src/codec/field_copy.h
@@ -8,6 +8,8 @@
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/codec/error.h"
+#include "wagtailslip/config/state.h"
+#include "wagtailslip/rollout/controller.h"
 
 namespace wagtailslip::codec {
 
@@ -32,13 +34,33 @@
   }
 };
 
+/// Number of values of an enumeration that travels between processes.
+template <typename E>
+inline constexpr int kEnumSize = 0;
+template <>
+inline constexpr int kEnumSize<config::ArtifactKind> = config::kArtifactKinds.rows.size();
+template <>
+inline constexpr int kEnumSize<config::SpreadPolicy> = config::kSpreadPolicies.rows.size();
+template <>
+inline constexpr int kEnumSize<config::RolloutAction> = config::kRolloutActions.rows.size();
+template <>
+inline constexpr int kEnumSize<config::CallClass> = config::kCallClasses.rows.size();
+template <>
+inline constexpr int kEnumSize<config::EndpointRole> = config::kEndpointRoles.rows.size();
+template <>
+inline constexpr int kEnumSize<config::CallOutcome> = config::kCallOutcomes.rows.size();
+template <>
+inline constexpr int kEnumSize<config::ApplyStatus> = config::kApplyStatuses.rows.size();
+template <>
+inline constexpr int kEnumSize<rollout::OrderKind> = rollout::kOrderKinds.rows.size();
+
 /// Copies fields of a wire struct to its domain struct.
 struct FromWireCopy {
   template <typename D, typename W>
   void operator()(D& domain, const W& wire) const {
     if constexpr (std::is_enum_v<D>) {
-      // Enumerations of the records have fewer than kEnumLimit values.
-      if (wire < 0 || wire >= kEnumLimit) throw CodecError("enumeration value is out of range");
+      static_assert(kEnumSize<D> > 0, "add the enumeration to kEnumSize");
+      if (wire < 0 || wire >= kEnumSize<D>) throw CodecError("enumeration value is out of range");
       domain = static_cast<D>(wire);
     } else if constexpr (std::same_as<D, Digest>) {
       if (wire.size() != domain.bytes.size()) throw CodecError("digest has the wrong length");
@@ -53,8 +75,6 @@
       domain = wire;
     }
   }
-
-  static constexpr int kEnumLimit = 32;
 };
 
 }  // namespace wagtailslip::codec
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -233,6 +233,7 @@
   CPPUNIT_TEST(AgreementMessagesKeepEveryField);
   CPPUNIT_TEST(LimitMessagesKeepEveryField);
   CPPUNIT_TEST(DamagedBytesAreRefused);
+  CPPUNIT_TEST(UnknownEnumerationValuesAreRefused);
   CPPUNIT_TEST(ChatFaultsNameTheField);
   CPPUNIT_TEST(ManifestFaultsNameTheField);
   CPPUNIT_TEST_SUITE_END();
@@ -310,6 +311,16 @@
     }
   }
 
+  /// Guards against values after the last of an enumeration, which no table names.
+  void UnknownEnumerationValuesAreRefused() {
+    EndpointJoined endpoint = Joined();
+    endpoint.role = static_cast<EndpointRole>(2);
+    CPPUNIT_ASSERT_THROW(DecodeRecord(EncodeRecord(endpoint)), CodecError);
+    SetRule rule{Command(), MakeRule()};
+    rule.rule.call_class = static_cast<CallClass>(4);
+    CPPUNIT_ASSERT_THROW(DecodeRecord(EncodeRecord(rule)), CodecError);
+  }
+
   /// Guards against a bad member that is accepted, misnamed or escapes as another exception.
   void ChatFaultsNameTheField() {
     const std::string messages = R"("messages":[{"role":"user","content":"x"}])";
