Refuse the largest token offset in an event stream

Cause: an event 'id: N-' made the next offset wrap to 0, so that tokens already passed on were accepted again. Found while writing the fuzz target of the answer check.

Guarded: traffic_test case 'largest offset', which fails without the fix.

--- a/src/traffic/answer_check.cc
+++ b/src/traffic/answer_check.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <utility>
 
 #include "wagtailslip/base/error.h"
@@ -124,7 +125,9 @@
   const std::size_t dash = text.find('-');
   const auto first = ParseNumber(text.substr(0, dash));
   const auto last = dash == std::string_view::npos ? first : ParseNumber(text.substr(dash + 1));
-  if (!first || !last || *last < *first) return Set(AnswerVerdict::kMalformed);
+  // The offset after the largest number would wrap to 0 and accept repeated tokens.
+  const bool wraps = last == std::numeric_limits<std::uint64_t>::max();
+  if (!first || !last || *last < *first || wraps) return Set(AnswerVerdict::kMalformed);
   if (*first > next_token_) return Set(AnswerVerdict::kTokenGap);
   if (*first < next_token_) return Set(AnswerVerdict::kTokenRepeated);
   has_offsets_ = true;
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -126,6 +126,13 @@
      false,
      AnswerVerdict::kMalformed,
      "id: 0\ndata: a\n\n"},
+    // The next offset would wrap to 0 and the same tokens would be accepted again.
+    {"largest offset",
+     Header(AnswerFraming::kEventStream),
+     {"id: 0\ndata: a\n\nid: 1-18446744073709551615\ndata: b\n\n"},
+     false,
+     AnswerVerdict::kMalformed,
+     "id: 0\ndata: a\n\n"},
     {"bytes after the end",
      Header(AnswerFraming::kEventStream),
      {"data: [DONE]\n\nid: 0\ndata: a\n\n"},
