Refuse sheet dates outside 1970 to 2199

Cause: a year such as 6026 overflowed the time in nanoseconds (undefined behaviour).

Guarded: sheet_test row with year 6026 names row 2, effective_at.

--- a/src/sheet/local_time.cc
+++ b/src/sheet/local_time.cc
@@ -15,6 +15,9 @@
 constexpr std::string_view kExpected[] = {"YYYY-MM-DD HH:MM", "DD/MM/YYYY HH:MM",
                                           "MM/DD/YYYY HH:MM"};
 
+constexpr int kFirstYear = 1970;
+constexpr int kLastYear = 2199;
+
 /// Reads a text from the left.
 class Reader {
  public:
@@ -84,6 +87,8 @@
   Reader reader(text);
   const auto date = ReadDate(reader, options.date_form);
   if (!date) return expected;
+  // Times are counted in nanoseconds, which a year such as 6026 overflows.
+  if (date->year < kFirstYear || date->year > kLastYear) return expected;
   if (!reader.Skip("T") && !reader.Skip(" ")) return expected;
   while (reader.Skip(" ")) {
   }
--- a/tests/sheet_test.cc
+++ b/tests/sheet_test.cc
@@ -160,6 +160,8 @@
         {"effective_at,change,account,kind,colour\n" + time + ",rule,a,k,red\n", 1, "colour"},
         {"effective_at,change,account,kind,Kind\n" + time + ",rule,a,k,\n", 1, "kind"},
         {"change,account,kind\nrule,a,k\n", 1, "effective_at"},
+        // A year that overflows a time in nanoseconds.
+        {Rules("6026-12-04 06:00,rule,a,k,1,1\n"), 2, "effective_at"},
         {Rules(time + ",rule,a,k,ten,1\n"), 2, "priority"},
         {Rules(time + ",rule,a,k,10,1\n"), 2, "priority"},
         {Rules(time + ",rule,a,k,-1,1\n"), 2, "priority"},
