--- a/cmake/WagtailslipOptions.cmake
+++ b/cmake/WagtailslipOptions.cmake
@@ -23,13 +23,19 @@
 
 option(WTS_SANITIZE_ADDRESS "Build with the address and undefined behaviour sanitizers" OFF)
 option(WTS_SANITIZE_THREAD "Build with the thread sanitizer" OFF)
+option(WTS_FUZZ "Build the libFuzzer programs; needs clang" OFF)
 
 add_library(wts_options INTERFACE)
 # g++ 12 reports the frames of Boost 1.74 coroutines as mismatched-new-delete.
 target_compile_options(wts_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers -Wno-mismatched-new-delete)
 target_include_directories(wts_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
 target_link_libraries(wts_options INTERFACE Threads::Threads)
-if(WTS_SANITIZE_ADDRESS)
+if(WTS_FUZZ)
+  # The flag list of g++ has warnings that clang 14 does not know.
+  target_compile_options(wts_options INTERFACE -fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=undefined
+    -Wno-unknown-warning-option)
+  target_link_options(wts_options INTERFACE -fsanitize=address,undefined)
+elseif(WTS_SANITIZE_ADDRESS)
   target_compile_options(wts_options INTERFACE -fsanitize=address,undefined -fno-omit-frame-pointer)
   target_link_options(wts_options INTERFACE -fsanitize=address,undefined)
 elseif(WTS_SANITIZE_THREAD)
