Answer at once where no endpoint serves; keep services routable on old reports

Behind a partition the reports of services age, which left lookups without an endpoint. Conclusion: such requests end as not-run with Retry-After at once.

--- a/src/process/endpoint_reports.cc
+++ b/src/process/endpoint_reports.cc
@@ -101,8 +101,11 @@
     const config::StateMachine& machine, TimePoint now) const {
   std::vector<traffic::RoutingEndpoint> result;
   for (const auto& [id, endpoint] : machine.state().endpoints) {
-    const Row* row = Find(id);
-    if (!endpoint.present || row == nullptr) continue;
+    if (!endpoint.present) continue;
+    // An endpoint whose report has not arrived yet is known but gets no work.
+    static const Row kNoReport;
+    const Row* found = Find(id);
+    const Row* row = found == nullptr ? &kNoReport : found;
     traffic::RoutingEndpoint out;
     out.id = id;
     out.incarnation = endpoint.info.incarnation;
@@ -113,8 +116,11 @@
     out.failure_domain = endpoint.info.failure_domain;
     out.load = row->load;
     out.draining = endpoint.draining;
-    const bool current = row->healthy && row->incarnation == endpoint.info.incarnation &&
-                         now - row->received < kReportLease;
+    // A service serves no weights that could change, so an old report does not stop its work; the
+    // ejector finds out whether it answers. Behind a partition this keeps lookups answered.
+    const bool service = endpoint.info.role == config::EndpointRole::kService;
+    const bool fresh = service || now - row->received < kReportLease;
+    const bool current = row->healthy && row->incarnation == endpoint.info.incarnation && fresh;
     out.serving = current ? traffic::ServingState::kServing : traffic::ServingState::kFailed;
     if (endpoint.info.role == config::EndpointRole::kEngine) {
       const auto* progress = FindProgress(out.model, id);
--- a/src/process/gateway.cc
+++ b/src/process/gateway.cc
@@ -2,6 +2,7 @@
 // gateway_attempts.cc, at-most-once calls in gateway_once.cc.
 #include "gateway.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
@@ -215,6 +216,21 @@
   if (!published->routing || published->routing->OfModel(call.model).empty()) {
     throw ApiError(404, "unknown_model", "no endpoint serves '" + call.model + "'", "model");
   }
+  const auto& endpoints = published->routing->endpoints();
+  const auto candidates = published->routing->OfModel(call.model);
+  const bool any = std::any_of(candidates.begin(), candidates.end(), [&](std::uint32_t i) {
+    return endpoints[i].serving == traffic::ServingState::kServing && !endpoints[i].draining;
+  });
+  if (!any) {
+    // Waiting in the queue until the deadline would only hold the caller back.
+    Ending ending;
+    ending.outcome = config::CallOutcome::kNotRun;
+    ending.code = "no_endpoint";
+    ending.message = "no endpoint of the model serves at present";
+    ending.retry_after = std::chrono::seconds(1);
+    co_await Finish(exchange, call, std::move(ending));
+    co_return;
+  }
   const bool outer_retry = !exchange.Header("X-Retry-Attempt").empty();
   shared_.dispatcher.CountRequest(outer_retry, call.received);
   const auto limit = shared_.dispatcher.TakeLimit(call.account, call.kind, call.received);
