--- a/include/wagtailslip/process/control_thread.h
+++ b/include/wagtailslip/process/control_thread.h
@@ -14,10 +14,6 @@
 template <typename State>
 using ControlTask = std::function<void(State&, TimePoint now)>;
 
-}  // namespace wagtailslip::process
-
-namespace wagtailslip::process {
-
 /// Message that carries one task to the control actor.
 template <typename State>
 struct ControlMessage {
--- a/include/wagtailslip/process/entry_settings.h
+++ b/include/wagtailslip/process/entry_settings.h
@@ -37,8 +37,6 @@
   Duration default_deadline = std::chrono::seconds(60);
   /// Entries between two snapshots of the configuration.
   std::uint32_t snapshot_entries = 10000;
-  std::string certificate_file;
-  std::string key_file;
   std::string log_level = "info";
 };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -132,7 +132,7 @@
   Task<void> Accept();
   Task<void> Serve(tcp::socket socket);
   Task<bool> ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-  Task<void> Handle(beast::tcp_stream& stream, HttpExchange& exchange);
+  Task<void> Handle(HttpExchange& exchange);
   Task<void> Reject(beast::tcp_stream& stream, unsigned status, std::string_view code,
                     std::string_view message);
 };
@@ -214,7 +214,7 @@
   if (stopping) exchange.CloseAfter();
   ++active;
   try {
-    co_await Handle(stream, exchange);
+    co_await Handle(exchange);
   } catch (const std::exception&) {
     --active;
     throw;
@@ -223,20 +223,17 @@
   co_return exchange.keep_alive() && !exchange.stream_open() && !stopping;
 }
 
-Task<void> HttpServer::State::Handle(beast::tcp_stream&, HttpExchange& exchange) {
-  bool failed = false;
-  std::string message;
+Task<void> HttpServer::State::Handle(HttpExchange& exchange) {
   try {
     co_await handler(exchange);
   } catch (const NetError&) {
     throw;
-  } catch (const std::exception& e) {
-    failed = true;
-    message = e.what();
+  } catch (const std::exception&) {
+    // The text may name internal state, so the caller gets a general answer below.
   }
   if (!exchange.responded()) {
-    co_await exchange.Respond(
-        500, ErrorBody("internal", failed ? "internal error" : "the request was not answered"));
+    const std::string body = ErrorBody("internal", "the request could not be handled");
+    co_await exchange.Respond(500, body);
   }
 }
 
--- a/src/process/endpoint_reports.h
+++ b/src/process/endpoint_reports.h
@@ -29,7 +29,6 @@
     std::string home;
     /// Frame address of the agent, where this process is the home.
     std::string agent_frame_address;
-    bool relay_due = false;
   };
 
   /// Takes a report over.
