--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -40,6 +40,7 @@
 
 std::vector<net::tcp::endpoint> ParseAll(const std::vector<std::string>& texts) {
   std::vector<net::tcp::endpoint> addresses;
+  addresses.reserve(texts.size());
   for (const auto& text : texts) addresses.push_back(ParseLoopback(text));
   return addresses;
 }
