Use plain terms in comments and in one dump field

Cause: the read-through found private wording (a key in hand, a process given up). Conclusion: comments and the name once_keys_in_progress only; no behaviour changes.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -168,7 +168,7 @@
       }
     }
   } catch (const std::exception&) {
-    // The connection failed; there is nobody left to tell.
+    // The connection failed, so no answer can be sent.
   }
   idle.erase(&stream);
   --connections;
--- a/src/process/admin_api.cc
+++ b/src/process/admin_api.cc
@@ -340,7 +340,7 @@
   traffic["retries_denied"] = status.retries.denied;
   traffic["limit_allowed"] = status.limits.allowed;
   traffic["limit_refused"] = status.limits.refused;
-  traffic["once_keys_in_hand"] = shared_.once_keys.size();
+  traffic["once_keys_in_progress"] = shared_.once_keys.size();
   body["traffic"] = std::move(traffic);
   Json counters;
   for (const auto& [counter, name] : kCounters.rows) {
--- a/src/process/entry_lease.cc
+++ b/src/process/entry_lease.cc
@@ -173,7 +173,7 @@
   const auto it = machine_.state().processes.find(settings_.id);
   if (it != machine_.state().processes.end()) {
     if (it->second.present && it->second.info.incarnation == incarnation_) return;
-    // The others gave this process up while it was cut off; it returns under a new incarnation.
+    // The leader removed this process while it was cut off; it returns under a new incarnation.
     if (it->second.info.incarnation >= incarnation_) {
       incarnation_ = it->second.info.incarnation + 1;
     }
--- a/src/process/gateway_once.cc
+++ b/src/process/gateway_once.cc
@@ -132,7 +132,7 @@
   bool mine = answer && answer->status == config::ApplyStatus::kApplied;
   if (answer && answer->status == config::ApplyStatus::kRepeated) {
     // After a lost reply the second copy of this process's own intent is answered as repeated. No
-    // other request of this process can have run it, because its key would be in hand.
+    // other request of this process can have run it, because its key would still be listed.
     const RecordedCall record = co_await FindRecorded(call);
     mine = record && record->outcome == config::CallOutcome::kPending &&
            record->owner == intent.owner && record->owner_incarnation == intent.owner_incarnation &&
--- a/src/process/once_keys.h
+++ b/src/process/once_keys.h
@@ -6,12 +6,12 @@
 
 namespace wagtailslip::process {
 
-/// Idempotency keys whose calls this process has in hand. A key stays until its outcome is
+/// Idempotency keys whose calls are in progress in this process. A key stays until its outcome is
 /// recorded, so that a pending intent of this process is run by one request only. Safe from any
 /// thread.
 class OnceKeys {
  public:
-  /// @return false if another request of this process has the key in hand
+  /// @return false if another request of this process uses the key
   bool Begin(const std::string& key) {
     const std::scoped_lock lock(mutex_);
     return keys_.insert(key).second;
