Let the rollout system test meet a corrupt chunk

Cause: with fault seed 5 the origin corrupted no chunk, so the test did not show what it names. All other checks and bounds are unchanged. Conclusion: a corrupt chunk is survived on real processes.

--- a/tests/system/rollout_test.cc
+++ b/tests/system/rollout_test.cc
@@ -25,7 +25,7 @@
     Cluster cluster;
     cluster.StartEntries();
     cluster.StartOrigin("dispatch", "v2", kModelBytes,
-                        {"--chunk-bytes", "262144", "--fault-corrupt", "0.01", "--fault-seed", "5",
+                        {"--chunk-bytes", "262144", "--fault-corrupt", "0.01", "--fault-seed", "1",
                          "--link-bytes-per-second", "8000000"});
     for (int i = 1; i <= kEngines; ++i) {
       cluster.StartEngine(i, "dispatch", "v1",
@@ -71,6 +71,8 @@
       const Json state = cluster.Get("m" + std::to_string(i), "/admin/state");
       CPPUNIT_ASSERT_MESSAGE(state.dump(), state.dump().find(root) != std::string::npos);
     }
+    // Without a corrupt chunk the run would not show that one is survived.
+    CPPUNIT_ASSERT(cluster.Get("origin", "/counters")["corrupted"].get<std::uint64_t>() > 0);
     const double copies = static_cast<double>(bytes_sent()) / kModelBytes;
     std::cout << load.complete() << " streams, " << load.refused() << " refused, origin copies "
               << copies << "\n";
