--- a/cmake/WagtailslipOptions.cmake
+++ b/cmake/WagtailslipOptions.cmake
@@ -25,9 +25,14 @@
 option(WTS_SANITIZE_THREAD "Build with the thread sanitizer" OFF)
 option(WTS_FUZZ "Build the libFuzzer programs; needs clang" OFF)
 
+option(WTS_WARNINGS_AS_ERRORS "Treat compiler warnings as errors; the presets do" OFF)
+
 add_library(wts_options INTERFACE)
 # g++ 12 reports the frames of Boost 1.74 coroutines as mismatched-new-delete.
-target_compile_options(wts_options INTERFACE -Wall -Wextra -Werror -Wno-missing-field-initializers -Wno-mismatched-new-delete)
+target_compile_options(wts_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers -Wno-mismatched-new-delete)
+if(WTS_WARNINGS_AS_ERRORS)
+  target_compile_options(wts_options INTERFACE -Werror)
+endif()
 target_include_directories(wts_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
 target_link_libraries(wts_options INTERFACE Threads::Threads)
 if(WTS_FUZZ)
--- /dev/null
+++ b/include/wagtailslip/mesh/codec.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "wagtailslip/base/time.h"
+#include "wagtailslip/mesh/member.h"
+#include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/placement.h"
+
+namespace wagtailslip::wire {
+class MeshMember;
+class InstanceRecord;
+class InstanceReading;
+}  // namespace wagtailslip::wire
+
+namespace wagtailslip::mesh {
+
+wire::MeshMember ToWire(const Member& member);
+/// @throws MeshError if a value is outside its enumeration
+Member FromWire(const wire::MeshMember& member);
+
+/// Times are sent as ages, because clocks of two machines are not comparable.
+wire::InstanceRecord ToWire(const serving::EndpointRecord& record, TimePoint now);
+/// @throws MeshError if a value is outside its enumeration
+serving::EndpointRecord FromWire(const wire::InstanceRecord& record, TimePoint now);
+
+wire::InstanceReading ToWire(const serving::EndpointReading& reading);
+serving::EndpointReading FromWire(const wire::InstanceReading& reading);
+
+}  // namespace wagtailslip::mesh
--- a/include/wagtailslip/net/http_server.h
+++ b/include/wagtailslip/net/http_server.h
@@ -28,6 +28,8 @@
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = std::uint64_t{1024} * 1024;
   std::size_t connections = 4096;
+  /// Longest pause between two requests of a connection, and longest time for a request.
+  Duration idle_timeout = std::chrono::seconds(30);
   Duration read_timeout = std::chrono::seconds(30);
   Duration write_timeout = std::chrono::seconds(30);
 };
@@ -36,6 +38,9 @@
 class HttpExchange {
  public:
   HttpExchange(beast::tcp_stream& stream, HttpRequest request, Duration write_timeout);
+  ~HttpExchange();
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
 
   const HttpRequest& request() const { return request_; }
   /// Path without the query.
@@ -49,6 +54,11 @@
   /// @throws NetError if the connection fails
   Task<void> Respond(unsigned status, std::string body, HttpHeaders headers = {},
                      std::string_view content_type = "application/json");
+  /// Sends a whole answer with ready header lines.
+  /// @param header_lines fields without the length and the connection, each ended by CRLF
+  Task<void> RespondLines(unsigned status, std::string header_lines, std::string body);
+  /// Starts an answer in chunked encoding with ready header lines and its first piece.
+  Task<void> StartStreamLines(unsigned status, std::string header_lines, std::string first);
   /// Starts an answer in chunked encoding.
   Task<void> StartStream(unsigned status, HttpHeaders headers, std::string_view content_type);
   /// Sends one piece of a started answer.
@@ -61,14 +71,22 @@
   bool keep_alive() const { return keep_alive_; }
   /// Closes the connection after this answer.
   void CloseAfter() { keep_alive_ = false; }
+  /// Calls `on_gone` once if the caller closes the connection before this exchange ends. A caller
+  /// that sends its next request early is no longer watched.
+  void WatchCaller(std::function<void()> on_gone);
 
  private:
+  struct Watch;
+  std::string HeaderText(unsigned status, const std::string& header_lines) const;
+  Task<void> WriteText(std::string text);
+
   beast::tcp_stream& stream_;
   HttpRequest request_;
   Duration write_timeout_;
   bool responded_ = false;
   bool stream_open_ = false;
   bool keep_alive_;
+  std::shared_ptr<Watch> watch_;
 };
 
 /// Answers one request. An exchange that the handler leaves unanswered gets status 500; an open
@@ -84,6 +102,8 @@
   ~HttpServer();
 
   void Start();
+  /// Limits of connections and requests that begin from now on.
+  void SetLimits(const HttpLimits& limits);
   /// Closes the listening socket and idle connections; exchanges in progress go on.
   void StopAccepting();
   /// Number of exchanges in progress.
--- a/include/wagtailslip/process/events.h
+++ b/include/wagtailslip/process/events.h
@@ -21,20 +21,39 @@
   kLeaseGained = 2006,
   kFrameRejected = 2007,
   kMembershipChanged = 2008,
+  kServiceConfigAgreed = 2009,
+  kServiceConfigInForce = 2010,
+  kServiceConfigRefused = 2011,
+  kCommandAcknowledged = 2012,
+  kCommandUnclear = 2013,
+  kLinkUp = 2014,
+  kLinkLost = 2015,
   kEndpointJoined = 3001,
   kEndpointLeft = 3002,
   kEndpointSuspected = 3003,
+  kServiceEndpointChanged = 3004,
+  kServiceEndpointGone = 3005,
+  kAnnouncementRefused = 3006,
   kRolloutAdvanced = 3101,
   kReplicaStateChanged = 3102,
   kOrderFailed = 3103,
+  kWeightsNamed = 3104,
+  kSwapOrdered = 3105,
   kChunkRejected = 3201,
   kFetchFailed = 3202,
   kArtifactVerified = 3203,
   kArtifactSupplied = 3204,
+  kWeightsStaged = 3205,
+  kEngineLost = 3301,
+  kEngineRegained = 3302,
   kRequestNotRun = 4001,
   kRequestUnknown = 4002,
   kAnswerRejected = 4003,
   kStreamCut = 4004,
+  kRequestRejected = 4005,
+  kRequestEnded = 4006,
+  kAttemptEnded = 4007,
+  kStreamBrokenOff = 4008,
   kOperatorCommand = 5001,
   kOperatorRefused = 5002,
   kScheduleApplied = 5003,
@@ -58,9 +77,13 @@
 /// @param fields JSON object with further members
 void LogEvent(Event event, const nlohmann::json& fields = nlohmann::json::object());
 
-/// Starts logging to standard error.
+enum class LogStream { kStandardError, kStandardOutput };
+
+/// Starts logging. Lines of one event beyond a rate are left out and counted in the next one.
 /// @param process id written on each line
 /// @param level lowest severity that is written: info, warning or error
-void StartLog(std::string_view process, std::string_view level);
+/// @param stream standard output is written without waiting; lines are lost if nobody reads it
+void StartLog(std::string_view process, std::string_view level,
+              LogStream stream = LogStream::kStandardError);
 
 }  // namespace wagtailslip::process
--- /dev/null
+++ b/include/wagtailslip/serving/placement.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "wagtailslip/base/time.h"
+#include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/service_config.h"
+#include "wagtailslip/traffic/ejector.h"
+
+namespace wagtailslip::serving {
+
+struct PlacementSettings {
+  std::string failure_domain;
+  /// Requests beyond the slots that an engine is given, so that its batch never runs empty while
+  /// the next request is on its way.
+  std::uint32_t engine_overflow = 2;
+  /// The same for other services, as a multiple of their slots.
+  double service_overflow = 1.0;
+  /// Time for which a report of load counts.
+  Duration report_life = std::chrono::milliseconds(1500);
+  /// Time without new requests after an endpoint refused one because it was full.
+  Duration refusal_pause = std::chrono::milliseconds(120);
+  /// Load, as a part of the slots, that an endpoint of the own failure domain may have more.
+  double domain_preference = 0.06;
+  /// Range of the random part of a score, which keeps processes with the same reports from choosing
+  /// the same endpoint.
+  double noise = 0.1;
+};
+
+/// What a request needs.
+struct PlacementQuery {
+  std::string service;
+  /// Endpoints that this request has been sent to.
+  std::vector<std::string> excluded;
+  /// Oldest version of weights that may answer; 0 for any.
+  std::int64_t least_weights = 0;
+  /// The only version that may answer; 0 for any.
+  std::int64_t exact_weights = 0;
+  /// A request that may run more than once may also be used to probe an ejected endpoint.
+  bool repeatable = false;
+};
+
+/// An endpoint that takes a request.
+struct Placed {
+  std::string id;
+  std::string address;
+  std::int64_t weights = 0;
+  /// Estimated requests at the endpoint before this one, and its slots.
+  double load = 0;
+  std::uint32_t slots = 0;
+};
+
+/// What a sidecar reads from the engine beside it.
+struct EndpointReading {
+  std::string address;
+  std::int64_t started_ms = 0;
+  std::int64_t weights = 0;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  /// The engine changes its weights and takes no requests.
+  bool swapping = false;
+  /// Time of a step relative to the usual one.
+  double pace = 1;
+};
+
+/// Chooses endpoints by load, health, weights and failure domain. Load is estimated from reports,
+/// which lag, and from this process's own requests since then.
+class Placement {
+ public:
+  Placement(PlacementSettings settings, std::uint64_t seed);
+
+  /// Takes over the known endpoints and the services.
+  void Sync(const InstanceTable& table, const ServiceConfig& config);
+  void OnReading(const EndpointReading& reading, TimePoint now);
+  /// Takes the load that an endpoint added to an answer.
+  void OnLoad(const std::string& id, std::uint32_t running, std::uint32_t waiting, TimePoint now);
+
+  /// The endpoint for a request; nothing if none has room now. Counts the request as started.
+  std::optional<Placed> Choose(const PlacementQuery& query, TimePoint now);
+  /// The request at an endpoint has ended.
+  void Finish(const std::string& id, traffic::AttemptResult result, TimePoint now);
+  /// The request has ended in a way that says nothing of the endpoint.
+  void Release(const std::string& id);
+  /// The endpoint did not run a request: it is full, leaving, or another incarnation.
+  void Refused(const std::string& id, TimePoint now);
+
+  struct Pool {
+    std::size_t endpoints = 0;
+    /// Endpoints that could take this kind of request if they had room.
+    std::size_t usable = 0;
+    double slots = 0;
+    double load = 0;
+  };
+  /// Places and load of the endpoints that a query allows.
+  Pool Survey(const PlacementQuery& query, TimePoint now) const;
+
+ private:
+  struct Endpoint {
+    EndpointRecord record;
+    bool engine = false;
+    bool swapping = false;
+    TimePoint swapping_at{};
+    double pace = 1;
+    std::int64_t weights = 0;
+    std::uint32_t own = 0;
+    /// Requests that a report counted, and this process's own at that time.
+    std::uint32_t reported = 0;
+    std::uint32_t own_at_report = 0;
+    TimePoint reported_at{};
+    TimePoint closed_until{};
+  };
+
+  double Load(const Endpoint& endpoint, TimePoint now) const;
+  double Capacity(const Endpoint& endpoint) const;
+  bool Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
+  void NoteReport(Endpoint& endpoint, std::uint32_t count, TimePoint now);
+
+  PlacementSettings settings_;
+  std::map<std::string, Endpoint> endpoints_;
+  std::unordered_map<std::string, std::vector<Endpoint*>> pools_;
+  std::unordered_map<std::string, Endpoint*> by_address_;
+  traffic::Ejector ejector_;
+  std::minstd_rand random_;
+  std::size_t processes_ = 1;
+
+ public:
+  /// Number of ingress processes, for estimates without a report.
+  void set_processes(std::size_t n) { processes_ = n == 0 ? 1 : n; }
+};
+
+}  // namespace wagtailslip::serving
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -5,6 +5,7 @@
 
 #include "wagtailslip/cli/api_client.h"
 #include "wagtailslip/cli/exit_code.h"
+#include "wagtailslip/cli/node_commands.h"
 #include "wagtailslip/cli/operator_commands.h"
 #include "wagtailslip/cli/process_commands.h"
 #include "wagtailslip/process/signal_wait.h"
@@ -36,6 +37,7 @@
   app.option_defaults()->always_capture_default();
   std::function<int()> run;
   wagtailslip::cli::AddProcessCommands(app, run);
+  wagtailslip::cli::AddNodeCommands(app, run);
   wagtailslip::cli::AddOperatorCommands(app, run);
   try {
     app.parse(argc, argv);
--- /dev/null
+++ b/src/codec/mesh.thrift
@@ -0,0 +1,88 @@
+// Messages of the mesh: links between control, ingress and sidecar processes.
+// Regenerate with tools/generate-thrift; the generated code is committed.
+include "wagtailslip.thrift"
+namespace cpp wagtailslip.wire
+
+struct MeshMember {
+  1: string process
+  2: i16 kind
+  3: string failure_domain
+  4: string region
+  5: string service_address
+  6: bool accepting
+  7: i64 incarnation
+}
+
+// What an instance of a service said of itself.
+struct InstanceRecord {
+  1: string id
+  2: i64 started_ms
+  3: i64 sequence
+  4: string service_name
+  5: string address
+  6: string failure_domain
+  7: i32 slots
+  8: i16 state
+  9: i32 warmup_ms
+  10: string model
+  11: i64 weights
+  12: i32 age_ms
+}
+
+// Load and weights of an instance as its sidecar reads them.
+struct InstanceReading {
+  1: string address
+  2: i64 started_ms
+  3: i64 weights
+  4: i32 running
+  5: i32 waiting
+  6: bool swapping
+  7: double pace
+}
+
+struct WeightsTarget {
+  1: string model
+  2: i64 version
+  3: i64 age_ms
+}
+
+struct ServiceConfigBody {
+  1: i64 version
+  2: binary body
+}
+
+// Where a sidecar finds the weights of the service beside it.
+struct ModelSource {
+  1: string service_name
+  2: string model
+  3: string origin
+  4: i32 chunks
+  5: i32 layers
+}
+
+struct JoinLog {
+  1: wagtailslip.ReplicaId id
+}
+
+struct MeshMessage {
+  1: optional MeshMember hello
+  2: optional list<MeshMember> members
+  3: optional list<InstanceRecord> instances
+  4: optional list<InstanceReading> readings
+  5: optional ServiceConfigBody service_config
+  6: optional list<WeightsTarget> targets
+  7: optional list<ModelSource> sources
+  8: optional wagtailslip.AgreementMessage agreement
+  9: optional JoinLog join
+}
+
+// An entry of the control log.
+struct ControlCommand {
+  1: optional ServiceConfigBody service_config
+  2: optional WeightsTarget target
+}
+
+struct ControlSnapshot {
+  1: optional ServiceConfigBody service_config
+  2: list<WeightsTarget> targets
+}
--- /dev/null
+++ b/src/control/control_log.cc
@@ -0,0 +1,305 @@
+#include "control_log.h"
+
+#include <algorithm>
+
+#include "gen/mesh_types.h"
+#include "wagtailslip/base/digest.h"
+#include "wagtailslip/codec/compact.h"
+#include "wagtailslip/process/events.h"
+
+namespace wagtailslip::control {
+namespace {
+
+using process::Event;
+using process::LogEvent;
+
+constexpr std::uint64_t kFirstIncarnation = 1;
+// A caller moves on to another process after a second; a later answer reaches nobody.
+constexpr Duration kProposalTimeout = std::chrono::milliseconds(1800);
+constexpr Duration kRepairPeriod = std::chrono::milliseconds(100);
+// A wiped or replaced process must count again within the catch-up time of the deployment, 4 s.
+constexpr Duration kVoterDeadAfter = std::chrono::milliseconds(1600);
+constexpr Duration kLeaderSilence = std::chrono::milliseconds(1500);
+constexpr std::uint64_t kSnapshotEntries = 64;
+constexpr std::size_t kSnapshotBytes = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t kRetainedEntries = 16;
+// Every control process votes, so that the log goes on while more than half of them run.
+constexpr std::size_t kMostVoters = 99;
+
+agreement::ReplicaConfig LogConfig(const agreement::ReplicaId& id) {
+  agreement::ReplicaConfig config;
+  config.id = id;
+  config.heartbeat = std::chrono::milliseconds(120);
+  config.lease = std::chrono::milliseconds(700);
+  config.lease_margin = std::chrono::milliseconds(20);
+  config.election_min = std::chrono::milliseconds(700);
+  config.election_max = std::chrono::milliseconds(1300);
+  config.learner_heartbeat = std::chrono::milliseconds(200);
+  config.max_unacknowledged = 256;
+  config.max_entry_bytes = 5UL * 1024 * 1024;
+  config.retained_entries = kRetainedEntries;
+  return config;
+}
+
+std::string EncodeCommand(const Command& command) {
+  wire::ControlCommand w;
+  if (command.config_version != 0) {
+    wire::ServiceConfigBody body;
+    body.version = command.config_version;
+    body.body = command.config_body;
+    w.__set_service_config(body);
+  } else {
+    wire::WeightsTarget target;
+    target.model = command.model;
+    target.version = command.weights;
+    w.__set_target(target);
+  }
+  return codec::EncodeCompact(w);
+}
+
+Command DecodeCommand(const std::string& data) {
+  auto w = codec::DecodeCompact<wire::ControlCommand>(data);
+  Command command;
+  if (w.__isset.service_config) {
+    command.config_version = w.service_config.version;
+    command.config_body = std::move(w.service_config.body);
+  }
+  if (w.__isset.target) {
+    command.model = w.target.model;
+    command.weights = w.target.version;
+  }
+  return command;
+}
+
+}  // namespace
+
+ControlLog::ControlLog(const deployment::NodeSettings& settings,
+                       const std::vector<std::string>& first_voters, Outlets outlets,
+                       std::int64_t incarnation, TimePoint now)
+    : process_(settings.mesh_address()), outlets_(std::move(outlets)), heard_leader_(now) {
+  disk::LogStoreOptions options;
+  options.folder = settings.data_folder;
+  const bool first = settings.first_start && std::find(first_voters.begin(), first_voters.end(),
+                                                       process_) != first_voters.end();
+  options.identity = {process_,
+                      first ? kFirstIncarnation : static_cast<std::uint64_t>(incarnation)};
+  if (first) {
+    std::vector<agreement::ReplicaId> voters;
+    for (const auto& it : first_voters) voters.push_back({it, kFirstIncarnation});
+    options.initial = agreement::BootstrapState(voters);
+  }
+  store_ = std::make_unique<disk::LogStore>(options);
+  auto state = store_->TakeState();
+  if (state.snapshot) {
+    Restore(state.snapshot->data, now);
+    applied_ = state.snapshot->index;
+  }
+  replica_ = std::make_unique<agreement::Replica>(
+      LogConfig(store_->identity()), std::move(state),
+      Hash64(process_, static_cast<std::uint64_t>(incarnation)), now);
+}
+
+bool ControlLog::Leading(TimePoint now) const {
+  return replica_->role() == agreement::Role::kLeader && replica_->HasLease(now);
+}
+
+bool ControlLog::Current(TimePoint now) const {
+  const auto read = replica_->ReadIndex(now);
+  return read && applied_ >= *read;
+}
+
+std::string ControlLog::Leader() const {
+  return replica_->leader() ? replica_->leader()->process : std::string();
+}
+
+std::optional<agreement::ReplicaId> ControlLog::WantsPlace(TimePoint now) const {
+  const bool member = replica_->membership().Role(replica_->id()).has_value();
+  // A member that was removed while it was away is not told; it only stops hearing a leader.
+  if (member && (Leading(now) || now - heard_leader_ < kLeaderSilence)) return std::nullopt;
+  return replica_->id();
+}
+
+void ControlLog::OnJoin(const agreement::ReplicaId& id, TimePoint now) {
+  if (!Leading(now)) return;
+  auto result = replica_->ChangeMembership({agreement::ChangeKind::kAddStandby, id}, now);
+  if (result.status == agreement::ProposeStatus::kAccepted) {
+    LogEvent(Event::kMembershipChanged, {{"change", "add-standby"}, {"member", id.Text()}});
+  }
+  HandleEffects(std::move(result.effects), now);
+}
+
+void ControlLog::OnMessage(const agreement::Message& message, TimePoint now) {
+  const bool from_leader = std::holds_alternative<agreement::AppendRequest>(message.body) ||
+                           std::holds_alternative<agreement::SnapshotPart>(message.body);
+  if (from_leader && message.to == replica_->id() && message.term >= replica_->term()) {
+    heard_leader_ = now;
+  }
+  HandleEffects(replica_->Step(message, now), now);
+}
+
+void ControlLog::HandleEffects(agreement::Effects effects, TimePoint now) {
+  if (effects.hard_state) store_->SaveHardState(*effects.hard_state);
+  for (const auto& message : effects.messages) outlets_.send(message);
+  store_->Write(effects);
+  if (effects.write != 0) {
+    last_write_ = effects.write;
+    if (!flush_scheduled_) {
+      flush_scheduled_ = true;
+      outlets_.schedule_flush();
+    }
+  }
+  bool changed = false;
+  if (effects.install) {
+    Restore(effects.install->data, now);
+    applied_ = effects.install->index;
+    applied_since_snapshot_ = 0;
+    bytes_since_snapshot_ = 0;
+    changed = true;
+  }
+  for (const auto& entry : effects.committed) Apply(entry, now);
+  if (changed || !effects.committed.empty()) outlets_.on_change();
+}
+
+void ControlLog::Apply(const agreement::Entry& entry, TimePoint now) {
+  if (entry.index <= applied_) return;
+  applied_ = entry.index;
+  ++applied_since_snapshot_;
+  bytes_since_snapshot_ += entry.data.size();
+  if (entry.kind == agreement::EntryKind::kCommand) ApplyCommand(DecodeCommand(entry.data), now);
+  const auto it = pending_.find(entry.index);
+  if (it == pending_.end()) return;
+  // Only the entry of the term in which it was proposed is the proposal itself.
+  const bool committed = it->second.term == entry.term;
+  Done done = std::move(it->second.done);
+  pending_.erase(it);
+  done(committed);
+}
+
+void ControlLog::ApplyCommand(const Command& command, TimePoint now) {
+  // An older version than the one held is agreed on and changes nothing.
+  if (command.config_version > state_.config_version) {
+    state_.config_version = command.config_version;
+    state_.config_body = command.config_body;
+    LogEvent(Event::kServiceConfigAgreed,
+             {{"version", command.config_version}, {"bytes", command.config_body.size()}});
+  }
+  if (command.weights > 0) {
+    Target& target = state_.targets[command.model];
+    if (command.weights > target.version) {
+      target = {command.weights, now};
+      LogEvent(Event::kWeightsNamed, {{"model", command.model}, {"version", command.weights}});
+    }
+  }
+}
+
+void ControlLog::Restore(const std::string& snapshot, TimePoint now) {
+  const auto w = codec::DecodeCompact<wire::ControlSnapshot>(snapshot);
+  if (w.__isset.service_config && w.service_config.version > state_.config_version) {
+    state_.config_version = w.service_config.version;
+    state_.config_body = w.service_config.body;
+  }
+  for (const auto& it : w.targets) {
+    Target& target = state_.targets[it.model];
+    if (it.version > target.version) target = {it.version, now};
+  }
+}
+
+void ControlLog::Propose(const Command& command, Done done, TimePoint) {
+  queued_.emplace_back(EncodeCommand(command), std::move(done));
+  if (flush_scheduled_) return;
+  flush_scheduled_ = true;
+  outlets_.schedule_flush();
+}
+
+void ControlLog::Flush(TimePoint now) {
+  flush_scheduled_ = false;
+  if (!queued_.empty()) {
+    std::vector<std::string> batch;
+    std::vector<Done> waiting;
+    for (auto& [data, done] : queued_) {
+      batch.push_back(std::move(data));
+      waiting.push_back(std::move(done));
+    }
+    queued_.clear();
+    auto result = replica_->ProposeBatch(std::move(batch), now);
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+      if (result.status == agreement::ProposeStatus::kAccepted) {
+        pending_[result.first_index + i] = {result.term, now + kProposalTimeout,
+                                            std::move(waiting[i])};
+      } else {
+        waiting[i](false);
+      }
+    }
+    HandleEffects(std::move(result.effects), now);
+  }
+  while (persisted_write_ < last_write_) {
+    store_->Sync();
+    persisted_write_ = last_write_;
+    HandleEffects(replica_->Persisted(persisted_write_, now), now);
+  }
+}
+
+void ControlLog::ExpirePending(TimePoint now) {
+  std::vector<Done> expired;
+  for (auto it = pending_.begin(); it != pending_.end();) {
+    if (now >= it->second.deadline) {
+      expired.push_back(std::move(it->second.done));
+      it = pending_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  for (auto& done : expired) done(false);
+}
+
+void ControlLog::Repair(TimePoint now) {
+  if (now < repair_at_ || !Leading(now)) return;
+  repair_at_ = now + kRepairPeriod;
+  const auto change = replica_->PlanRepair(kMostVoters, kVoterDeadAfter, now);
+  if (!change) return;
+  auto result = replica_->ChangeMembership(*change, now);
+  if (result.status == agreement::ProposeStatus::kAccepted) {
+    LogEvent(Event::kMembershipChanged, {{"change", agreement::kChangeKinds.Name(change->kind)},
+                                         {"member", change->id.Text()}});
+  }
+  HandleEffects(std::move(result.effects), now);
+}
+
+void ControlLog::Compact() {
+  if (applied_since_snapshot_ < kSnapshotEntries && bytes_since_snapshot_ < kSnapshotBytes) return;
+  applied_since_snapshot_ = 0;
+  bytes_since_snapshot_ = 0;
+  wire::ControlSnapshot w;
+  if (state_.config_version != 0) {
+    wire::ServiceConfigBody body;
+    body.version = state_.config_version;
+    body.body = state_.config_body;
+    w.__set_service_config(body);
+  }
+  for (const auto& [model, target] : state_.targets) {
+    wire::WeightsTarget it;
+    it.model = model;
+    it.version = target.version;
+    w.targets.push_back(it);
+  }
+  const auto snapshot = replica_->Compact(applied_, codec::EncodeCompact(w));
+  if (snapshot) store_->SaveSnapshot(*snapshot);
+}
+
+void ControlLog::Tick(TimePoint now) {
+  HandleEffects(replica_->Tick(now), now);
+  if (replica_->role() != last_role_) {
+    last_role_ = replica_->role();
+    LogEvent(Event::kReplicaRoleChanged,
+             {{"role", agreement::kRoles.Name(last_role_)}, {"term", replica_->term()}});
+  }
+  ExpirePending(now);
+  Repair(now);
+  Compact();
+}
+
+void ControlLog::StepDown(TimePoint now) {
+  if (replica_->role() == agreement::Role::kLeader) HandleEffects(replica_->StepDown(now), now);
+}
+
+}  // namespace wagtailslip::control
--- /dev/null
+++ b/src/control/control_log.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "wagtailslip/agreement/replica.h"
+#include "wagtailslip/base/time.h"
+#include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/disk/log_store.h"
+
+namespace wagtailslip::control {
+
+/// Content of a control command: a service configuration, or a version of weights to be served.
+struct Command {
+  /// Version and body of a service configuration; version 0 if the command has none.
+  std::int64_t config_version = 0;
+  std::string config_body;
+  std::string model;
+  std::int64_t weights = 0;
+};
+
+/// A version of weights that was named, and when this process learned of it.
+struct Target {
+  std::int64_t version = 0;
+  TimePoint since{};
+};
+
+/// What the log has agreed on.
+struct AgreedState {
+  std::int64_t config_version = 0;
+  /// Shared with the messages that carry it.
+  std::string config_body;
+  std::map<std::string, Target> targets;
+};
+
+/// The replicated log of the control processes with its disk. Runs on one thread.
+class ControlLog {
+ public:
+  struct Outlets {
+    std::function<void(const agreement::Message&)> send;
+    /// Runs Flush after the current event.
+    std::function<void()> schedule_flush;
+    /// The agreed state has changed.
+    std::function<void()> on_change;
+  };
+  /// Called once: true if the command is committed, false if that is not known in time.
+  using Done = std::function<void(bool committed)>;
+
+  /// @throws disk::DiskError, agreement::AgreementError
+  ControlLog(const deployment::NodeSettings& settings, const std::vector<std::string>& first_voters,
+             Outlets outlets, std::int64_t incarnation, TimePoint now);
+
+  void Tick(TimePoint now);
+  void OnMessage(const agreement::Message& message, TimePoint now);
+  /// A process without a place in the log asks for one.
+  void OnJoin(const agreement::ReplicaId& id, TimePoint now);
+  void Propose(const Command& command, Done done, TimePoint now);
+  /// Proposes what is queued, syncs the disk and acknowledges.
+  void Flush(TimePoint now);
+  /// Gives up leadership before a planned stop.
+  void StepDown(TimePoint now);
+
+  bool Leading(TimePoint now) const;
+  /// Whether what this process has applied is the newest that was acknowledged.
+  bool Current(TimePoint now) const;
+  /// Process that leads; empty if none is known.
+  std::string Leader() const;
+  /// Identity to ask a place for; nothing while the log knows this process.
+  std::optional<agreement::ReplicaId> WantsPlace(TimePoint now) const;
+  const AgreedState& state() const { return state_; }
+  const agreement::Replica& replica() const { return *replica_; }
+  const disk::LogStoreCounters& disk_counters() const { return store_->counters(); }
+
+ private:
+  struct Pending {
+    agreement::Term term = 0;
+    TimePoint deadline{};
+    Done done;
+  };
+
+  void HandleEffects(agreement::Effects effects, TimePoint now);
+  void Apply(const agreement::Entry& entry, TimePoint now);
+  void ApplyCommand(const Command& command, TimePoint now);
+  void Restore(const std::string& snapshot, TimePoint now);
+  void ExpirePending(TimePoint now);
+  void Repair(TimePoint now);
+  void Compact();
+
+  std::string process_;
+  Outlets outlets_;
+  std::unique_ptr<disk::LogStore> store_;
+  std::unique_ptr<agreement::Replica> replica_;
+  AgreedState state_;
+  agreement::Index applied_ = 0;
+  std::uint64_t last_write_ = 0;
+  std::uint64_t persisted_write_ = 0;
+  bool flush_scheduled_ = false;
+  std::vector<std::pair<std::string, Done>> queued_;
+  std::map<agreement::Index, Pending> pending_;
+  agreement::Role last_role_ = agreement::Role::kFollower;
+  TimePoint heard_leader_{};
+  TimePoint repair_at_{};
+  std::uint64_t applied_since_snapshot_ = 0;
+  std::size_t bytes_since_snapshot_ = 0;
+};
+
+}  // namespace wagtailslip::control
--- /dev/null
+++ b/src/ingress/exchange.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "ingress_node.h"
+#include "platform/request_headers.h"
+#include "wagtailslip/net/http_client.h"
+#include "wagtailslip/net/http_server.h"
+#include "wagtailslip/process/metrics.h"
+#include "wagtailslip/serving/attempt_policy.h"
+#include "wagtailslip/serving/event_stream.h"
+
+namespace wagtailslip::ingress {
+
+/// Serves one request of a caller: admission, attempts at endpoints, and the answer.
+class Exchange {
+ public:
+  Exchange(IngressNode& node, process::Metrics& metrics, net::HttpExchange& caller);
+  net::Task<void> Run();
+
+ private:
+  /// What waits for the caller's going away, and is woken by it.
+  struct Presence {
+    bool gone = false;
+    net::asio::steady_timer* timer = nullptr;
+    net::HttpConnection* upstream = nullptr;
+  };
+  /// A whole answer of an endpoint that is kept in case no other attempt does better.
+  struct KeptAnswer {
+    unsigned status = 0;
+    std::string header_lines;
+    std::string body;
+  };
+
+  /// Finds route and account; answers the caller if it cannot.
+  net::Task<bool> Resolve();
+  net::Task<serving::Verdict> Place();
+  net::Task<serving::AttemptOutcome> Attempt(serving::Placed placed);
+  net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
+                                          const serving::Placed& placed);
+  net::Task<serving::AttemptOutcome> ReadWhole(net::HttpConnection& upstream,
+                                               const net::HttpResponse& response,
+                                               const platform::EndpointAnswer& answer);
+  net::Task<serving::AttemptOutcome> RelayStream(net::HttpConnection& upstream,
+                                                 const net::HttpResponse& response,
+                                                 const platform::EndpointAnswer& answer);
+  /// Passes events on.
+  /// @return false if an event is missing
+  net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
+                              const std::string& header_lines);
+  void Settle(const serving::Placed& placed, serving::AttemptOutcome outcome);
+  /// Ends the exchange as DecideNext said.
+  net::Task<void> Finish(serving::NextStep step, serving::AttemptOutcome last);
+  net::Task<void> Refuse(std::string_view reason, Duration retry_after);
+  net::Task<void> Answer(unsigned status, std::string_view reason,
+                         std::optional<Duration> retry_after = std::nullopt);
+  Duration TimeLeft() const;
+  Duration AnswerPatience() const;
+  serving::AttemptOutcome OutcomeOfError(bool timed_out, bool started) const;
+
+  IngressNode& node_;
+  process::Metrics& metrics_;
+  net::HttpExchange& caller_;
+  platform::CallerRequest request_;
+  TimePoint received_;
+  std::shared_ptr<const serving::RouteTable> routes_;
+  const serving::Route* route_ = nullptr;
+  const serving::Account* account_ = nullptr;
+  std::string service_;
+  const serving::EngineProfile* engine_ = nullptr;
+  TimePoint deadline_{};
+  std::shared_ptr<Presence> presence_;
+  serving::AttemptHistory history_;
+  std::vector<std::string> tried_;
+  std::optional<KeptAnswer> failure_;
+  serving::EventSplitter splitter_;
+  /// Last event that the caller has; set with the first one.
+  std::optional<std::int64_t> last_event_;
+  /// Weights that made the events so far.
+  std::int64_t stream_weights_ = 0;
+  TimePoint first_event_at_{};
+  unsigned last_status_ = 0;
+};
+
+}  // namespace wagtailslip::ingress
--- /dev/null
+++ b/src/ingress/ingress.cc
@@ -0,0 +1,167 @@
+#include "wagtailslip/ingress/ingress.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+#include "exchange.h"
+#include "ingress_node.h"
+#include "wagtailslip/net/address.h"
+#include "wagtailslip/process/clock.h"
+#include "wagtailslip/process/events.h"
+
+namespace wagtailslip::ingress {
+namespace {
+
+using net::Task;
+using process::Event;
+using process::LogEvent;
+
+// Port for metrics and the state dump; deploy/system.toml names it.
+constexpr std::uint16_t kMetricsPort = 9464;
+// Callers may use an address for three times the life of a lookup after they got it.
+constexpr Duration kCallerMemory = std::chrono::milliseconds(3500);
+// What is still in progress then ends with the process, before it is killed.
+constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+constexpr Duration kStopCheck = std::chrono::milliseconds(50);
+// Callers reuse connections that were idle for up to four fifths of the limit; the rest covers a
+// request that crosses the close.
+constexpr Duration kIdleReserve = std::chrono::seconds(2);
+
+net::HttpLimits CallerLimits(const serving::CallerLimits& limits) {
+  net::HttpLimits result;
+  result.header_bytes = limits.header_bytes;
+  result.body_bytes = limits.body_bytes;
+  result.read_timeout = limits.header_timeout;
+  result.idle_timeout = limits.idle_timeout + kIdleReserve;
+  return result;
+}
+
+/// The listening side of an ingress process.
+class IngressServer {
+ public:
+  IngressServer(net::asio::io_context& context, const deployment::NodeSettings& settings,
+                IngressNode& node)
+      : context_(context), settings_(settings), node_(node), stop_timer_(context) {
+    callers_ = std::make_unique<net::HttpServer>(
+        context, net::ParseAddress(settings.caller_address), CallerLimits({}),
+        [this](net::HttpExchange& exchange) { return Serve(exchange); });
+    for (const auto& address :
+         {settings.readiness_address, settings.ip + ":" + std::to_string(kMetricsPort)}) {
+      if (address.empty()) continue;
+      operators_.push_back(std::make_unique<net::HttpServer>(
+          context, net::ParseAddress(address), net::HttpLimits{},
+          [this](net::HttpExchange& exchange) { return ServeOperator(exchange); }));
+    }
+  }
+
+  void Start() {
+    callers_->Start();
+    for (auto& it : operators_) it->Start();
+  }
+
+  /// Ends in order: callers stop coming, requests in progress end, the process ends.
+  void BeginStop(TimePoint now) {
+    stop_at_ = now;
+    node_.StopTakingCallers();
+    CheckStop();
+  }
+
+ private:
+  Task<void> Serve(net::HttpExchange& exchange) {
+    if (node_.routes() && node_.routes()->config().version != limits_version_) {
+      limits_version_ = node_.routes()->config().version;
+      callers_->SetLimits(CallerLimits(node_.routes()->config().limits));
+    }
+    Exchange request(node_, metrics_, exchange);
+    co_await request.Run();
+  }
+
+  Task<void> ServeOperator(net::HttpExchange& exchange) {
+    std::string body;
+    net::HttpHeaders headers;
+    if (exchange.path() == "/readyz") {
+      body = node_.Ready() ? "ready\n" : "not ready\n";
+      co_return co_await exchange.Respond(node_.Ready() ? 200 : 503, body, headers, "text/plain");
+    }
+    if (exchange.path() == "/metrics") {
+      body = metrics_.Text();
+      co_return co_await exchange.Respond(200, body, headers, "text/plain; version=0.0.4");
+    }
+    if (exchange.path() == "/debug/state") {
+      body = Dump();
+      co_return co_await exchange.Respond(200, body);
+    }
+    body = "not found\n";
+    co_await exchange.Respond(404, body, headers, "text/plain");
+  }
+
+  std::string Dump() const {
+    nlohmann::json endpoints = nlohmann::json::object();
+    for (const auto& [id, record] : node_.table().endpoints()) {
+      endpoints[id] = {{"service", record.service},
+                       {"state", serving::kEndpointStates.Name(record.state)},
+                       {"weights", record.weights}};
+    }
+    return nlohmann::json{{"name", settings_.name},
+                          {"ready", node_.Ready()},
+                          {"config", node_.routes() ? node_.routes()->config().version : 0},
+                          {"active", callers_->active()},
+                          {"waiting", node_.waiting()},
+                          {"endpoints", endpoints}}
+        .dump();
+  }
+
+  void CheckStop() {
+    const TimePoint now = process::MonotonicNow();
+    const Duration since = now - stop_at_;
+    if (since >= kCallerMemory && !closed_) {
+      closed_ = true;
+      callers_->StopAccepting();
+    }
+    if ((closed_ && callers_->active() == 0) ||
+        since >= settings_.bounds.stop_grace - kStopReserve) {
+      for (auto& it : operators_) it->StopAccepting();
+      node_.Stop();
+      context_.stop();
+      return;
+    }
+    stop_timer_.expires_after(kStopCheck);
+    stop_timer_.async_wait([this](net::error_code ec) {
+      if (!ec) CheckStop();
+    });
+  }
+
+  net::asio::io_context& context_;
+  deployment::NodeSettings settings_;
+  IngressNode& node_;
+  process::Metrics metrics_;
+  std::unique_ptr<net::HttpServer> callers_;
+  std::vector<std::unique_ptr<net::HttpServer>> operators_;
+  std::int64_t limits_version_ = 0;
+  net::asio::steady_timer stop_timer_;
+  TimePoint stop_at_{};
+  bool closed_ = false;
+};
+
+}  // namespace
+
+int RunIngress(const deployment::NodeSettings& settings) {
+  net::asio::io_context context(1);
+  const auto incarnation = process::UtcNow().time_since_epoch().count();
+  IngressNode node(context, settings, incarnation);
+  IngressServer server(context, settings, node);
+  net::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](net::error_code ec, int) {
+    if (ec) return;
+    LogEvent(Event::kProcessStopping, {{"node", settings.name}});
+    server.BeginStop(process::MonotonicNow());
+  });
+  node.Start();
+  server.Start();
+  LogEvent(Event::kProcessStarted, {{"node", settings.name}, {"kind", "ingress"}});
+  context.run();
+  LogEvent(Event::kProcessStopped, {{"node", settings.name}});
+  return 0;
+}
+
+}  // namespace wagtailslip::ingress
--- /dev/null
+++ b/src/ingress/ingress_node.cc
@@ -0,0 +1,294 @@
+#include "ingress_node.h"
+
+#include <algorithm>
+
+#include "gen/mesh_types.h"
+#include "platform/service_config.h"
+#include "wagtailslip/base/digest.h"
+#include "wagtailslip/mesh/codec.h"
+#include "wagtailslip/net/address.h"
+#include "wagtailslip/process/clock.h"
+#include "wagtailslip/process/events.h"
+
+namespace wagtailslip::ingress {
+namespace {
+
+using mesh::MemberKind;
+using process::Event;
+using process::LogEvent;
+using process::MonotonicNow;
+
+constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr Duration kIngressMemory = std::chrono::seconds(20);
+constexpr Duration kExpirePeriod = std::chrono::seconds(1);
+constexpr Duration kEndpointLife = std::chrono::seconds(12);
+constexpr Duration kEndpointRecent = std::chrono::milliseconds(2500);
+// Requests stop beginning on older weights this long before the bound, which counts from an
+// acknowledgement that this process learns of later.
+constexpr Duration kWeightsMargin = std::chrono::milliseconds(900);
+
+std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
+  return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
+}
+
+mesh::Member Describe(const deployment::NodeSettings& settings, std::int64_t incarnation) {
+  mesh::Member self;
+  self.process = settings.mesh_address();
+  self.kind = MemberKind::kIngress;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  self.service_address = settings.caller_address;
+  self.incarnation = incarnation;
+  return self;
+}
+
+serving::PlacementSettings PlacementFor(const deployment::NodeSettings& settings) {
+  serving::PlacementSettings placement;
+  placement.failure_domain = settings.failure_domain;
+  return placement;
+}
+
+serving::RepeatBounds BoundsFor(const deployment::NodeSettings& settings) {
+  return {settings.bounds.repeat_ratio, settings.bounds.repeat_extra,
+          settings.bounds.repeat_window};
+}
+
+}  // namespace
+
+IngressNode::IngressNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
+                         std::int64_t incarnation)
+    : context_(context),
+      settings_(settings),
+      timer_(context),
+      placement_(PlacementFor(settings),
+                 Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
+      admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
+      budget_(BoundsFor(settings)) {
+  for (const auto& it : settings.seeds) seeds_.insert(MeshAddressOf(it, settings.first_port));
+  mesh::MeshNode::Handlers handlers;
+  handlers.on_member = [this](const mesh::Member& member) { OnMember(member); };
+  handlers.on_lost = [this](const mesh::Member& member) { OnLost(member); };
+  handlers.on_message = [this](const mesh::Member& from, const wire::MeshMessage& message) {
+    OnMessage(from, message);
+  };
+  mesh_ = std::make_unique<mesh::MeshNode>(context, net::ParseAddress(settings.mesh_address()),
+                                           Describe(settings, incarnation), mesh::MeshLimits{},
+                                           handlers);
+}
+
+void IngressNode::Start() {
+  UpdateLinks();
+  mesh_->Start();
+  ScheduleTick();
+}
+
+void IngressNode::StopTakingCallers() {
+  leaving_ = true;
+  auto self = mesh_->self();
+  self.accepting = false;
+  mesh_->Describe(self);
+}
+
+void IngressNode::Stop() {
+  timer_.cancel();
+  mesh_->Stop();
+}
+
+void IngressNode::ScheduleTick() {
+  timer_.expires_after(kTickPeriod);
+  timer_.async_wait([this](net::error_code ec) {
+    if (ec) return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+void IngressNode::Tick() {
+  const TimePoint now = MonotonicNow();
+  Sync();
+  if (admission_.waiting() > 0) Pump(now);
+  if (now < expire_at_) return;
+  expire_at_ = now + kExpirePeriod;
+  for (const auto& id : table_.Expire(kEndpointLife, kEndpointRecent, now)) {
+    LogEvent(Event::kServiceEndpointGone, {{"endpoint", id}, {"reason", "no announcement"}});
+  }
+}
+
+void IngressNode::OnMember(const mesh::Member& member) {
+  LogEvent(Event::kLinkUp, {{"peer", member.process},
+                            {"kind", mesh::kMemberKinds.Name(member.kind)},
+                            {"accepting", member.accepting}});
+  if (routes_) ReportVersion({member.process});
+}
+
+void IngressNode::OnLost(const mesh::Member& member) {
+  LogEvent(Event::kLinkLost,
+           {{"peer", member.process}, {"kind", mesh::kMemberKinds.Name(member.kind)}});
+  known_by_.erase(member.process);
+}
+
+void IngressNode::OnMessage(const mesh::Member& from, const wire::MeshMessage& message) {
+  const TimePoint now = MonotonicNow();
+  if (message.__isset.members) {
+    auto& known = known_by_[from.process];
+    known.clear();
+    std::size_t ingress = 0;
+    for (const auto& it : message.members) {
+      if (it.kind == static_cast<std::int16_t>(MemberKind::kControl)) known.insert(it.process);
+      if (it.kind == static_cast<std::int16_t>(MemberKind::kIngress)) ++ingress;
+    }
+    NoteIngressCount(std::max<std::size_t>(ingress, 1), now);
+    UpdateLinks();
+  }
+  if (message.__isset.instances) {
+    for (const auto& it : message.instances) {
+      const auto record = mesh::FromWire(it, now);
+      if (table_.Apply(record, now) != serving::Announcement::kChanged) continue;
+      LogEvent(Event::kServiceEndpointChanged,
+               {{"endpoint", record.id},
+                {"service", record.service},
+                {"state", serving::kEndpointStates.Name(record.state)},
+                {"weights", record.weights},
+                {"from", from.process},
+                {"age_ms", ToMilliseconds(now - record.refreshed)}});
+    }
+    Sync();
+    SchedulePump();
+  }
+  if (message.__isset.readings) {
+    for (const auto& it : message.readings) placement_.OnReading(mesh::FromWire(it), now);
+    SchedulePump();
+  }
+  if (message.__isset.targets) {
+    for (const auto& it : message.targets) {
+      Target& target = targets_[it.model];
+      if (it.version <= target.version) continue;
+      target = {it.version, now - std::chrono::milliseconds(it.age_ms)};
+      LogEvent(Event::kWeightsNamed,
+               {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
+    }
+  }
+  if (message.__isset.service_config) TakeConfig(message.service_config);
+}
+
+void IngressNode::NoteIngressCount(std::size_t count, TimePoint now) {
+  // A process that is down for a moment has used its part of the budget and will be back.
+  if (count < processes_ && now - processes_at_ < kIngressMemory) return;
+  processes_ = count;
+  processes_at_ = now;
+  placement_.set_processes(count);
+}
+
+void IngressNode::TakeConfig(const wire::ServiceConfigBody& body) {
+  if (routes_ && body.version <= routes_->config().version) {
+    // The sender has not heard that this process has it.
+    ReportVersion({});
+    return;
+  }
+  try {
+    auto config =
+        std::make_shared<serving::ServiceConfig>(platform::DecodeServiceConfig(body.body));
+    routes_ = std::make_shared<const serving::RouteTable>(std::move(config));
+  } catch (const serving::ServingError& e) {
+    LogEvent(Event::kServiceConfigRefused, {{"version", body.version}, {"error", e.what()}});
+    return;
+  }
+  LogEvent(Event::kServiceConfigInForce,
+           {{"version", body.version}, {"routes", routes_->config().routes.size()}});
+  auto self = mesh_->self();
+  if (!leaving_ && !self.accepting) {
+    self.accepting = true;
+    mesh_->Describe(self);
+  }
+  ReportVersion({});
+  Sync();
+  SchedulePump();
+}
+
+void IngressNode::ReportVersion(const std::vector<std::string>& processes) {
+  wire::MeshMessage message;
+  message.__isset.service_config = true;
+  message.service_config.version = routes_->config().version;
+  if (!processes.empty()) return mesh_->SendTo(processes, message);
+  std::vector<std::string> all;
+  for (const auto& it : mesh_->Members(MemberKind::kControl)) all.push_back(it.process);
+  mesh_->SendTo(all, message);
+}
+
+void IngressNode::Sync() {
+  if (!routes_) return;
+  if (table_.revision() == synced_revision_ && routes_->config().version == synced_version_) return;
+  synced_revision_ = table_.revision();
+  synced_version_ = routes_->config().version;
+  placement_.Sync(table_, routes_->config());
+}
+
+void IngressNode::UpdateLinks() {
+  std::set<std::string> processes = seeds_;
+  for (const auto& [process, known] : known_by_) processes.insert(known.begin(), known.end());
+  // Without any link the last known processes are tried, not only the seeds.
+  if (known_by_.empty()) processes.insert(last_known_.begin(), last_known_.end());
+  last_known_ = processes;
+  mesh_->KeepLinks(processes);
+}
+
+std::int64_t IngressNode::LeastWeights(const std::string& model, TimePoint now) const {
+  const auto it = targets_.find(model);
+  if (it == targets_.end()) return 0;
+  const Duration bound = settings_.bounds.weights_propagation - kWeightsMargin;
+  return now - it->second.since >= bound ? it->second.version : 0;
+}
+
+serving::Verdict IngressNode::Offer(const serving::Applicant& applicant, OnVerdict later,
+                                    TimePoint now) {
+  const auto verdict = admission_.Offer(applicant, now);
+  if (std::holds_alternative<std::monostate>(verdict)) waiting_[applicant.id] = std::move(later);
+  return verdict;
+}
+
+void IngressNode::Withdraw(std::uint64_t id) {
+  admission_.Cancel(id);
+  waiting_.erase(id);
+}
+
+void IngressNode::Pump(TimePoint now) {
+  for (auto& [id, verdict] : admission_.Pump(now)) {
+    const auto it = waiting_.find(id);
+    if (it == waiting_.end()) continue;
+    const OnVerdict deliver = std::move(it->second);
+    waiting_.erase(it);
+    deliver(std::move(verdict));
+  }
+}
+
+void IngressNode::SchedulePump() {
+  if (pump_scheduled_ || admission_.waiting() == 0) return;
+  pump_scheduled_ = true;
+  net::asio::post(context_, [this] {
+    pump_scheduled_ = false;
+    Pump(MonotonicNow());
+  });
+}
+
+void IngressNode::OnFinished(const std::string& endpoint, traffic::AttemptResult result,
+                             TimePoint now) {
+  placement_.Finish(endpoint, result, now);
+  SchedulePump();
+}
+
+void IngressNode::OnReleased(const std::string& endpoint) {
+  placement_.Release(endpoint);
+  SchedulePump();
+}
+
+void IngressNode::OnRefused(const std::string& endpoint, TimePoint now) {
+  placement_.Refused(endpoint, now);
+  SchedulePump();
+}
+
+void IngressNode::OnMisdirected(const std::string& endpoint, TimePoint now) {
+  placement_.Refused(endpoint, now);
+  SchedulePump();
+}
+
+}  // namespace wagtailslip::ingress
--- /dev/null
+++ b/src/ingress/ingress_node.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/mesh/mesh_node.h"
+#include "wagtailslip/net/asio.h"
+#include "wagtailslip/serving/admission.h"
+#include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/placement.h"
+#include "wagtailslip/serving/repeat_budget.h"
+#include "wagtailslip/serving/route_table.h"
+
+namespace wagtailslip::ingress {
+
+/// What an ingress process knows, and the decisions about its requests. Runs on one thread.
+class IngressNode {
+ public:
+  IngressNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
+              std::int64_t incarnation);
+
+  void Start();
+  /// Tells the control processes that no more callers should come here.
+  void StopTakingCallers();
+  void Stop();
+
+  /// The configuration in force; null before the first.
+  const std::shared_ptr<const serving::RouteTable>& routes() const { return routes_; }
+  /// Whether callers can be served.
+  bool Ready() const { return routes_ != nullptr && !leaving_; }
+  bool leaving() const { return leaving_; }
+
+  /// Oldest version of a model's weights with which a request may begin now.
+  std::int64_t LeastWeights(const std::string& model, TimePoint now) const;
+
+  using OnVerdict = std::function<void(serving::Verdict)>;
+  /// Offers a request; a verdict that is not known at once is delivered later.
+  serving::Verdict Offer(const serving::Applicant& applicant, OnVerdict later, TimePoint now);
+  void Withdraw(std::uint64_t id);
+  std::uint64_t NextId() { return ++last_id_; }
+
+  void CountRequest(const std::string& service, TimePoint now) { budget_.OnRequest(service, now); }
+  bool TakeRepeat(const std::string& service, TimePoint now) {
+    return budget_.Take(service, processes_, now);
+  }
+  void OnLoad(const std::string& endpoint, std::uint32_t running, std::uint32_t waiting,
+              TimePoint now) {
+    placement_.OnLoad(endpoint, running, waiting, now);
+  }
+  void OnFinished(const std::string& endpoint, traffic::AttemptResult result, TimePoint now);
+  void OnRefused(const std::string& endpoint, TimePoint now);
+  void OnReleased(const std::string& endpoint);
+  /// Another incarnation has the address, or the endpoint has other weights than expected.
+  void OnMisdirected(const std::string& endpoint, TimePoint now);
+  Duration RetryAfter(const std::string& service, TimePoint now) {
+    return admission_.RetryAfter(service, now);
+  }
+  const serving::InstanceTable& table() const { return table_; }
+  const serving::Placement& placement() const { return placement_; }
+  std::size_t waiting() const { return admission_.waiting(); }
+
+ private:
+  void OnMember(const mesh::Member& member);
+  void OnLost(const mesh::Member& member);
+  void OnMessage(const mesh::Member& from, const wire::MeshMessage& message);
+  void TakeConfig(const wire::ServiceConfigBody& body);
+  void ReportVersion(const std::vector<std::string>& processes);
+  void NoteIngressCount(std::size_t count, TimePoint now);
+  void Sync();
+  void UpdateLinks();
+  void Tick();
+  void ScheduleTick();
+  void Pump(TimePoint now);
+  void SchedulePump();
+
+  net::asio::io_context& context_;
+  deployment::NodeSettings settings_;
+  net::asio::steady_timer timer_;
+  std::unique_ptr<mesh::MeshNode> mesh_;
+  std::set<std::string> seeds_;
+  std::map<std::string, std::set<std::string>> known_by_;
+  std::set<std::string> last_known_;
+  std::shared_ptr<const serving::RouteTable> routes_;
+  serving::InstanceTable table_;
+  std::uint64_t synced_revision_ = 0;
+  std::int64_t synced_version_ = 0;
+  struct Target {
+    std::int64_t version = 0;
+    /// When it was acknowledged, by this process's clock.
+    TimePoint since{};
+  };
+  std::map<std::string, Target> targets_;
+  serving::Placement placement_;
+  serving::Admission admission_;
+  serving::RepeatBudget budget_;
+  std::unordered_map<std::uint64_t, OnVerdict> waiting_;
+  /// Ingress processes that share budgets and endpoints, and when their number last grew.
+  std::size_t processes_ = 1;
+  TimePoint processes_at_{};
+  std::uint64_t last_id_ = 0;
+  bool leaving_ = false;
+  bool pump_scheduled_ = false;
+  TimePoint expire_at_{};
+};
+
+}  // namespace wagtailslip::ingress
--- /dev/null
+++ b/src/mesh/codec.cc
@@ -0,0 +1,95 @@
+#include "wagtailslip/mesh/codec.h"
+
+#include <algorithm>
+
+#include "gen/mesh_types.h"
+
+namespace wagtailslip::mesh {
+namespace {
+
+std::int32_t Milliseconds(Duration duration) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+  return static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, 1'000'000'000));
+}
+
+}  // namespace
+
+wire::MeshMember ToWire(const Member& member) {
+  wire::MeshMember w;
+  w.process = member.process;
+  w.kind = static_cast<std::int16_t>(member.kind);
+  w.failure_domain = member.failure_domain;
+  w.region = member.region;
+  w.service_address = member.service_address;
+  w.accepting = member.accepting;
+  w.incarnation = member.incarnation;
+  return w;
+}
+
+Member FromWire(const wire::MeshMember& w) {
+  const auto kind = static_cast<MemberKind>(w.kind);
+  if (kMemberKinds.Name(kind) == "?") throw MeshError("a member has an unknown kind");
+  return {w.process,         kind,        w.failure_domain, w.region,
+          w.service_address, w.accepting, w.incarnation};
+}
+
+wire::InstanceRecord ToWire(const serving::EndpointRecord& record, TimePoint now) {
+  wire::InstanceRecord w;
+  w.id = record.id;
+  w.started_ms = record.started_ms;
+  w.sequence = record.sequence;
+  w.service_name = record.service;
+  w.address = record.address;
+  w.failure_domain = record.failure_domain;
+  w.slots = static_cast<std::int32_t>(record.slots);
+  w.state = static_cast<std::int16_t>(record.state);
+  w.warmup_ms = Milliseconds(record.warmup);
+  w.model = record.model;
+  w.weights = record.weights;
+  w.age_ms = Milliseconds(now - record.refreshed);
+  return w;
+}
+
+serving::EndpointRecord FromWire(const wire::InstanceRecord& w, TimePoint now) {
+  serving::EndpointRecord record;
+  record.id = w.id;
+  record.started_ms = w.started_ms;
+  record.sequence = w.sequence;
+  record.service = w.service_name;
+  record.address = w.address;
+  record.failure_domain = w.failure_domain;
+  record.slots = static_cast<std::uint32_t>(std::max(w.slots, 0));
+  record.state = static_cast<serving::EndpointState>(w.state);
+  if (serving::kEndpointStates.Name(record.state) == "?") {
+    throw MeshError("an endpoint has an unknown state");
+  }
+  record.warmup = std::chrono::milliseconds(w.warmup_ms);
+  record.model = w.model;
+  record.weights = w.weights;
+  record.refreshed = now - std::chrono::milliseconds(w.age_ms);
+  return record;
+}
+
+wire::InstanceReading ToWire(const serving::EndpointReading& reading) {
+  wire::InstanceReading w;
+  w.address = reading.address;
+  w.started_ms = reading.started_ms;
+  w.weights = reading.weights;
+  w.running = static_cast<std::int32_t>(reading.running);
+  w.waiting = static_cast<std::int32_t>(reading.waiting);
+  w.swapping = reading.swapping;
+  w.pace = reading.pace;
+  return w;
+}
+
+serving::EndpointReading FromWire(const wire::InstanceReading& w) {
+  return {w.address,
+          w.started_ms,
+          w.weights,
+          static_cast<std::uint32_t>(std::max(w.running, 0)),
+          static_cast<std::uint32_t>(std::max(w.waiting, 0)),
+          w.swapping,
+          w.pace};
+}
+
+}  // namespace wagtailslip::mesh
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,6 +2,9 @@
 
 #include <sys/socket.h>
 
+#include <array>
+#include <cerrno>
+#include <charconv>
 #include <set>
 
 #include "wagtailslip/net/address.h"
@@ -22,6 +25,30 @@
 
 }  // namespace
 
+struct HttpExchange::Watch {
+  tcp::socket* socket = nullptr;
+  std::function<void()> on_gone;
+  /// The exchange has ended, and perhaps the socket with it.
+  bool ended = false;
+};
+
+HttpExchange::~HttpExchange() {
+  if (watch_) watch_->ended = true;
+}
+
+void HttpExchange::WatchCaller(std::function<void()> on_gone) {
+  watch_ = std::make_shared<Watch>();
+  watch_->socket = &stream_.socket();
+  watch_->on_gone = std::move(on_gone);
+  stream_.socket().async_wait(tcp::socket::wait_read, [watch = watch_](error_code ec) {
+    if (watch->ended || ec == asio::error::operation_aborted) return;
+    char byte = 0;
+    const auto n = ::recv(watch->socket->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0 || (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) return;
+    watch->on_gone();
+  });
+}
+
 HttpExchange::HttpExchange(beast::tcp_stream& stream, HttpRequest request, Duration write_timeout)
     : stream_(stream),
       request_(std::move(request)),
@@ -77,6 +104,47 @@
   if (ec) throw ToNetError("answer could not be sent", ec);
 }
 
+std::string HttpExchange::HeaderText(unsigned status, const std::string& header_lines) const {
+  const auto reason = http::obsolete_reason(http::int_to_status(status));
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
+  text.append(reason.data(), reason.size());
+  text += "\r\n";
+  text += header_lines;
+  if (!keep_alive_) text += "Connection: close\r\n";
+  return text;
+}
+
+Task<void> HttpExchange::WriteText(std::string text) {
+  stream_.expires_after(write_timeout_);
+  error_code ec;
+  co_await asio::async_write(stream_, asio::buffer(text),
+                             asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) throw ToNetError("answer could not be sent", ec);
+}
+
+Task<void> HttpExchange::RespondLines(unsigned status, std::string header_lines, std::string body) {
+  responded_ = true;
+  std::string text = HeaderText(status, header_lines);
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+  text += body;
+  co_await WriteText(std::move(text));
+}
+
+Task<void> HttpExchange::StartStreamLines(unsigned status, std::string header_lines,
+                                          std::string first) {
+  responded_ = true;
+  stream_open_ = true;
+  std::string text = HeaderText(status, header_lines);
+  text += "Transfer-Encoding: chunked\r\n\r\n";
+  if (!first.empty()) {
+    std::array<char, 20> size{};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), first.size(), 16).ptr;
+    text.append(size.data(), end);
+    text += "\r\n" + first + "\r\n";
+  }
+  co_await WriteText(std::move(text));
+}
+
 Task<void> HttpExchange::StartStream(unsigned status, HttpHeaders headers,
                                      std::string_view content_type) {
   http::response<http::empty_body> response;
@@ -180,7 +248,7 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
-  stream.expires_after(limits.read_timeout);
+  stream.expires_after(limits.idle_timeout);
   if (buffer.size() == 0) idle.insert(&stream);
   if (stopping) co_return false;
   error_code ec;
@@ -189,6 +257,7 @@
                                  asio::redirect_error(asio::use_awaitable, ec));
   idle.erase(&stream);
   if (!ec && !parser.is_done()) {
+    stream.expires_after(limits.read_timeout);
     co_await http::async_read(stream, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, ec));
   }
@@ -261,6 +330,8 @@
 
 HttpServer::~HttpServer() { StopAccepting(); }
 
+void HttpServer::SetLimits(const HttpLimits& limits) { state_->limits = limits; }
+
 void HttpServer::Start() { asio::co_spawn(state_->context, state_->Accept(), asio::detached); }
 
 void HttpServer::StopAccepting() {
--- a/src/process/clock.cc
+++ b/src/process/clock.cc
@@ -9,8 +9,11 @@
 namespace wagtailslip::process {
 
 TimePoint MonotonicNow() {
-  return TimePoint(
-      std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+  // The steady clock stands still while a machine is suspended. A lease that was granted before
+  // would then seem to hold after another process has taken over.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
 }
 
 UtcTime UtcNow() {
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -1,10 +1,16 @@
 #include "wagtailslip/process/events.h"
 
+#include <fcntl.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <mutex>
 
 #include "wagtailslip/base/error.h"
 #include "wagtailslip/process/clock.h"
+#include "wagtailslip/process/log_volume.h"
 
 namespace wagtailslip::process {
 namespace {
@@ -32,16 +38,40 @@
      "a frame from another process did not decode or was out of place"},
     {Event::kMembershipChanged, "replica.membership_changed", Severity::kInfo,
      "the members of the replicated log changed"},
+    {Event::kServiceConfigAgreed, "service_config.agreed", Severity::kInfo,
+     "a service configuration was agreed on by the control processes"},
+    {Event::kServiceConfigInForce, "service_config.in_force", Severity::kInfo,
+     "an ingress process routes by this version from now on"},
+    {Event::kServiceConfigRefused, "service_config.refused", Severity::kWarning,
+     "a service configuration is not valid and changes nothing"},
+    {Event::kCommandAcknowledged, "control.command_acknowledged", Severity::kInfo,
+     "a command of an operator is committed and was acknowledged"},
+    {Event::kCommandUnclear, "control.command_unclear", Severity::kWarning,
+     "a command of an operator was not committed in time; it may be later"},
+    {Event::kLinkUp, "link.up", Severity::kInfo,
+     "a link to another process is usable, or the process described itself anew"},
+    {Event::kLinkLost, "link.lost", Severity::kWarning,
+     "the last link to another process has ended or fallen silent"},
     {Event::kEndpointJoined, "endpoint.joined", Severity::kInfo, "an endpoint announced itself"},
     {Event::kEndpointLeft, "endpoint.left", Severity::kInfo, "an endpoint left or was removed"},
     {Event::kEndpointSuspected, "endpoint.suspected", Severity::kWarning,
      "heartbeats are missing; the endpoint gets no new work"},
+    {Event::kServiceEndpointChanged, "service_endpoint.changed", Severity::kInfo,
+     "an endpoint announced itself, or its state, address or weights changed"},
+    {Event::kServiceEndpointGone, "service_endpoint.gone", Severity::kInfo,
+     "an endpoint left or was silent for too long"},
+    {Event::kAnnouncementRefused, "service_endpoint.announcement_refused", Severity::kWarning,
+     "an announcement could not be read and names no endpoint"},
     {Event::kRolloutAdvanced, "rollout.advanced", Severity::kInfo,
      "a rollout changed its state or opened a batch"},
     {Event::kReplicaStateChanged, "replica.state_changed", Severity::kInfo,
      "an endpoint's replica changed its state in a rollout"},
     {Event::kOrderFailed, "engine.order_failed", Severity::kWarning,
      "an engine refused or did not carry out an order"},
+    {Event::kWeightsNamed, "weights.named", Severity::kInfo,
+     "a version of weights is to be served; age_ms says how long ago it was named"},
+    {Event::kSwapOrdered, "weights.swap_ordered", Severity::kInfo,
+     "an engine was ordered to load a version"},
     {Event::kChunkRejected, "spread.chunk_rejected", Severity::kWarning,
      "a chunk did not match its digest; its sender is avoided"},
     {Event::kFetchFailed, "spread.fetch_failed", Severity::kInfo, "a source did not send a chunk"},
@@ -49,6 +79,12 @@
      "all chunks of a version are stored and verified"},
     {Event::kArtifactSupplied, "spread.artifact_supplied", Severity::kInfo,
      "chunks were copied from a version already stored"},
+    {Event::kWeightsStaged, "weights.staged", Severity::kInfo,
+     "all chunks of a version lie beside the engine and match their digests"},
+    {Event::kEngineLost, "engine.lost", Severity::kWarning,
+     "the engine beside a sidecar does not answer"},
+    {Event::kEngineRegained, "engine.regained", Severity::kInfo,
+     "the engine beside a sidecar answers again"},
     {Event::kRequestNotRun, "request.not_run", Severity::kInfo,
      "a request was refused before any endpoint ran it"},
     {Event::kRequestUnknown, "request.unknown", Severity::kWarning,
@@ -57,6 +93,14 @@
      "an answer did not match its request and was not passed on"},
     {Event::kStreamCut, "request.stream_cut", Severity::kWarning,
      "a started stream could not be completed; the caller got an error event"},
+    {Event::kRequestRejected, "request.rejected", Severity::kInfo,
+     "a request was answered with a client error before it was sent on"},
+    {Event::kRequestEnded, "request.ended_by_ingress", Severity::kInfo,
+     "a request got an answer of the ingress process instead of an endpoint"},
+    {Event::kAttemptEnded, "request.attempt_ended", Severity::kInfo,
+     "an attempt at an endpoint ended; the entry gives what chose the endpoint and what follows"},
+    {Event::kStreamBrokenOff, "request.stream_broken_off", Severity::kWarning,
+     "a started stream could not be continued and the connection of the caller was closed"},
     {Event::kOperatorCommand, "operator.command", Severity::kInfo,
      "an operator command was accepted"},
     {Event::kOperatorRefused, "operator.refused", Severity::kWarning,
@@ -80,6 +124,33 @@
   return name;
 }
 
+// A busy ingress process writes two lines for each of about 60 requests a second.
+constexpr double kLinesPerSecond = 150;
+constexpr double kLineBurst = 300;
+
+/// Lines that may be written, shared by all threads of the process.
+std::optional<std::uint64_t> AdmitLine(Event event) {
+  static std::mutex mutex;
+  static LogVolume volume(kLinesPerSecond, kLineBurst);
+  const std::lock_guard lock(mutex);
+  return volume.Admit(static_cast<int>(event), MonotonicNow());
+}
+
+/// Writes each line to standard output at once, and drops it if the reader is behind, because a log
+/// must not hold up requests.
+class StandardOutputSink final : public spdlog::sinks::base_sink<std::mutex> {
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    if (::write(STDOUT_FILENO, line.data(), line.size()) < 0) ++dropped_;
+  }
+  void flush_() override {}
+
+ private:
+  std::uint64_t dropped_ = 0;
+};
+
 }  // namespace
 
 std::span<const EventRow> EventCatalogue() { return kRows; }
@@ -88,20 +159,30 @@
   const EventRow& row = FindRow(event);
   const auto level = kLevels[static_cast<int>(row.severity)];
   if (!spdlog::should_log(level)) return;
+  const auto left_out = AdmitLine(event);
+  if (!left_out) return;
   nlohmann::ordered_json line{{"time", FormatUtc(UtcNow())},
                               {"process", ProcessName()},
                               {"event", static_cast<int>(event)},
                               {"name", row.name},
                               {"level", spdlog::level::to_string_view(level).data()}};
   for (const auto& [key, value] : fields.items()) line[key] = value;
+  if (*left_out > 0) line["lines_left_out"] = *left_out;
   // Log fields may carry bytes of a remote party, which need not be valid UTF-8.
   spdlog::log(level, "{}",
               line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
-void StartLog(std::string_view process, std::string_view level) {
+void StartLog(std::string_view process, std::string_view level, LogStream stream) {
   ProcessName() = process;
-  auto logger = spdlog::stderr_logger_mt("wagtailslip");
+  std::shared_ptr<spdlog::logger> logger;
+  if (stream == LogStream::kStandardOutput) {
+    ::fcntl(STDOUT_FILENO, F_SETFL, ::fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    logger =
+        std::make_shared<spdlog::logger>("wagtailslip", std::make_shared<StandardOutputSink>());
+  } else {
+    logger = spdlog::stderr_logger_mt("wagtailslip");
+  }
   logger->set_pattern("%v");
   logger->flush_on(spdlog::level::info);
   spdlog::set_default_logger(logger);
--- /dev/null
+++ b/src/serving/admission.cc
@@ -0,0 +1,134 @@
+#include "wagtailslip/serving/admission.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace wagtailslip::serving {
+namespace {
+
+constexpr Duration kRateWindow = std::chrono::milliseconds(500);
+constexpr Duration kShortestReturn = std::chrono::milliseconds(400);
+constexpr Duration kLongestReturn = std::chrono::milliseconds(1600);
+// Without endpoints a caller comes back when a restarted or replaced one can have announced itself.
+constexpr Duration kReturnWithoutEndpoint = std::chrono::milliseconds(800);
+constexpr std::size_t kMostWaiting = 2000;
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+double& Admission::ShareOf(const Applicant& applicant) {
+  double& share = shares_[applicant.account];
+  // An account that was idle does not collect a claim on the past.
+  share = std::max(share, share_floor_);
+  return share;
+}
+
+void Admission::NoteDispatch(const Applicant& applicant, TimePoint now) {
+  double& share = ShareOf(applicant);
+  share_floor_ = std::max(share_floor_, share - 1);
+  share += applicant.cost;
+  Rate& rate = rates_[applicant.query.service];
+  if (rate.since == TimePoint{}) rate.since = now;
+  ++rate.count;
+  if (now - rate.since >= kRateWindow) {
+    const double measured = rate.count / ToSeconds(now - rate.since);
+    rate.per_second = rate.per_second == 0 ? measured : (rate.per_second + measured) / 2;
+    rate.count = 0;
+    rate.since = now;
+  }
+}
+
+Duration Admission::ExpectedWait(const Applicant& applicant, TimePoint now) const {
+  const auto it = rates_.find(applicant.query.service);
+  if (it == rates_.end() || it->second.per_second <= 0) return Duration::zero();
+  const Rate& rate = it->second;
+  // A window that is still open lowers the rate while nothing is dispatched.
+  const double open = ToSeconds(now - rate.since);
+  const double per_second = open > ToSeconds(kRateWindow)
+                                ? std::min(rate.per_second, (rate.count + 1) / open)
+                                : rate.per_second;
+  const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const Applicant& other) {
+    return other.query.service == applicant.query.service && other.priority <= applicant.priority;
+  });
+  return FromSeconds(static_cast<double>(ahead) / per_second);
+}
+
+Duration Admission::RetryAfter(const std::string& service, TimePoint now) {
+  Applicant last;
+  last.query.service = service;
+  last.priority = ~std::uint32_t{0};
+  const Duration wait =
+      std::clamp(ExpectedWait(last, now) + kShortestReturn, kShortestReturn, kLongestReturn);
+  // Callers that were refused together do not come back together.
+  std::uniform_real_distribution<double> spread(0.75, 1.5);
+  return FromSeconds(ToSeconds(wait) * spread(random_));
+}
+
+Verdict Admission::Offer(const Applicant& applicant, TimePoint now) {
+  const bool others_wait =
+      std::any_of(waiting_.begin(), waiting_.end(), [&](const Applicant& other) {
+        return other.query.service == applicant.query.service &&
+               other.priority <= applicant.priority &&
+               other.query.least_weights <= applicant.query.least_weights;
+      });
+  if (!others_wait) {
+    if (auto placed = placement_.Choose(applicant.query, now)) {
+      NoteDispatch(applicant, now);
+      return *placed;
+    }
+  }
+  const auto pool = placement_.Survey(applicant.query, now);
+  if (pool.usable == 0 && pool.endpoints == 0) {
+    return Refusal{RefusalReason::kNoEndpoint, kReturnWithoutEndpoint};
+  }
+  if (waiting_.size() >= kMostWaiting ||
+      now + ExpectedWait(applicant, now) >= applicant.latest_start) {
+    return Refusal{RefusalReason::kQueueTooLong, RetryAfter(applicant.query.service, now)};
+  }
+  waiting_.push_back(applicant);
+  return std::monostate{};
+}
+
+std::vector<std::pair<std::uint64_t, Verdict>> Admission::Pump(TimePoint now) {
+  std::vector<std::pair<std::uint64_t, Verdict>> verdicts;
+  for (auto it = waiting_.begin(); it != waiting_.end();) {
+    if (now < it->latest_start) {
+      ++it;
+      continue;
+    }
+    const Refusal refusal{RefusalReason::kWaitedTooLong, RetryAfter(it->query.service, now)};
+    verdicts.emplace_back(it->id, refusal);
+    it = waiting_.erase(it);
+  }
+  std::vector<std::list<Applicant>::iterator> order;
+  for (auto it = waiting_.begin(); it != waiting_.end(); ++it) order.push_back(it);
+  std::stable_sort(order.begin(), order.end(), [this](const auto& a, const auto& b) {
+    return std::tuple(a->priority, ShareOf(*a)) < std::tuple(b->priority, ShareOf(*b));
+  });
+  std::set<std::pair<std::string, std::int64_t>> full;
+  for (const auto& it : order) {
+    // Only a retry excludes endpoints, so what one request cannot have the next of its service
+    // cannot have either.
+    const std::pair key(it->query.service, it->query.least_weights);
+    if (it->query.excluded.empty() && full.contains(key)) continue;
+    auto placed = placement_.Choose(it->query, now);
+    if (!placed) {
+      if (it->query.excluded.empty()) full.insert(key);
+      continue;
+    }
+    NoteDispatch(*it, now);
+    verdicts.emplace_back(it->id, *placed);
+    waiting_.erase(it);
+  }
+  return verdicts;
+}
+
+void Admission::Cancel(std::uint64_t id) {
+  waiting_.remove_if([id](const Applicant& it) { return it.id == id; });
+}
+
+}  // namespace wagtailslip::serving
--- /dev/null
+++ b/src/serving/instance_table.cc
@@ -0,0 +1,121 @@
+#include "wagtailslip/serving/instance_table.h"
+
+#include <algorithm>
+
+namespace wagtailslip::serving {
+namespace {
+
+// Longer than an announcement can be under way, so that a late one does not bring back an endpoint
+// that has left.
+constexpr Duration kDepartureMemory = std::chrono::seconds(120);
+constexpr std::size_t kMostDepartures = 10000;
+
+bool SameContent(const EndpointRecord& a, const EndpointRecord& b) {
+  return a.service == b.service && a.address == b.address && a.state == b.state &&
+         a.slots == b.slots && a.model == b.model && a.weights == b.weights &&
+         a.started_ms == b.started_ms &&
+         (a.warmup > Duration::zero()) == (b.warmup > Duration::zero());
+}
+
+}  // namespace
+
+bool InstanceTable::IsDeparted(const EndpointRecord& record) const {
+  const auto it = departed_.find(record.id);
+  return it != departed_.end() && record.started_ms <= it->second.started_ms;
+}
+
+void InstanceTable::Remove(const std::string& id, TimePoint now) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  const auto at = by_address_.find(it->second.address);
+  if (at != by_address_.end() && at->second == id) by_address_.erase(at);
+  if (departed_.size() >= kMostDepartures) departed_.clear();
+  departed_[id] = {it->second.started_ms, now};
+  endpoints_.erase(it);
+  ++revision_;
+}
+
+Announcement InstanceTable::Apply(const EndpointRecord& record, TimePoint now) {
+  if (IsDeparted(record)) return Announcement::kIgnored;
+  const auto it = endpoints_.find(record.id);
+  const EndpointRecord* known = it == endpoints_.end() ? nullptr : &it->second;
+  if (record.state == EndpointState::kGone && record.started_ms == 0 && known != nullptr) {
+    // A process that did not know the endpoint relays its leaving without an incarnation.
+    Remove(record.id, now);
+    return Announcement::kChanged;
+  }
+  if (known != nullptr) {
+    if (record.started_ms < known->started_ms) return Announcement::kIgnored;
+    if (record.started_ms == known->started_ms && record.sequence <= known->sequence) {
+      return Announcement::kIgnored;
+    }
+  }
+  if (record.state == EndpointState::kGone) {
+    if (known == nullptr) {
+      departed_[record.id] = {record.started_ms, now};
+      return Announcement::kIgnored;
+    }
+    Remove(record.id, now);
+    return Announcement::kChanged;
+  }
+  // An address belongs to the incarnation that started last. An older one is still announced by
+  // messages that were held up on their way.
+  const auto holder = by_address_.find(record.address);
+  if (holder != by_address_.end() && holder->second != record.id) {
+    const auto other = endpoints_.find(holder->second);
+    if (other != endpoints_.end()) {
+      if (other->second.started_ms > record.started_ms) return Announcement::kIgnored;
+      Remove(std::string(holder->second), now);
+    }
+  }
+  const bool changed = known == nullptr || !SameContent(*known, record);
+  if (known != nullptr && known->address != record.address) by_address_.erase(known->address);
+  by_address_[record.address] = record.id;
+  endpoints_[record.id] = record;
+  if (changed) ++revision_;
+  return changed ? Announcement::kChanged : Announcement::kRefreshed;
+}
+
+EndpointRecord InstanceTable::Leave(const std::string& id, TimePoint now) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return {};
+  EndpointRecord record = it->second;
+  record.state = EndpointState::kGone;
+  ++record.sequence;
+  record.refreshed = now;
+  Remove(id, now);
+  return record;
+}
+
+std::vector<std::string> InstanceTable::Expire(Duration ttl, Duration recent, TimePoint now) {
+  std::map<std::string, TimePoint> heard;
+  for (const auto& [id, record] : endpoints_) {
+    auto& time = heard[record.service];
+    time = std::max(time, record.refreshed);
+  }
+  std::vector<std::string> silent;
+  for (const auto& [id, record] : endpoints_) {
+    if (now - record.refreshed >= ttl && now - heard[record.service] < recent) silent.push_back(id);
+  }
+  for (const auto& id : silent) {
+    // An endpoint that was only cut off announces itself again under the same incarnation.
+    const std::int64_t started = endpoints_.at(id).started_ms;
+    Remove(id, now);
+    departed_[id] = {started - 1, now};
+  }
+  std::erase_if(departed_,
+                [now](const auto& row) { return now - row.second.at >= kDepartureMemory; });
+  return silent;
+}
+
+const EndpointRecord* InstanceTable::Find(const std::string& id) const {
+  const auto it = endpoints_.find(id);
+  return it == endpoints_.end() ? nullptr : &it->second;
+}
+
+const EndpointRecord* InstanceTable::FindAddress(const std::string& address) const {
+  const auto it = by_address_.find(address);
+  return it == by_address_.end() ? nullptr : Find(it->second);
+}
+
+}  // namespace wagtailslip::serving
--- /dev/null
+++ b/src/serving/repeat_budget.cc
@@ -0,0 +1,45 @@
+#include "wagtailslip/serving/repeat_budget.h"
+
+#include <algorithm>
+
+namespace wagtailslip::serving {
+namespace {
+
+constexpr Duration kSlice = std::chrono::milliseconds(500);
+// Part of the bound that is used. The rest covers repeats that a stopped process of the same
+// machine made in the same window, and processes that do not yet know of each other.
+constexpr double kUsedPart = 0.75;
+
+std::int64_t SliceOf(TimePoint now) { return now.time_since_epoch() / kSlice; }
+
+}  // namespace
+
+RepeatBudget::Slice& RepeatBudget::Current(const std::string& service, TimePoint now) {
+  auto& slices = slices_[service];
+  const std::int64_t number = SliceOf(now);
+  // One slice more than the window, because the oldest is only partly inside.
+  const std::int64_t oldest = number - bounds_.window / kSlice - 1;
+  while (!slices.empty() && slices.front().number < oldest) slices.pop_front();
+  if (slices.empty() || slices.back().number < number) slices.push_back({number, 0, 0});
+  return slices.back();
+}
+
+void RepeatBudget::OnRequest(const std::string& service, TimePoint now) {
+  ++Current(service, now).requests;
+}
+
+bool RepeatBudget::Take(const std::string& service, std::size_t processes, TimePoint now) {
+  Slice& current = Current(service, now);
+  double requests = 0;
+  double repeats = 0;
+  for (const auto& it : slices_[service]) {
+    requests += it.requests;
+    repeats += it.repeats;
+  }
+  const double part = bounds_.extra / static_cast<double>(std::max<std::size_t>(processes, 1));
+  if (repeats + 1 > kUsedPart * (bounds_.ratio * requests + part)) return false;
+  ++current.repeats;
+  return true;
+}
+
+}  // namespace wagtailslip::serving
--- /dev/null
+++ b/src/serving/service_config.cc
@@ -0,0 +1,56 @@
+#include "wagtailslip/serving/service_config.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace wagtailslip::serving {
+
+const Service* ServiceConfig::FindService(const std::string& name) const {
+  const auto it = std::find_if(services.begin(), services.end(),
+                               [&name](const Service& service) { return service.name == name; });
+  return it == services.end() ? nullptr : &*it;
+}
+
+namespace {
+
+void ValidateRoute(const Route& route, const std::set<std::string>& services) {
+  std::uint64_t weights = 0;
+  for (const auto& it : route.services) {
+    if (!services.contains(it.service)) {
+      throw ServingError("route " + route.name + " names the unknown service " + it.service);
+    }
+    weights += it.weight;
+  }
+  if (weights == 0) throw ServingError("the weights of route " + route.name + " add up to 0");
+  if (route.timeout <= Duration::zero()) {
+    throw ServingError("route " + route.name + " has no timeout");
+  }
+}
+
+}  // namespace
+
+void Validate(const ServiceConfig& config) {
+  std::set<std::string> services;
+  for (const auto& it : config.services) {
+    if (!services.insert(it.name).second) throw ServingError("service " + it.name + " is repeated");
+  }
+  std::set<std::pair<std::string, std::string>> places;
+  for (const auto& route : config.routes) {
+    ValidateRoute(route, services);
+    if (!places.emplace(route.host, route.prefix).second) {
+      throw ServingError("route " + route.name + " repeats the place " + route.host + route.prefix);
+    }
+  }
+  std::set<std::string> keys;
+  for (const auto& account : config.accounts) {
+    const std::set<std::string> own(account.keys.begin(), account.keys.end());
+    for (const auto& key : own) {
+      if (!keys.insert(key).second) {
+        throw ServingError("account " + account.name + " shares a key with another account");
+      }
+    }
+  }
+}
+
+}  // namespace wagtailslip::serving
--- /dev/null
+++ b/src/sidecar/engine_link.cc
@@ -0,0 +1,70 @@
+#include "engine_link.h"
+
+namespace wagtailslip::sidecar {
+namespace {
+
+using net::Task;
+
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+
+}  // namespace
+
+Task<net::HttpResponse> EngineLink::Call(net::HttpRequest request) {
+  net::HttpResponse response;
+  for (const bool fresh : {false, true}) {
+    std::exception_ptr problem;
+    try {
+      auto connection = co_await pool_.Acquire(address_, kConnectTimeout, fresh);
+      net::HttpRequest copy = request;
+      response = co_await connection->Call(std::move(copy), kCallTimeout);
+      pool_.Release(address_, std::move(connection));
+      co_return response;
+    } catch (const net::NetError&) {
+      problem = std::current_exception();
+    }
+    // A kept connection may have been closed by the engine; a new one decides.
+    if (fresh) std::rethrow_exception(problem);
+  }
+  co_return response;
+}
+
+Task<platform::EngineState> EngineLink::ReadState() {
+  const auto response = co_await Call(platform::MakeStateRequest());
+  if (response.status != kOk) {
+    throw net::NetError("the engine answered " + std::to_string(response.status));
+  }
+  co_return platform::DecodeEngineState(response.body);
+}
+
+Task<std::vector<std::uint32_t>> EngineLink::StagedChunks(std::string model) {
+  const auto response = co_await Call(platform::MakeStagedListRequest(model));
+  if (response.status != kOk) co_return std::vector<std::uint32_t>();
+  co_return platform::DecodeStagedList(response.body);
+}
+
+Task<std::string> EngineLink::ReadStaged(std::string model, std::uint32_t chunk) {
+  auto response = co_await Call(platform::MakeStagedChunkRequest(model, chunk));
+  if (response.status == kNotFound) co_return std::string();
+  if (response.status != kOk) {
+    throw net::NetError("the engine answered " + std::to_string(response.status));
+  }
+  co_return std::move(response.body);
+}
+
+Task<void> EngineLink::Stage(std::string model, std::uint32_t chunk, std::string bytes) {
+  auto request = platform::MakeStageRequest(model, chunk, std::move(bytes));
+  const auto response = co_await Call(std::move(request));
+  if (response.status / 100 != 2) {
+    throw net::NetError("the engine did not stage a chunk: " + std::to_string(response.status));
+  }
+}
+
+Task<platform::OrderAnswer> EngineLink::Load(std::string model, std::int64_t version) {
+  const auto response = co_await Call(platform::MakeLoadRequest(model, version));
+  co_return platform::DecodeOrderAnswer(response.status);
+}
+
+}  // namespace wagtailslip::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_node.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "engine_link.h"
+#include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/mesh/mesh_node.h"
+#include "wagtailslip/net/http_server.h"
+#include "wagtailslip/process/metrics.h"
+#include "wagtailslip/process/rate_gate.h"
+#include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/placement.h"
+#include "wagtailslip/serving/swap_plan.h"
+#include "weights.h"
+
+namespace wagtailslip::sidecar {
+
+/// Brings the intended weights to the engine beside this process. Runs on one thread.
+class SidecarNode {
+ public:
+  SidecarNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
+              std::int64_t incarnation);
+
+  void Start();
+  void Stop();
+
+ private:
+  struct Source {
+    std::string model;
+    std::string origin;
+  };
+  struct Target {
+    std::int64_t version = 0;
+    TimePoint since{};
+  };
+
+  // Links.
+  void OnMember(const mesh::Member& member);
+  void OnLost(const mesh::Member& member);
+  void OnMessage(const mesh::Member& from, const wire::MeshMessage& message);
+  void UpdateLinks(TimePoint now);
+  void SendReading(TimePoint now);
+
+  // Spread.
+  std::int64_t IntendedVersion() const;
+  std::shared_ptr<const spread::Members> SpreadMembers() const;
+  net::Task<void> FindDigests(std::int64_t version);
+  net::Task<std::shared_ptr<const spread::Manifest>> AskPeersForDigests(std::int64_t version);
+  net::Task<std::shared_ptr<const spread::Manifest>> AskOriginForDigests(std::int64_t version);
+  /// Takes over chunks of this version that are staged beside the engine.
+  net::Task<void> TakeStaged(std::shared_ptr<Weights> weights);
+  void TickSession(TimePoint now);
+  net::Task<void> Fetch(std::shared_ptr<Weights> weights, spread::Fetch fetch);
+  net::Task<void> Poll(std::shared_ptr<Weights> weights, spread::Poll poll);
+
+  // Engine.
+  net::Task<void> EngineLoop();
+  net::Task<void> DriveEngine();
+  bool SwapIsDue(TimePoint now) const;
+  /// Stages all chunks and reads them back.
+  /// @return whether every staged chunk matches its digest
+  net::Task<bool> StageAndVerify(std::shared_ptr<Weights> weights);
+
+  // Chunk server.
+  net::Task<void> Serve(net::HttpExchange& exchange);
+  net::Task<void> ServeMetrics(net::HttpExchange& exchange);
+  std::shared_ptr<Weights> Find(std::string_view model, std::int64_t version) const;
+
+  void ScheduleTick();
+  void Tick();
+
+  net::asio::io_context& context_;
+  deployment::NodeSettings settings_;
+  std::int64_t incarnation_;
+  net::asio::steady_timer timer_;
+  std::unique_ptr<mesh::MeshNode> mesh_;
+  std::unique_ptr<net::HttpServer> server_;
+  std::unique_ptr<net::HttpServer> metrics_server_;
+  process::Metrics metrics_;
+  EngineLink engine_;
+  net::HttpPool peers_;
+  process::RateGate upload_;
+  std::size_t uploads_ = 0;
+
+  std::set<std::string> seeds_;
+  std::map<std::string, std::set<std::string>> known_by_;
+  std::set<std::string> last_known_;
+  std::map<std::string, TimePoint> home_since_;
+
+  serving::InstanceTable table_;
+  std::uint64_t members_revision_ = 0;
+  std::optional<Source> source_;
+  std::map<std::string, Target> targets_;
+  std::int64_t newest_at_origin_ = 0;
+
+  std::shared_ptr<const spread::Strategy> strategy_;
+  std::shared_ptr<Weights> current_;
+  std::shared_ptr<Weights> previous_;
+  bool finding_digests_ = false;
+  TimePoint digests_at_{};
+  TimePoint session_next_{};
+
+  std::optional<platform::EngineState> engine_state_;
+  std::int64_t staged_version_ = 0;
+  TimePoint staged_at_{};
+  std::int64_t ordered_version_ = 0;
+  TimePoint ordered_at_{};
+  std::int64_t ordered_incarnation_ = 0;
+  serving::EndpointReading sent_reading_;
+  TimePoint reading_sent_at_{};
+  bool stopping_ = false;
+};
+
+}  // namespace wagtailslip::sidecar
