Place requests by expected time to the first event, in disjoint subsets

The four ingress processes chose the same endpoints from the same lagging reports, and load counted requests, not the prompt tokens that are read before an answer begins.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -26,11 +26,18 @@
   Duration report_life = std::chrono::milliseconds(1500);
   /// Time without new requests after an endpoint refused one because it was full.
   Duration refusal_pause = std::chrono::milliseconds(120);
-  /// Load, as a part of the slots, that an endpoint of the own failure domain may have more.
-  double domain_preference = 0.06;
-  /// Range of the random part of a score, which keeps processes with the same reports from choosing
-  /// the same endpoint.
-  double noise = 0.1;
+  /// Costs of a choice, as time until the answer begins. An endpoint of another process's subset
+  /// has load that this process does not know yet.
+  Duration other_subset = std::chrono::milliseconds(60);
+  Duration other_domain = std::chrono::milliseconds(5);
+  Duration warming_up = std::chrono::milliseconds(150);
+  /// Growth of the cost with each request at the endpoint.
+  Duration per_request = std::chrono::milliseconds(3);
+  /// Time until a slot is free, for each request beyond the slots.
+  Duration per_queued = std::chrono::milliseconds(110);
+  /// Range of the random part, which keeps processes with the same reports from choosing the same
+  /// endpoint.
+  Duration noise = std::chrono::milliseconds(10);
 };
 
 /// What a request needs.
@@ -42,6 +49,8 @@
   std::int64_t least_weights = 0;
   /// The only version that may answer; 0 for any.
   std::int64_t exact_weights = 0;
+  /// Tokens of the prompt, which an engine reads before the answer begins.
+  double prompt_tokens = 0;
   /// A request that may run more than once may also be used to probe an ejected endpoint.
   bool repeatable = false;
 };
@@ -75,6 +84,8 @@
  public:
   Placement(PlacementSettings settings, std::uint64_t seed);
 
+  /// Takes over the ingress processes with their failure domains.
+  void SetProcesses(const std::string& self, std::map<std::string, std::string> processes);
   /// Takes over the known endpoints and the services.
   void Sync(const InstanceTable& table, const ServiceConfig& config);
   void OnReading(const EndpointReading& reading, TimePoint now);
@@ -83,6 +94,8 @@
 
   /// The endpoint for a request; nothing if none has room now. Counts the request as started.
   std::optional<Placed> Choose(const PlacementQuery& query, TimePoint now);
+  /// The answer of a request has begun, or will not begin any more; once for each choice.
+  void Begun(const std::string& id, double prompt_tokens);
   /// The request at an endpoint has ended.
   void Finish(const std::string& id, traffic::AttemptResult result, TimePoint now);
   /// The request has ended in a way that says nothing of the endpoint.
@@ -109,6 +122,10 @@
     double pace = 1;
     std::int64_t weights = 0;
     std::uint32_t own = 0;
+    /// Tokens of own prompts whose answers have not begun, and tokens read per millisecond.
+    double pending_tokens = 0;
+    double tokens_per_ms = 0;
+    bool in_subset = true;
     /// Requests that a report counted, and this process's own at that time.
     std::uint32_t reported = 0;
     std::uint32_t own_at_report = 0;
@@ -117,6 +134,8 @@
   };
 
   double Load(const Endpoint& endpoint, TimePoint now) const;
+  /// Expected time in milliseconds until the answer of one more request begins.
+  double Cost(const Endpoint& endpoint, double load) const;
   double Capacity(const Endpoint& endpoint) const;
   bool Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
   void NoteReport(Endpoint& endpoint, std::uint32_t count, TimePoint now);
@@ -127,11 +146,8 @@
   std::unordered_map<std::string, Endpoint*> by_address_;
   traffic::Ejector ejector_;
   std::minstd_rand random_;
-  std::size_t processes_ = 1;
-
- public:
-  /// Number of ingress processes, for estimates without a report.
-  void set_processes(std::size_t n) { processes_ = n == 0 ? 1 : n; }
+  std::map<std::string, std::string> processes_;
+  std::string self_;
 };
 
 }  // namespace wagtailslip::serving
--- a/include/wagtailslip/serving/swap_plan.h
+++ b/include/wagtailslip/serving/swap_plan.h
@@ -10,11 +10,11 @@
 
 struct SwapSettings {
   /// Time from the naming of a version until every endpoint must have begun its swap.
-  Duration window = std::chrono::milliseconds(5200);
+  Duration window = std::chrono::milliseconds(6400);
   /// Time that the spread of the weights usually takes; no swap is planned before it.
   Duration spread = std::chrono::milliseconds(2200);
   /// Largest number of groups that swap one after the other.
-  std::size_t groups = 4;
+  std::size_t groups = 6;
 };
 
 /// Position of an endpoint among those of its service, by a hash that all processes share.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -147,12 +147,12 @@
 
 void ControlNode::UpdateLinks() {
   mesh_->KeepLinks(ControlProcesses());
-  std::map<std::string, MemberKind> members{{settings_.mesh_address(), MemberKind::kControl}};
+  std::map<std::string, mesh::Member> members{{settings_.mesh_address(), mesh_->self()}};
   for (const auto& [id, role] : log_->replica().membership().members()) {
-    members[id.process] = MemberKind::kControl;
+    members[id.process].process = id.process;
   }
   for (const MemberKind kind : {MemberKind::kControl, MemberKind::kIngress}) {
-    for (const auto& it : mesh_->Members(kind)) members[it.process] = kind;
+    for (const auto& it : mesh_->Members(kind)) members[it.process] = it;
   }
   if (members == announced_members_) return;
   announced_members_ = std::move(members);
@@ -165,11 +165,8 @@
 void ControlNode::SendMembers(const std::string& process) {
   wire::MeshMessage message;
   message.__isset.members = true;
-  for (const auto& [member_process, kind] : announced_members_) {
-    wire::MeshMember member;
-    member.process = member_process;
-    member.kind = static_cast<std::int16_t>(kind);
-    message.members.push_back(member);
+  for (const auto& [id, member] : announced_members_) {
+    message.members.push_back(mesh::ToWire(member));
   }
   mesh_->Send(process, message);
 }
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -90,7 +90,7 @@
   TimePoint join_at_{};
   TimePoint expire_at_{};
   /// Control and ingress processes that the others were told of.
-  std::map<std::string, mesh::MemberKind> announced_members_;
+  std::map<std::string, mesh::Member> announced_members_;
 };
 
 }  // namespace wagtailslip::control
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -119,6 +119,7 @@
   if (engine_ != nullptr) {
     applicant.query.least_weights = node_.LeastWeights(engine_->model, now);
     applicant.query.exact_weights = stream_weights_;
+    applicant.query.prompt_tokens = request_.prompt_tokens;
     const double usual = std::max(1.0, engine_->usual_prompt + 10 * engine_->usual_answer);
     applicant.cost =
         std::max(0.1, (request_.prompt_tokens + 10 * request_.most_answer_tokens) / usual);
@@ -157,6 +158,7 @@
   metrics_.Record(process::Latency::kQueue, MonotonicNow() - now);
   if (presence_->gone) {
     if (const auto* placed = std::get_if<serving::Placed>(&waiting->verdict)) {
+      node_.OnBegun(placed->id, applicant.query.prompt_tokens);
       node_.OnReleased(placed->id);
     }
     co_return std::monostate{};
@@ -322,6 +324,7 @@
     const auto events = splitter_.Feed(*piece);
     if (splitter_.overflow()) failed = true;
     if (!events.empty()) {
+      NoteBegun(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
       if (!co_await RelayEvents(events, lines)) failed = true;
     }
@@ -340,8 +343,15 @@
   co_return AttemptOutcome::kDelivered;
 }
 
+void Exchange::NoteBegun(const std::string& endpoint) {
+  if (!begin_pending_) return;
+  begin_pending_ = false;
+  node_.OnBegun(endpoint, engine_ == nullptr ? 0 : request_.prompt_tokens);
+}
+
 void Exchange::Settle(const serving::Placed& placed, AttemptOutcome outcome) {
   const TimePoint now = MonotonicNow();
+  NoteBegun(placed.id);
   switch (outcome) {
     case AttemptOutcome::kDelivered:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kSuccess, now);
@@ -428,6 +438,8 @@
     }
     const auto placed = std::get<serving::Placed>(verdict);
     const TimePoint begun = MonotonicNow();
+    begin_pending_ = true;
+    current_endpoint_ = placed.id;
     AttemptOutcome outcome = AttemptOutcome::kCallerGone;
     try {
       outcome = co_await Attempt(placed);
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -50,6 +50,8 @@
   /// @return false if an event is missing
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
                               const std::string& header_lines);
+  /// Notes that the answer has begun, or that the attempt has ended without one.
+  void NoteBegun(const std::string& endpoint);
   void Settle(const serving::Placed& placed, serving::AttemptOutcome outcome);
   /// Ends the exchange as DecideNext said.
   net::Task<void> Finish(serving::NextStep step, serving::AttemptOutcome last);
@@ -82,6 +84,9 @@
   std::int64_t stream_weights_ = 0;
   TimePoint first_event_at_{};
   unsigned last_status_ = 0;
+  /// The attempt in progress has not begun to answer.
+  bool begin_pending_ = false;
+  std::string current_endpoint_;
 };
 
 }  // namespace wagtailslip::ingress
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -23,9 +23,9 @@
 constexpr Duration kExpirePeriod = std::chrono::seconds(1);
 constexpr Duration kEndpointLife = std::chrono::seconds(12);
 constexpr Duration kEndpointRecent = std::chrono::milliseconds(2500);
-// Requests stop beginning on older weights this long before the bound, which counts from an
-// acknowledgement that this process learns of later.
-constexpr Duration kWeightsMargin = std::chrono::milliseconds(900);
+// Requests are no longer sent to older weights this long before the bound: they may wait at an
+// engine that is loaded and has not got the new weights.
+constexpr Duration kWeightsMargin = std::chrono::milliseconds(2200);
 
 std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
   return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
@@ -132,12 +132,15 @@
   if (message.__isset.members) {
     auto& known = known_by_[from.process];
     known.clear();
-    std::size_t ingress = 0;
+    std::map<std::string, std::string> ingress{
+        {settings_.mesh_address(), settings_.failure_domain}};
     for (const auto& it : message.members) {
       if (it.kind == static_cast<std::int16_t>(MemberKind::kControl)) known.insert(it.process);
-      if (it.kind == static_cast<std::int16_t>(MemberKind::kIngress)) ++ingress;
+      if (it.kind == static_cast<std::int16_t>(MemberKind::kIngress)) {
+        ingress[it.process] = it.failure_domain;
+      }
     }
-    NoteIngressCount(std::max<std::size_t>(ingress, 1), now);
+    NoteIngress(std::move(ingress), now);
     UpdateLinks();
   }
   if (message.__isset.instances) {
@@ -171,12 +174,16 @@
   if (message.__isset.service_config) TakeConfig(message.service_config);
 }
 
-void IngressNode::NoteIngressCount(std::size_t count, TimePoint now) {
+void IngressNode::NoteIngress(std::map<std::string, std::string> processes, TimePoint now) {
   // A process that is down for a moment has used its part of the budget and will be back.
-  if (count < processes_ && now - processes_at_ < kIngressMemory) return;
-  processes_ = count;
-  processes_at_ = now;
-  placement_.set_processes(count);
+  if (processes.size() >= processes_ || now - processes_at_ >= kIngressMemory) {
+    processes_ = processes.size();
+    processes_at_ = now;
+  }
+  if (processes == ingress_domains_) return;
+  ingress_domains_ = std::move(processes);
+  placement_.SetProcesses(settings_.mesh_address(), ingress_domains_);
+  synced_revision_ = 0;
 }
 
 void IngressNode::TakeConfig(const wire::ServiceConfigBody& body) {
@@ -217,7 +224,9 @@
 
 void IngressNode::Sync() {
   if (!routes_) return;
-  if (table_.revision() == synced_revision_ && routes_->config().version == synced_version_) return;
+  if (synced_revision_ != 0 && table_.revision() == synced_revision_ &&
+      routes_->config().version == synced_version_)
+    return;
   synced_revision_ = table_.revision();
   synced_version_ = routes_->config().version;
   placement_.Sync(table_, routes_->config());
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -53,6 +53,9 @@
               TimePoint now) {
     placement_.OnLoad(endpoint, running, waiting, now);
   }
+  void OnBegun(const std::string& endpoint, double prompt_tokens) {
+    placement_.Begun(endpoint, prompt_tokens);
+  }
   void OnFinished(const std::string& endpoint, traffic::AttemptResult result, TimePoint now);
   void OnRefused(const std::string& endpoint, TimePoint now);
   void OnReleased(const std::string& endpoint);
@@ -71,7 +74,7 @@
   void OnMessage(const mesh::Member& from, const wire::MeshMessage& message);
   void TakeConfig(const wire::ServiceConfigBody& body);
   void ReportVersion(const std::vector<std::string>& processes);
-  void NoteIngressCount(std::size_t count, TimePoint now);
+  void NoteIngress(std::map<std::string, std::string> processes, TimePoint now);
   void Sync();
   void UpdateLinks();
   void Tick();
@@ -100,8 +103,10 @@
   serving::Admission admission_;
   serving::RepeatBudget budget_;
   std::unordered_map<std::uint64_t, OnVerdict> waiting_;
-  /// Ingress processes that share budgets and endpoints, and when their number last grew.
+  /// Ingress processes that share the budget of repeats, and when their number last grew.
   std::size_t processes_ = 1;
+  /// Failure domains of the ingress processes that share the endpoints.
+  std::map<std::string, std::string> ingress_domains_;
   TimePoint processes_at_{};
   std::uint64_t last_id_ = 0;
   bool leaving_ = false;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "wagtailslip/serving/subsets.h"
+
 namespace wagtailslip::serving {
 namespace {
 
@@ -44,8 +46,10 @@
     const bool restarted = endpoint.record.started_ms != record.started_ms;
     if (restarted) {
       const std::uint32_t own = endpoint.own;
+      const double pending = endpoint.pending_tokens;
       endpoint = Endpoint{};
       endpoint.own = own;
+      endpoint.pending_tokens = pending;
       ejector_.Remove(id);
       ejector_.Add(id, record.service);
     }
@@ -58,9 +62,26 @@
     endpoint.record = record;
     const Service* service = config.FindService(record.service);
     endpoint.engine = service != nullptr && service->engine.has_value();
+    endpoint.tokens_per_ms = endpoint.engine ? service->engine->prefill_rate / 1000 : 0;
     pools_[record.service].push_back(&endpoint);
     by_address_[record.address] = &endpoint;
   }
+  for (const auto& [service, endpoints] : pools_) {
+    std::map<std::string, std::string> domains;
+    for (const Endpoint* it : endpoints) {
+      if (it->record.state == EndpointState::kServing) {
+        domains[it->record.id] = it->record.failure_domain;
+      }
+    }
+    const auto own = OwnSubset(self_, processes_, domains);
+    for (Endpoint* it : endpoints) it->in_subset = own.empty() || own.contains(it->record.id);
+  }
+}
+
+void Placement::SetProcesses(const std::string& self,
+                             std::map<std::string, std::string> processes) {
+  self_ = self;
+  processes_ = std::move(processes);
 }
 
 void Placement::NoteReport(Endpoint& endpoint, std::uint32_t count, TimePoint now) {
@@ -93,13 +114,27 @@
   const double own = endpoint.own;
   if (endpoint.reported_at == TimePoint{} || now - endpoint.reported_at > settings_.report_life) {
     // Without a report the other processes are taken to send as much as this one.
-    return own * static_cast<double>(processes_);
+    return own * static_cast<double>(std::max<std::size_t>(processes_.size(), 1));
   }
   const double estimate =
       static_cast<double>(endpoint.reported) + own - static_cast<double>(endpoint.own_at_report);
   return std::max(own, estimate);
 }
 
+double Placement::Cost(const Endpoint& endpoint, double load) const {
+  const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
+  double cost = load * ToMilliseconds(settings_.per_request);
+  if (endpoint.tokens_per_ms > 0) cost += endpoint.pending_tokens / endpoint.tokens_per_ms;
+  cost *= endpoint.pace;
+  if (load >= slots) cost += (load - slots + 1) * ToMilliseconds(settings_.per_queued);
+  if (!endpoint.in_subset) cost += ToMilliseconds(settings_.other_subset);
+  if (endpoint.record.failure_domain != settings_.failure_domain) {
+    cost += ToMilliseconds(settings_.other_domain);
+  }
+  if (endpoint.record.warmup > Duration::zero()) cost += ToMilliseconds(settings_.warming_up);
+  return cost;
+}
+
 double Placement::Capacity(const Endpoint& endpoint) const {
   const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
   return endpoint.engine ? slots + settings_.engine_overflow
@@ -118,7 +153,7 @@
 std::optional<Placed> Placement::Choose(const PlacementQuery& query, TimePoint now) {
   const auto pool = pools_.find(query.service);
   if (pool == pools_.end()) return std::nullopt;
-  std::uniform_real_distribution<double> noise(0, settings_.noise);
+  std::uniform_real_distribution<double> noise(0, ToMilliseconds(settings_.noise));
   Endpoint* best = nullptr;
   double best_score = 0;
   bool best_is_probe = false;
@@ -134,9 +169,7 @@
     if (now < it->closed_until) continue;
     const double load = Load(*it, now);
     if (load >= Capacity(*it)) continue;
-    double score = load / std::max<std::uint32_t>(it->record.slots, 1) * it->pace + noise(random_);
-    if (it->record.failure_domain != settings_.failure_domain) score += settings_.domain_preference;
-    if (it->record.warmup > Duration::zero()) score += 0.5;
+    const double score = Cost(*it, load) + noise(random_);
     if (best == nullptr || probe || (score < best_score && !best_is_probe)) {
       best = it;
       best_score = score;
@@ -159,9 +192,16 @@
   Placed placed{best->record.id, best->record.address, best->weights, Load(*best, now),
                 best->record.slots};
   ++best->own;
+  best->pending_tokens += query.prompt_tokens;
   return placed;
 }
 
+void Placement::Begun(const std::string& id, double prompt_tokens) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  it->second.pending_tokens = std::max(0.0, it->second.pending_tokens - prompt_tokens);
+}
+
 void Placement::Finish(const std::string& id, traffic::AttemptResult result, TimePoint now) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
--- /dev/null
+++ b/src/serving/subsets.cc
@@ -0,0 +1,48 @@
+#include "wagtailslip/serving/subsets.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "wagtailslip/base/digest.h"
+
+namespace wagtailslip::serving {
+
+std::set<std::string> OwnSubset(const std::string& self,
+                                const std::map<std::string, std::string>& processes,
+                                const std::map<std::string, std::string>& endpoints) {
+  std::set<std::string> own;
+  if (!processes.contains(self)) return own;
+  std::vector<std::string> order;
+  for (const auto& [id, domain] : endpoints) order.push_back(id);
+  std::sort(order.begin(), order.end(), [](const std::string& a, const std::string& b) {
+    return std::pair(Hash64(a), a) < std::pair(Hash64(b), b);
+  });
+  const std::size_t n = processes.size();
+  std::map<std::string, std::size_t> room;
+  std::size_t position = 0;
+  for (const auto& [process, domain] : processes) {
+    room[process] = order.size() / n + (position++ < order.size() % n ? 1 : 0);
+  }
+  // First endpoints of the same failure domain, then what is left.
+  for (const bool same_domain : {true, false}) {
+    std::vector<std::string> left;
+    for (const auto& id : order) {
+      const std::string* best = nullptr;
+      for (const auto& [process, domain] : processes) {
+        if (room[process] == 0) continue;
+        if (same_domain && domain != endpoints.at(id)) continue;
+        if (best == nullptr || room[process] > room[*best]) best = &process;
+      }
+      if (best == nullptr) {
+        left.push_back(id);
+        continue;
+      }
+      --room[*best];
+      if (*best == self) own.insert(id);
+    }
+    order = std::move(left);
+  }
+  return own;
+}
+
+}  // namespace wagtailslip::serving
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -29,18 +29,29 @@
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kDigestsTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kDigestsRetry = std::chrono::milliseconds(150);
-// Only a few processes ask the origin for the digests at once; the others wait for those.
-constexpr std::size_t kFirstAtOrigin = 2;
-constexpr Duration kPeersFirst = std::chrono::milliseconds(500);
+constexpr std::size_t kDigestsPeers = 3;
 constexpr std::size_t kMostUploads = 4;
-// Part of the link that chunks may take; the rest is left to the engine's streams.
-constexpr double kUploadPart = 0.85;
+// Part of the link that chunks may take. They enter it one after the other, so that an event of the
+// engine's streams waits for one chunk at most.
+constexpr double kUploadPart = 0.95;
 // Staged bytes may go bad; an order that follows the last check later than this checks again.
 constexpr Duration kVerifiedFor = std::chrono::milliseconds(700);
 // Time after which an order without an effect is given again.
 constexpr Duration kOrderPatience = std::chrono::seconds(7);
 constexpr Duration kOrderRetry = std::chrono::milliseconds(200);
 
+/// Limits for weights of a few megabytes that are to be everywhere within seconds.
+spread::Limits SpreadLimits() {
+  spread::Limits limits;
+  limits.neighbours = 10;
+  limits.outstanding = 6;
+  limits.poll_interval = std::chrono::milliseconds(120);
+  limits.poll_timeout = std::chrono::milliseconds(800);
+  limits.min_deadline = std::chrono::milliseconds(700);
+  limits.lowest_rate = 1 << 17;
+  return limits;
+}
+
 std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
   return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
 }
@@ -262,7 +273,7 @@
   const auto members = SpreadMembers();
   const auto size = static_cast<spread::MemberIndex>(members->size());
   const auto self = members->Find(settings_.chunk_address());
-  for (spread::MemberIndex i = 1; i < size && i <= kFirstAtOrigin + 1; ++i) {
+  for (spread::MemberIndex i = 1; i < size && i <= kDigestsPeers; ++i) {
     const auto& peer = (*members)[(self + i * 7) % size];
     if (peer.address == settings_.chunk_address()) continue;
     net::HttpResponse response;
@@ -304,21 +315,8 @@
 }
 
 Task<void> SidecarNode::FindDigests(std::int64_t version) {
-  const auto members = SpreadMembers();
-  const auto self = members->Find(settings_.chunk_address());
-  std::size_t rank = 0;
-  for (spread::MemberIndex i = 0; i < members->size(); ++i) {
-    const auto key = static_cast<std::uint64_t>(version);
-    if (i != self && members->Score(i, key) > members->Score(self, key)) ++rank;
-  }
-  const TimePoint begun = MonotonicNow();
-  std::shared_ptr<const spread::Manifest> manifest;
-  while (version != 0 && !manifest && rank >= kFirstAtOrigin &&
-         MonotonicNow() - begun < kPeersFirst) {
-    manifest = co_await AskPeersForDigests(version);
-    if (!manifest) co_await process::Sleep(kDigestsRetry);
-  }
-  if (!manifest) manifest = co_await AskOriginForDigests(version);
+  // The digests are small beside the chunks, and waiting for a peer's would cost more time.
+  auto manifest = co_await AskOriginForDigests(version);
   if (!manifest && version != 0) manifest = co_await AskPeersForDigests(version);
   digests_at_ = MonotonicNow() + kDigestsRetry;
   if (manifest) {
@@ -329,7 +327,7 @@
     weights->chunks.resize(manifest->chunks.size());
     weights->session = std::make_unique<spread::Session>(
         manifest, SpreadMembers(), settings_.chunk_address(), strategy_,
-        config::SpreadPolicy::kTimeFirst, spread::Limits{}, Hash64(settings_.ip));
+        config::SpreadPolicy::kTimeFirst, SpreadLimits(), Hash64(settings_.ip));
     co_await TakeStaged(weights);
     if (!current_ || weights->version > current_->version) {
       previous_ = current_;
