Keep the bound of each named version; finish a version that was overtaken

The sidecars also dropped a spread that was two thirds done. A neighbour that had not begun with a version was left alone for 3 s because its 404 counted as a missing chunk.

Change: WeightsTargets keeps every version with its own time; a spread of which a third has arrived is finished; a neighbour without a version has no chunks yet. Tests: each version has its own bound; placement and admission by the load that they answer.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -22,6 +22,8 @@
   std::uint32_t engine_overflow = 2;
   /// The same for other services, as a multiple of their slots.
   double service_overflow = 1.0;
+  /// Part of the slots up to which a request begins at once.
+  double idle_part = 0.6;
   /// Time for which a report of load counts.
   Duration report_life = std::chrono::milliseconds(1500);
   /// Time without new requests after an endpoint refused one because it was full.
@@ -47,6 +49,8 @@
   std::vector<std::string> excluded;
   /// Oldest version of weights that may answer; 0 for any.
   std::int64_t least_weights = 0;
+  /// Oldest version that may answer at an endpoint where the request may have to wait.
+  std::int64_t least_weights_if_busy = 0;
   /// The only version that may answer; 0 for any.
   std::int64_t exact_weights = 0;
   /// Tokens of the prompt, which an engine reads before the answer begins.
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -118,6 +118,7 @@
   applicant.query.repeatable = route_->repeatable();
   if (engine_ != nullptr) {
     applicant.query.least_weights = node_.LeastWeights(engine_->model, now);
+    applicant.query.least_weights_if_busy = node_.LeastWeightsIfBusy(engine_->model, now);
     applicant.query.exact_weights = stream_weights_;
     applicant.query.prompt_tokens = request_.prompt_tokens;
     const double usual = std::max(1.0, engine_->usual_prompt + 10 * engine_->usual_answer);
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -23,9 +23,10 @@
 constexpr Duration kExpirePeriod = std::chrono::seconds(1);
 constexpr Duration kEndpointLife = std::chrono::seconds(12);
 constexpr Duration kEndpointRecent = std::chrono::milliseconds(2500);
-// Requests are no longer sent to older weights this long before the bound: they may wait at an
-// engine that is loaded and has not got the new weights.
-constexpr Duration kWeightsMargin = std::chrono::milliseconds(2200);
+// Requests are no longer sent to older weights this long before the bound, because they begin only
+// after the engine's current pass. Where requests wait for a slot the margin is longer.
+constexpr Duration kWeightsMargin = std::chrono::milliseconds(2000);
+constexpr Duration kBusyWeightsMargin = std::chrono::milliseconds(2800);
 
 std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
   return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
@@ -164,9 +165,8 @@
   }
   if (message.__isset.targets) {
     for (const auto& it : message.targets) {
-      Target& target = targets_[it.model];
-      if (it.version <= target.version) continue;
-      target = {it.version, now - std::chrono::milliseconds(it.age_ms)};
+      const TimePoint since = now - std::chrono::milliseconds(it.age_ms);
+      if (!targets_.Name(it.model, it.version, since)) continue;
       LogEvent(Event::kWeightsNamed,
                {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
     }
@@ -242,10 +242,11 @@
 }
 
 std::int64_t IngressNode::LeastWeights(const std::string& model, TimePoint now) const {
-  const auto it = targets_.find(model);
-  if (it == targets_.end()) return 0;
-  const Duration bound = settings_.bounds.weights_propagation - kWeightsMargin;
-  return now - it->second.since >= bound ? it->second.version : 0;
+  return targets_.Due(model, settings_.bounds.weights_propagation - kWeightsMargin, now);
+}
+
+std::int64_t IngressNode::LeastWeightsIfBusy(const std::string& model, TimePoint now) const {
+  return targets_.Due(model, settings_.bounds.weights_propagation - kBusyWeightsMargin, now);
 }
 
 serving::Verdict IngressNode::Offer(const serving::Applicant& applicant, OnVerdict later,
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -16,6 +16,7 @@
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/repeat_budget.h"
 #include "wagtailslip/serving/route_table.h"
+#include "wagtailslip/serving/weights_targets.h"
 
 namespace wagtailslip::ingress {
 
@@ -36,8 +37,10 @@
   bool Ready() const { return routes_ != nullptr && !leaving_; }
   bool leaving() const { return leaving_; }
 
-  /// Oldest version of a model's weights with which a request may begin now.
+  /// Oldest version of a model's weights that a request may be sent to now.
   std::int64_t LeastWeights(const std::string& model, TimePoint now) const;
+  /// Oldest version that a request may be sent to where it may have to wait.
+  std::int64_t LeastWeightsIfBusy(const std::string& model, TimePoint now) const;
 
   using OnVerdict = std::function<void(serving::Verdict)>;
   /// Offers a request; a verdict that is not known at once is delivered later.
@@ -93,12 +96,7 @@
   serving::InstanceTable table_;
   std::uint64_t synced_revision_ = 0;
   std::int64_t synced_version_ = 0;
-  struct Target {
-    std::int64_t version = 0;
-    /// When it was acknowledged, by this process's clock.
-    TimePoint since{};
-  };
-  std::map<std::string, Target> targets_;
+  serving::WeightsTargets targets_;
   serving::Placement placement_;
   serving::Admission admission_;
   serving::RepeatBudget budget_;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -113,7 +113,9 @@
 double Placement::Load(const Endpoint& endpoint, TimePoint now) const {
   const double own = endpoint.own;
   if (endpoint.reported_at == TimePoint{} || now - endpoint.reported_at > settings_.report_life) {
-    // Without a report the other processes are taken to send as much as this one.
+    // Other processes send little to this one's part; to any other endpoint they are taken to send
+    // as much as this one.
+    if (endpoint.in_subset && processes_.size() > 1) return own;
     return own * static_cast<double>(std::max<std::size_t>(processes_.size(), 1));
   }
   const double estimate =
@@ -146,6 +148,10 @@
   if (Contains(query.excluded, endpoint.record.id)) return false;
   if (!endpoint.engine) return true;
   if (endpoint.weights == 0 || endpoint.weights < query.least_weights) return false;
+  if (endpoint.weights < query.least_weights_if_busy &&
+      Load(endpoint, now) > settings_.idle_part * endpoint.record.slots) {
+    return false;
+  }
   if (query.exact_weights != 0 && endpoint.weights != query.exact_weights) return false;
   return !endpoint.swapping || now - endpoint.swapping_at > kSwapMemory;
 }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -36,6 +36,8 @@
 constexpr double kUploadPart = 0.95;
 // Staged bytes may go bad; an order that follows the last check later than this checks again.
 constexpr Duration kVerifiedFor = std::chrono::milliseconds(700);
+// A version is finished although a newer one was named if one chunk in this many has arrived.
+constexpr std::size_t kFinishPart = 3;
 // Time after which an order without an effect is given again.
 constexpr Duration kOrderPatience = std::chrono::seconds(7);
 constexpr Duration kOrderRetry = std::chrono::milliseconds(200);
@@ -134,19 +136,27 @@
   const TimePoint now = MonotonicNow();
   UpdateLinks(now);
   const std::int64_t intended = IntendedVersion();
-  const bool have_target = current_ && (intended == 0 || current_->version >= intended);
-  if (source_ && !have_target && !finding_digests_ && now >= digests_at_) {
+  const std::int64_t under_way =
+      std::max(current_ ? current_->version : 0, incoming_ ? incoming_->version : 0);
+  const bool have_target = under_way != 0 && under_way >= intended;
+  if (source_ && !have_target && !NearlyThere() && !finding_digests_ && now >= digests_at_) {
     finding_digests_ = true;
     asio::co_spawn(context_, FindDigests(intended), asio::detached);
   }
-  if (current_ && current_->session && table_.revision() != members_revision_) {
+  if (incoming_ && table_.revision() != members_revision_) {
     members_revision_ = table_.revision();
-    current_->session->OnMembers(SpreadMembers(), now);
+    incoming_->session->OnMembers(SpreadMembers(), now);
     session_next_ = now;
   }
   if (now >= session_next_) TickSession(now);
 }
 
+bool SidecarNode::NearlyThere() const {
+  // A version that was overtaken on its way still has a bound of its own. Given up late, it would
+  // leave the engines without any version that may answer until the next one is everywhere.
+  return incoming_ && incoming_->session->present() * kFinishPart >= incoming_->chunks.size();
+}
+
 // --- Links.
 
 void SidecarNode::UpdateLinks(TimePoint now) {
@@ -208,9 +218,8 @@
   }
   if (message.__isset.targets) {
     for (const auto& it : message.targets) {
-      Target& target = targets_[it.model];
-      if (it.version <= target.version) continue;
-      target = {it.version, now - std::chrono::milliseconds(it.age_ms)};
+      const TimePoint since = now - std::chrono::milliseconds(it.age_ms);
+      if (!targets_.Name(it.model, it.version, since)) continue;
       LogEvent(Event::kWeightsNamed,
                {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
     }
@@ -243,9 +252,7 @@
 
 std::int64_t SidecarNode::IntendedVersion() const {
   if (!source_) return 0;
-  std::int64_t version = 0;
-  const auto it = targets_.find(source_->model);
-  if (it != targets_.end()) version = it->second.version;
+  std::int64_t version = targets_.Newest(source_->model);
   for (const auto& [id, record] : table_.endpoints()) version = std::max(version, record.weights);
   if (engine_state_) version = std::max(version, engine_state_->weights.whole_version);
   return std::max(version, newest_at_origin_);
@@ -329,12 +336,13 @@
         manifest, SpreadMembers(), settings_.chunk_address(), strategy_,
         config::SpreadPolicy::kTimeFirst, SpreadLimits(), Hash64(settings_.ip));
     co_await TakeStaged(weights);
-    if (!current_ || weights->version > current_->version) {
-      previous_ = current_;
-      current_ = weights;
+    if ((!current_ || weights->version > current_->version) &&
+        (!incoming_ || weights->version > incoming_->version)) {
       members_revision_ = table_.revision();
       session_next_ = {};
-      current_->session->Start(MonotonicNow());
+      weights->session->Start(MonotonicNow());
+      incoming_ = weights;
+      TakeOverIfComplete(weights);
     }
   }
   finding_digests_ = false;
@@ -373,9 +381,8 @@
 
 void SidecarNode::TickSession(TimePoint now) {
   session_next_ = now + kTickPeriod;
-  if (!current_ || !current_->session) return;
-  const auto weights = current_;
-  if (weights->complete()) return;
+  if (!incoming_) return;
+  const auto weights = incoming_;
   const auto step = weights->session->Tick(now);
   session_next_ = std::min(session_next_, step.next);
   for (const auto& it : step.fetches) {
@@ -433,13 +440,19 @@
   if (weights->session->OnChunk(fetch.chunk, fetch.source, result, now)) {
     weights->chunks[fetch.chunk] = std::move(response.body);
   }
-  if (weights->complete() && weights == current_) {
-    LogEvent(Event::kArtifactVerified, {{"version", weights->version},
-                                        {"chunks", weights->chunks.size()},
-                                        {"from_origin", weights->session->stats().from_origin},
-                                        {"from_peers", weights->session->stats().from_peers}});
-  }
-  if (weights == current_) TickSession(now);
+  TakeOverIfComplete(weights);
+  if (weights == incoming_) TickSession(now);
+}
+
+void SidecarNode::TakeOverIfComplete(const std::shared_ptr<Weights>& weights) {
+  if (weights != incoming_ || !weights->complete()) return;
+  LogEvent(Event::kArtifactVerified, {{"version", weights->version},
+                                      {"chunks", weights->chunks.size()},
+                                      {"from_origin", weights->session->stats().from_origin},
+                                      {"from_peers", weights->session->stats().from_peers}});
+  previous_ = current_;
+  current_ = weights;
+  incoming_.reset();
 }
 
 Task<void> SidecarNode::Poll(std::shared_ptr<Weights> weights, spread::Poll poll) {
@@ -460,17 +473,19 @@
   }
   const TimePoint now = MonotonicNow();
   session_next_ = now;
-  const auto have = response.status == 200
-                        ? spread::Bitmap::FromBytes(response.body, weights->chunks.size())
-                        : std::nullopt;
-  if (failed || !have) {
-    const auto reason =
-        failed ? spread::FailureReason::kUnreachable : spread::FailureReason::kMissing;
-    weights->session->OnFailure(poll.peer, std::nullopt, reason, Duration::zero(), now);
-  } else {
+  std::optional<spread::Bitmap> have;
+  if (!failed && response.status == 200) {
+    have = spread::Bitmap::FromBytes(response.body, weights->chunks.size());
+  }
+  // A neighbour that has not begun with this version will soon have chunks of it.
+  if (!failed && response.status == 404) have = spread::Bitmap(weights->chunks.size());
+  if (have) {
     weights->session->OnPeerHave(poll.peer, *have, now);
+  } else {
+    const auto reason = failed ? spread::FailureReason::kUnreachable : spread::FailureReason::kBusy;
+    weights->session->OnFailure(poll.peer, std::nullopt, reason, Duration::zero(), now);
   }
-  if (weights == current_) TickSession(now);
+  if (weights == incoming_) TickSession(now);
 }
 
 // --- Engine.
@@ -500,8 +515,8 @@
 bool SidecarNode::SwapIsDue(TimePoint now) const {
   // An engine without weights serves nobody, so nothing is gained by waiting.
   if (engine_state_->weights.whole_version == 0) return true;
-  const auto target = targets_.find(current_->model);
-  if (target == targets_.end()) return true;
+  const auto since = targets_.OldestUnmet(current_->model, engine_state_->weights.whole_version);
+  if (!since) return true;
   std::vector<std::string> serving;
   for (const auto& [id, record] : table_.endpoints()) {
     if (record.weights != 0) serving.push_back(record.address);
@@ -510,8 +525,7 @@
     serving.push_back(settings_.engine_address);
   }
   const std::size_t rank = serving::SwapRank(settings_.engine_address, serving);
-  return now - target->second.since >=
-         serving::SwapOffset(rank, serving.size(), serving::SwapSettings{});
+  return now - *since >= serving::SwapOffset(rank, serving.size(), serving::SwapSettings{});
 }
 
 Task<void> SidecarNode::DriveEngine() {
@@ -520,7 +534,7 @@
   if (state.weights.whole_version == ordered_version_) ordered_version_ = 0;
   // A restarted engine has forgotten its orders.
   if (ordered_version_ != 0 && state.started_ms != ordered_incarnation_) ordered_version_ = 0;
-  if (!weights || !weights->complete()) co_return;
+  if (!weights) co_return;
   if (state.weights.whole_version >= weights->version) co_return;
   const TimePoint now = MonotonicNow();
   if (ordered_version_ == weights->version && now - ordered_at_ < kOrderPatience) co_return;
@@ -583,7 +597,7 @@
 // --- Chunk server.
 
 std::shared_ptr<Weights> SidecarNode::Find(std::string_view model, std::int64_t version) const {
-  for (const auto& it : {current_, previous_}) {
+  for (const auto& it : {incoming_, current_, previous_}) {
     if (it && it->model == model && it->version == version) return it;
   }
   return nullptr;
@@ -643,7 +657,8 @@
                           {"incarnation", incarnation_},
                           {"intended", IntendedVersion()},
                           {"current", current_ ? current_->version : 0},
-                          {"present", current_ ? current_->session->present() : 0},
+                          {"incoming", incoming_ ? incoming_->version : 0},
+                          {"present", incoming_ ? incoming_->session->present() : 0},
                           {"engine", engine_state_ ? engine_state_->weights.whole_version : 0}}
                .dump();
   }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -16,6 +16,7 @@
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/swap_plan.h"
+#include "wagtailslip/serving/weights_targets.h"
 #include "weights.h"
 
 namespace wagtailslip::sidecar {
@@ -34,11 +35,6 @@
     std::string model;
     std::string origin;
   };
-  struct Target {
-    std::int64_t version = 0;
-    TimePoint since{};
-  };
-
   // Links.
   void OnMember(const mesh::Member& member);
   void OnLost(const mesh::Member& member);
@@ -55,6 +51,8 @@
   /// Takes over chunks of this version that are staged beside the engine.
   net::Task<void> TakeStaged(std::shared_ptr<Weights> weights);
   void TickSession(TimePoint now);
+  bool NearlyThere() const;
+  void TakeOverIfComplete(const std::shared_ptr<Weights>& weights);
   net::Task<void> Fetch(std::shared_ptr<Weights> weights, spread::Fetch fetch);
   net::Task<void> Poll(std::shared_ptr<Weights> weights, spread::Poll poll);
 
@@ -95,10 +93,13 @@
   serving::InstanceTable table_;
   std::uint64_t members_revision_ = 0;
   std::optional<Source> source_;
-  std::map<std::string, Target> targets_;
+  serving::WeightsTargets targets_;
   std::int64_t newest_at_origin_ = 0;
 
   std::shared_ptr<const spread::Strategy> strategy_;
+  /// The version that is being fetched, the newest whole one, and the one before it for peers that
+  /// are behind.
+  std::shared_ptr<Weights> incoming_;
   std::shared_ptr<Weights> current_;
   std::shared_ptr<Weights> previous_;
   bool finding_digests_ = false;
--- /dev/null
+++ b/tests/placement_test.cc
@@ -0,0 +1,312 @@
+// Choice of endpoints and admission under the loads that they are made for.
+#include "wagtailslip/serving/placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "wagtailslip/serving/admission.h"
+
+namespace wagtailslip::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(Duration d) { return TimePoint(d + seconds(1000)); }
+
+constexpr std::uint32_t kSlots = 16;
+
+ServiceConfig EngineConfig() {
+  ServiceConfig config;
+  EngineProfile engine;
+  engine.model = "m";
+  engine.slots = kSlots;
+  engine.prefill_rate = 19100;
+  config.services.push_back({"assistant", "/healthz", 100, engine, ""});
+  config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
+  return config;
+}
+
+InstanceTable Engines(int count, std::int64_t weights = 1) {
+  InstanceTable table;
+  for (int i = 0; i < count; ++i) {
+    EndpointRecord record;
+    record.id = "e" + std::to_string(i);
+    record.started_ms = 1;
+    record.sequence = 1;
+    record.service = "assistant";
+    record.address = "10.0.0." + std::to_string(i) + ":80";
+    record.failure_domain = "a";
+    record.slots = kSlots;
+    record.model = "m";
+    record.weights = weights;
+    record.refreshed = At(seconds(0));
+    table.Apply(record, At(seconds(0)));
+  }
+  return table;
+}
+
+PlacementSettings Settings() {
+  PlacementSettings settings;
+  settings.failure_domain = "a";
+  return settings;
+}
+
+PlacementQuery Query(double prompt_tokens = 1000) {
+  PlacementQuery query;
+  query.service = "assistant";
+  query.prompt_tokens = prompt_tokens;
+  query.repeatable = true;
+  return query;
+}
+
+class PlacementTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlacementTest);
+  CPPUNIT_TEST(AvoidsAnEndpointThatReadsALongPrompt);
+  CPPUNIT_TEST(StopsAtTheSlotsAndTheOverflow);
+  CPPUNIT_TEST(LeavesOutUnfitEndpoints);
+  CPPUNIT_TEST(PrefersItsOwnPartUntilThatIsFull);
+  CPPUNIT_TEST(KeepsALoneFailingEndpoint);
+  CPPUNIT_TEST(LeavesAFailingEndpointForHealthyOnes);
+  CPPUNIT_TEST(ForgetsWeightsOfARestartedEndpoint);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Pattern: an endpoint with few requests whose prompts are long answers later than one with more
+  // requests that are already running.
+  void AvoidsAnEndpointThatReadsALongPrompt() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(2), EngineConfig());
+    const TimePoint now = At(seconds(1));
+    const auto first = placement.Choose(Query(4000), now);
+    for (int i = 0; i < 3; ++i) {
+      const auto other = placement.Choose(Query(300), now);
+      CPPUNIT_ASSERT(other->id != first->id);
+      placement.Begun(other->id, 300);
+    }
+    placement.Begun(first->id, 4000);
+    CPPUNIT_ASSERT_EQUAL(first->id, placement.Choose(Query(300), now)->id);
+  }
+
+  void StopsAtTheSlotsAndTheOverflow() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    const TimePoint now = At(seconds(1));
+    for (std::uint32_t i = 0; i < kSlots + Settings().engine_overflow; ++i) {
+      CPPUNIT_ASSERT(placement.Choose(Query(), now));
+    }
+    CPPUNIT_ASSERT(!placement.Choose(Query(), now));
+    placement.Finish("e0", traffic::AttemptResult::kSuccess, now);
+    CPPUNIT_ASSERT(placement.Choose(Query(), now));
+    // A report of requests of other processes takes the room as well.
+    Placement other(Settings(), 1);
+    other.Sync(Engines(1), EngineConfig());
+    other.OnReading({"10.0.0.0:80", 1, 1, kSlots, 2, false, 1}, now);
+    CPPUNIT_ASSERT(!other.Choose(Query(), now));
+    CPPUNIT_ASSERT(other.Choose(Query(), now + seconds(5)));
+  }
+
+  // Guards against requests to endpoints that would refuse them or answer with other weights.
+  void LeavesOutUnfitEndpoints() {
+    const TimePoint now = At(seconds(1));
+    struct Case {
+      const char* name;
+      std::int64_t weights;
+      bool swapping;
+      PlacementQuery query;
+      bool fits;
+    };
+    PlacementQuery newer = Query();
+    newer.least_weights = 2;
+    PlacementQuery exact = Query();
+    exact.exact_weights = 1;
+    PlacementQuery tried = Query();
+    tried.excluded = {"e0"};
+    const Case cases[] = {
+        {"fit", 1, false, Query(), true},         {"no weights", 0, false, Query(), false},
+        {"swapping", 1, true, Query(), false},    {"older weights", 1, false, newer, false},
+        {"new weights", 2, false, newer, true},   {"other weights", 2, false, exact, false},
+        {"tried before", 1, false, tried, false},
+    };
+    for (const auto& it : cases) {
+      Placement placement(Settings(), 1);
+      placement.Sync(Engines(1, it.weights), EngineConfig());
+      placement.OnReading({"10.0.0.0:80", 1, it.weights, 0, 0, it.swapping, 1}, now);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.fits, placement.Choose(it.query, now).has_value());
+    }
+  }
+
+  // Pattern: several processes that see the same lagging reports would all choose the endpoint that
+  // looks idle.
+  void PrefersItsOwnPartUntilThatIsFull() {
+    const std::map<std::string, std::string> processes{{"p1", "a"}, {"p2", "a"}};
+    std::map<std::string, std::set<std::string>> used;
+    for (const auto& [process, domain] : processes) {
+      Placement placement(Settings(), 1);
+      placement.SetProcesses(process, processes);
+      placement.Sync(Engines(4), EngineConfig());
+      const TimePoint now = At(seconds(1));
+      for (int i = 0; i < 20; ++i) {
+        const auto placed = placement.Choose(Query(), now);
+        placement.Begun(placed->id, 1000);
+        used[process].insert(placed->id);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, used[process].size());
+      for (int i = 0; i < 20; ++i) {
+        const auto placed = placement.Choose(Query(), now);
+        CPPUNIT_ASSERT(placed);
+        placement.Begun(placed->id, 1000);
+      }
+    }
+    for (const auto& id : used["p1"]) CPPUNIT_ASSERT(!used["p2"].contains(id));
+  }
+
+  // Guards against a service that is given up because its only endpoint failed some requests.
+  void KeepsALoneFailingEndpoint() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    for (int i = 0; i < 50; ++i) {
+      const TimePoint now = At(seconds(1) + milliseconds(20) * i);
+      CPPUNIT_ASSERT(placement.Choose(Query(), now));
+      placement.Finish("e0", traffic::AttemptResult::kBroken, now);
+    }
+  }
+
+  // Pattern: an endpoint that fails at once looks idle and draws requests.
+  void LeavesAFailingEndpointForHealthyOnes() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(4), EngineConfig());
+    int failed = 0;
+    for (int i = 0; i < 400; ++i) {
+      const TimePoint now = At(seconds(1) + milliseconds(5) * i);
+      const auto placed = placement.Choose(Query(), now);
+      placement.Begun(placed->id, 1000);
+      const bool bad = placed->id == "e2";
+      failed += bad ? 1 : 0;
+      placement.Finish(placed->id,
+                       bad ? traffic::AttemptResult::kBroken : traffic::AttemptResult::kSuccess,
+                       now + milliseconds(1));
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(failed) + " of 400", failed < 40);
+  }
+
+  void ForgetsWeightsOfARestartedEndpoint() {
+    Placement placement(Settings(), 1);
+    auto table = Engines(1);
+    placement.Sync(table, EngineConfig());
+    const TimePoint now = At(seconds(1));
+    // The sidecar reads the next incarnation before it has announced itself.
+    placement.OnReading({"10.0.0.0:80", 2, 0, 0, 0, false, 1}, now);
+    CPPUNIT_ASSERT(!placement.Choose(Query(), now));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+class AdmissionTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdmissionTest);
+  CPPUNIT_TEST(RefusesAtOnceWithoutEndpoints);
+  CPPUNIT_TEST(EndsAWaitAtTheLatestStart);
+  CPPUNIT_TEST(SmallAccountPassesALargeOne);
+  CPPUNIT_TEST(UrgentGoesFirst);
+  CPPUNIT_TEST(SpreadsTheReturnOfRefusedCallers);
+  CPPUNIT_TEST_SUITE_END();
+
+  static Applicant Make(std::uint64_t id, const std::string& account, TimePoint now) {
+    Applicant applicant;
+    applicant.id = id;
+    applicant.query = Query();
+    applicant.account = account;
+    applicant.arrived = now;
+    applicant.latest_start = now + milliseconds(200);
+    return applicant;
+  }
+
+  static void Fill(Placement& placement, TimePoint now) {
+    while (placement.Choose(Query(), now)) {
+    }
+  }
+
+ public:
+  void RefusesAtOnceWithoutEndpoints() {
+    Placement placement(Settings(), 1);
+    placement.Sync(InstanceTable(), EngineConfig());
+    Admission admission(placement, 1);
+    const auto verdict = admission.Offer(Make(1, "shop", At(seconds(1))), At(seconds(1)));
+    CPPUNIT_ASSERT(std::get<Refusal>(verdict).reason == RefusalReason::kNoEndpoint);
+    CPPUNIT_ASSERT(std::get<Refusal>(verdict).retry_after > Duration::zero());
+  }
+
+  // Guards against a request that is held although it can no longer meet its objective.
+  void EndsAWaitAtTheLatestStart() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    Admission admission(placement, 1);
+    const TimePoint now = At(seconds(1));
+    Fill(placement, now);
+    CPPUNIT_ASSERT(
+        std::holds_alternative<std::monostate>(admission.Offer(Make(1, "shop", now), now)));
+    CPPUNIT_ASSERT(admission.Pump(now + milliseconds(199)).empty());
+    const auto verdicts = admission.Pump(now + milliseconds(200));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, verdicts.size());
+    CPPUNIT_ASSERT(std::get<Refusal>(verdicts[0].second).reason == RefusalReason::kWaitedTooLong);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, admission.waiting());
+  }
+
+  // Pattern: a large account keeps the queue full; a small one must not wait behind all of it.
+  void SmallAccountPassesALargeOne() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    Admission admission(placement, 1);
+    const TimePoint now = At(seconds(1));
+    Fill(placement, now);
+    for (std::uint64_t id = 1; id <= 20; ++id) admission.Offer(Make(id, "large", now), now);
+    admission.Offer(Make(100, "small", now), now);
+    // The large account has been served before.
+    std::vector<std::uint64_t> order;
+    for (int i = 0; i < 4; ++i) {
+      placement.Finish("e0", traffic::AttemptResult::kSuccess, now);
+      for (const auto& [id, verdict] : admission.Pump(now)) order.push_back(id);
+    }
+    const auto at = std::find(order.begin(), order.end(), 100) - order.begin();
+    CPPUNIT_ASSERT_MESSAGE("position " + std::to_string(at), at <= 1);
+  }
+
+  void UrgentGoesFirst() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    Admission admission(placement, 1);
+    const TimePoint now = At(seconds(1));
+    Fill(placement, now);
+    auto patient = Make(1, "a", now);
+    patient.priority = 2;
+    auto urgent = Make(2, "b", now);
+    urgent.priority = 0;
+    admission.Offer(patient, now);
+    admission.Offer(urgent, now);
+    placement.Finish("e0", traffic::AttemptResult::kSuccess, now);
+    const auto verdicts = admission.Pump(now);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, verdicts.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, verdicts[0].first);
+  }
+
+  // Pattern: callers that were refused together come back together and are refused again.
+  void SpreadsTheReturnOfRefusedCallers() {
+    Placement placement(Settings(), 1);
+    Admission admission(placement, 1);
+    std::set<Duration> times;
+    for (int i = 0; i < 50; ++i) times.insert(admission.RetryAfter("assistant", At(seconds(1))));
+    CPPUNIT_ASSERT(times.size() > 40);
+    CPPUNIT_ASSERT(*times.rbegin() - *times.begin() > milliseconds(100));
+    CPPUNIT_ASSERT(*times.begin() > milliseconds(100));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionTest);
+
+}  // namespace
+}  // namespace wagtailslip::serving
--- /dev/null
+++ b/tests/serving_test.cc
@@ -0,0 +1,477 @@
+// Routes, endpoints, what follows an attempt, repeats, event streams and the order of swaps.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wagtailslip/serving/attempt_policy.h"
+#include "wagtailslip/serving/event_stream.h"
+#include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/repeat_budget.h"
+#include "wagtailslip/serving/route_table.h"
+#include "wagtailslip/serving/service_config.h"
+#include "wagtailslip/serving/subsets.h"
+#include "wagtailslip/serving/swap_plan.h"
+#include "wagtailslip/serving/weights_targets.h"
+
+namespace wagtailslip::serving {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint At(Duration d) { return TimePoint(d + seconds(1000)); }
+
+Route MakeRoute(const std::string& host, const std::string& prefix) {
+  Route route;
+  route.name = host + prefix;
+  route.host = host;
+  route.prefix = prefix;
+  route.timeout = seconds(1);
+  route.services = {{"bookings", 1}};
+  return route;
+}
+
+ServiceConfig MakeConfig() {
+  ServiceConfig config;
+  config.version = 3;
+  config.services.push_back({"bookings", "/healthz", 10, std::nullopt, ""});
+  config.services.push_back({"assistant", "/healthz", 10, std::nullopt, ""});
+  config.routes = {MakeRoute("desk.example", "/a/"), MakeRoute("desk.example", "/a/b/"),
+                   MakeRoute("other.example", "/")};
+  config.accounts = {{"shop", {"key-1", "key-2"}, 1}, {"seller", {"key-3"}, 0}};
+  return config;
+}
+
+EndpointRecord Record(const std::string& id, std::int64_t started, std::int64_t sequence,
+                      const std::string& address = "10.0.0.1:80") {
+  EndpointRecord record;
+  record.id = id;
+  record.started_ms = started;
+  record.sequence = sequence;
+  record.service = "bookings";
+  record.address = address;
+  record.failure_domain = "a";
+  record.slots = 4;
+  record.refreshed = At(seconds(0));
+  return record;
+}
+
+class ServiceConfigTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ServiceConfigTest);
+  CPPUNIT_TEST(RefusesWhatContradictsItself);
+  CPPUNIT_TEST(FindsTheLongestPrefixOfAHost);
+  CPPUNIT_TEST(FindsAccountsByKey);
+  CPPUNIT_TEST(SharesRequestsByWeight);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a configuration that is acknowledged although it cannot be carried out.
+  void RefusesWhatContradictsItself() {
+    struct Case {
+      const char* name;
+      void (*spoil)(ServiceConfig&);
+    };
+    const Case cases[] = {
+        {"unknown service", [](ServiceConfig& c) { c.routes[0].services[0].service = "nowhere"; }},
+        {"same place", [](ServiceConfig& c) { c.routes[1].prefix = "/a/"; }},
+        {"no weight", [](ServiceConfig& c) { c.routes[0].services[0].weight = 0; }},
+        {"no service at all", [](ServiceConfig& c) { c.routes[0].services.clear(); }},
+        {"no timeout", [](ServiceConfig& c) { c.routes[2].timeout = Duration::zero(); }},
+        {"shared key", [](ServiceConfig& c) { c.accounts[1].keys.push_back("key-1"); }},
+        {"repeated service", [](ServiceConfig& c) { c.services[1].name = "bookings"; }},
+    };
+    Validate(MakeConfig());
+    for (const auto& it : cases) {
+      ServiceConfig config = MakeConfig();
+      it.spoil(config);
+      CPPUNIT_ASSERT_THROW_MESSAGE(it.name, Validate(config), ServingError);
+    }
+    ServiceConfig twice = MakeConfig();
+    twice.accounts[0].keys.push_back("key-1");
+    Validate(twice);
+  }
+
+  // Guards against a request that a shorter prefix or another host takes.
+  void FindsTheLongestPrefixOfAHost() {
+    const RouteTable table(std::make_shared<const ServiceConfig>(MakeConfig()));
+    struct Case {
+      const char* host;
+      const char* path;
+      const char* route;
+    };
+    const Case cases[] = {
+        {"desk.example", "/a/x", "desk.example/a/"},
+        {"desk.example", "/a/b/x", "desk.example/a/b/"},
+        {"DESK.example:80", "/a/b/", "desk.example/a/b/"},
+        {"desk.example", "/a", ""},
+        {"desk.example", "/c/", ""},
+        {"other.example", "/c/", "other.example/"},
+        {"nobody.example", "/a/", ""},
+    };
+    for (const auto& it : cases) {
+      const Route* route = table.Find(it.host, it.path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(it.host) + it.path, std::string(it.route),
+                                   route == nullptr ? std::string() : route->name);
+    }
+  }
+
+  void FindsAccountsByKey() {
+    const RouteTable table(std::make_shared<const ServiceConfig>(MakeConfig()));
+    CPPUNIT_ASSERT_EQUAL(std::string("shop"), table.FindAccount("key-2")->name);
+    CPPUNIT_ASSERT(table.FindAccount("key-4") == nullptr);
+    CPPUNIT_ASSERT(table.FindAccount("") == nullptr);
+    CPPUNIT_ASSERT(table.needs_key());
+  }
+
+  // Guards against a service that gets requests although its weight is 0.
+  void SharesRequestsByWeight() {
+    Route route = MakeRoute("desk.example", "/");
+    route.services = {{"assistant", 0}, {"bookings", 90}, {"other", 10}};
+    std::map<std::string, int> counts;
+    for (std::uint64_t key = 0; key < 1000; ++key) ++counts[PickService(route, key)];
+    CPPUNIT_ASSERT_EQUAL(0, counts["assistant"]);
+    CPPUNIT_ASSERT_EQUAL(900, counts["bookings"]);
+    CPPUNIT_ASSERT_EQUAL(100, counts["other"]);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceConfigTest);
+
+class InstanceTableTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(InstanceTableTest);
+  CPPUNIT_TEST(OrdersAnnouncements);
+  CPPUNIT_TEST(GivesAnAddressToTheNewestIncarnation);
+  CPPUNIT_TEST(DoesNotBringBackWhatHasLeft);
+  CPPUNIT_TEST(RelaysALeavingOfAnUnknownEndpoint);
+  CPPUNIT_TEST(KeepsAServiceThatIsSilentAsAWhole);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a late announcement that undoes a newer one.
+  void OrdersAnnouncements() {
+    InstanceTable table;
+    const TimePoint now = At(seconds(1));
+    CPPUNIT_ASSERT(table.Apply(Record("i", 5, 4), now) == Announcement::kChanged);
+    auto draining = Record("i", 5, 6);
+    draining.state = EndpointState::kDraining;
+    CPPUNIT_ASSERT(table.Apply(draining, now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 5, 5), now) == Announcement::kIgnored);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 4, 9), now) == Announcement::kIgnored);
+    CPPUNIT_ASSERT(table.Find("i")->state == EndpointState::kDraining);
+    // The same id after a restart counts its announcements from the beginning.
+    CPPUNIT_ASSERT(table.Apply(Record("i", 7, 1), now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(table.Find("i")->state == EndpointState::kServing);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 7, 2), now) == Announcement::kRefreshed);
+  }
+
+  // Guards against two endpoints at one address after it was used again.
+  void GivesAnAddressToTheNewestIncarnation() {
+    InstanceTable table;
+    const TimePoint now = At(seconds(1));
+    table.Apply(Record("old", 5, 4), now);
+    CPPUNIT_ASSERT(table.Apply(Record("new", 9, 1), now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(table.Find("old") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("new"), table.FindAddress("10.0.0.1:80")->id);
+    CPPUNIT_ASSERT(table.Apply(Record("old", 5, 5), now) == Announcement::kIgnored);
+    CPPUNIT_ASSERT(table.Apply(Record("older", 3, 1), now) == Announcement::kIgnored);
+  }
+
+  // Guards against an endpoint that gets requests again because of an announcement under way.
+  void DoesNotBringBackWhatHasLeft() {
+    InstanceTable table;
+    const TimePoint now = At(seconds(1));
+    table.Apply(Record("i", 5, 4), now);
+    const auto gone = table.Leave("i", now);
+    CPPUNIT_ASSERT(gone.state == EndpointState::kGone);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 5, 9), now) == Announcement::kIgnored);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 6, 1), now) == Announcement::kChanged);
+    // Another process that knows the endpoint takes the relayed record.
+    InstanceTable other;
+    other.Apply(Record("i", 5, 4), now);
+    CPPUNIT_ASSERT(other.Apply(gone, now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(other.Find("i") == nullptr);
+  }
+
+  void RelaysALeavingOfAnUnknownEndpoint() {
+    InstanceTable table;
+    const TimePoint now = At(seconds(1));
+    CPPUNIT_ASSERT(table.Leave("i", now).id.empty());
+    table.Apply(Record("i", 5, 4), now);
+    EndpointRecord gone;
+    gone.id = "i";
+    gone.state = EndpointState::kGone;
+    CPPUNIT_ASSERT(table.Apply(gone, now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(table.Find("i") == nullptr);
+  }
+
+  // Guards against losing a whole service because announcements do not get through.
+  void KeepsAServiceThatIsSilentAsAWhole() {
+    InstanceTable table;
+    table.Apply(Record("a", 5, 4, "10.0.0.1:80"), At(seconds(0)));
+    table.Apply(Record("b", 5, 4, "10.0.0.2:80"), At(seconds(0)));
+    CPPUNIT_ASSERT(table.Expire(seconds(10), seconds(2), At(seconds(60))).empty());
+    auto heard = Record("b", 5, 5, "10.0.0.2:80");
+    heard.refreshed = At(seconds(60));
+    table.Apply(heard, At(seconds(60)));
+    const auto silent = table.Expire(seconds(10), seconds(2), At(seconds(61)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, silent.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), silent[0]);
+    // It was cut off and comes back under the same incarnation.
+    CPPUNIT_ASSERT(table.Apply(Record("a", 5, 9, "10.0.0.1:80"), At(seconds(62))) ==
+                   Announcement::kChanged);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(InstanceTableTest);
+
+class AttemptPolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AttemptPolicyTest);
+  CPPUNIT_TEST(DecidesByWhatMayHaveRun);
+  CPPUNIT_TEST(StopsWithoutBudgetOrAttempts);
+  CPPUNIT_TEST_SUITE_END();
+
+  static Route RouteOf(RouteKind kind, bool resumable) {
+    Route route = MakeRoute("desk.example", "/");
+    route.kind = kind;
+    route.resumable = resumable;
+    route.max_attempts = 2;
+    return route;
+  }
+
+ public:
+  // Guards against a second run of what may run once, and against a false "not run".
+  void DecidesByWhatMayHaveRun() {
+    struct Case {
+      RouteKind kind;
+      bool resumable;
+      bool started;
+      AttemptOutcome outcome;
+      NextStep next;
+    };
+    constexpr auto kOnce = RouteKind::kNonIdempotent;
+    constexpr auto kLookup = RouteKind::kIdempotent;
+    constexpr auto kStream = RouteKind::kStreaming;
+    const Case cases[] = {
+        {kOnce, false, false, AttemptOutcome::kNotConnected, NextStep::kTryAnother},
+        {kOnce, false, false, AttemptOutcome::kNotRun, NextStep::kTryAnother},
+        {kOnce, false, false, AttemptOutcome::kBroken, NextStep::kUnknown},
+        {kOnce, false, false, AttemptOutcome::kSilent, NextStep::kUnknown},
+        {kOnce, false, false, AttemptOutcome::kExpired, NextStep::kUnknown},
+        {kOnce, false, false, AttemptOutcome::kFailed, NextStep::kPassFailure},
+        {kLookup, false, false, AttemptOutcome::kBroken, NextStep::kTryAnother},
+        {kLookup, false, false, AttemptOutcome::kFailed, NextStep::kTryAnother},
+        {kLookup, false, false, AttemptOutcome::kSilent, NextStep::kTryAnother},
+        {kLookup, false, false, AttemptOutcome::kExpired, NextStep::kUnknown},
+        {kStream, true, false, AttemptOutcome::kBroken, NextStep::kTryAnother},
+        {kStream, true, true, AttemptOutcome::kCut, NextStep::kContinueStream},
+        {kStream, true, true, AttemptOutcome::kExpired, NextStep::kCutStream},
+        {kStream, false, false, AttemptOutcome::kBroken, NextStep::kUnknown},
+        {kStream, false, true, AttemptOutcome::kCut, NextStep::kCutStream},
+        {kStream, true, false, AttemptOutcome::kCallerGone, NextStep::kDone},
+        {kOnce, false, true, AttemptOutcome::kDelivered, NextStep::kDone},
+    };
+    for (const auto& it : cases) {
+      AttemptHistory history;
+      history.answer_started = it.started;
+      NoteOutcome(history, it.outcome);
+      const auto next = DecideNext(RouteOf(it.kind, it.resumable), history, it.outcome, seconds(1),
+                                   [] { return true; });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(kRouteKinds.Name(it.kind)) + " after " +
+                                       std::string(kAttemptOutcomes.Name(it.outcome)),
+                                   std::string(kNextSteps.Name(it.next)),
+                                   std::string(kNextSteps.Name(next)));
+    }
+  }
+
+  void StopsWithoutBudgetOrAttempts() {
+    const Route route = RouteOf(RouteKind::kIdempotent, false);
+    AttemptHistory history;
+    NoteOutcome(history, AttemptOutcome::kNotRun);
+    const auto refused = [] { return false; };
+    const auto granted = [] { return true; };
+    CPPUNIT_ASSERT(DecideNext(route, history, AttemptOutcome::kNotRun, seconds(1), refused) ==
+                   NextStep::kRefuse);
+    CPPUNIT_ASSERT(DecideNext(route, history, AttemptOutcome::kNotRun, milliseconds(5), granted) ==
+                   NextStep::kRefuse);
+    // What another attempt may have run is never called not run.
+    NoteOutcome(history, AttemptOutcome::kBroken);
+    CPPUNIT_ASSERT(DecideNext(route, history, AttemptOutcome::kBroken, seconds(1), granted) ==
+                   NextStep::kUnknown);
+    CPPUNIT_ASSERT(DecideNext(route, history, AttemptOutcome::kNotRun, seconds(1), granted) ==
+                   NextStep::kUnknown);
+    // Without a connection nothing was sent, so no budget is needed.
+    AttemptHistory unconnected;
+    NoteOutcome(unconnected, AttemptOutcome::kNotConnected);
+    CPPUNIT_ASSERT(DecideNext(route, unconnected, AttemptOutcome::kNotConnected, seconds(1),
+                              refused) == NextStep::kTryAnother);
+    for (std::uint32_t i = 1; i < kMostUnconnected; ++i) {
+      NoteOutcome(unconnected, AttemptOutcome::kNotConnected);
+    }
+    CPPUNIT_ASSERT(DecideNext(route, unconnected, AttemptOutcome::kNotConnected, seconds(1),
+                              granted) == NextStep::kRefuse);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AttemptPolicyTest);
+
+class RepeatBudgetTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RepeatBudgetTest);
+  CPPUNIT_TEST(KeepsTheSumOverAllProcesses);
+  CPPUNIT_TEST(ForgetsOldWindows);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against processes that together repeat more than one budget allows, in any window.
+  void KeepsTheSumOverAllProcesses() {
+    const RepeatBounds bounds{0.2, 100, seconds(10)};
+    constexpr std::size_t kProcesses = 4;
+    std::vector<RepeatBudget> budgets(kProcesses, RepeatBudget(bounds));
+    std::vector<std::pair<double, bool>> repeats;
+    std::vector<double> requests;
+    for (int ms = 0; ms < 60000; ms += 10) {
+      const TimePoint now = At(milliseconds(ms));
+      auto& budget = budgets[static_cast<std::size_t>(ms / 10) % kProcesses];
+      budget.OnRequest("s", now);
+      requests.push_back(ms);
+      // Every attempt fails, so a repeat is wanted each time.
+      if (budget.Take("s", kProcesses, now)) repeats.emplace_back(ms, true);
+    }
+    for (double from = 0; from + 10000 <= 60000; from += 250) {
+      const auto inside = [from](double at) { return at >= from && at < from + 10000; };
+      double asked = 0;
+      double repeated = 0;
+      for (const double at : requests) asked += inside(at) ? 1 : 0;
+      for (const auto& [at, granted] : repeats) repeated += inside(at) ? 1 : 0;
+      CPPUNIT_ASSERT(repeated <= bounds.ratio * asked + bounds.extra);
+    }
+    CPPUNIT_ASSERT(!repeats.empty());
+  }
+
+  void ForgetsOldWindows() {
+    RepeatBudget budget({0, 4, seconds(10)});
+    std::size_t granted = 0;
+    for (int i = 0; i < 10; ++i) granted += budget.Take("s", 1, At(seconds(0))) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, granted);
+    CPPUNIT_ASSERT(!budget.Take("s", 1, At(seconds(9))));
+    CPPUNIT_ASSERT(budget.Take("s", 1, At(seconds(12))));
+    CPPUNIT_ASSERT(budget.Take("other", 1, At(seconds(9))));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RepeatBudgetTest);
+
+class EventSplitterTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(EventSplitterTest);
+  CPPUNIT_TEST(PassesOnlyWholeEvents);
+  CPPUNIT_TEST(ReadsIds);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a partial event that reaches a caller before the stream breaks off.
+  void PassesOnlyWholeEvents() {
+    const std::string text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n";
+    for (std::size_t step = 1; step <= text.size(); ++step) {
+      EventSplitter splitter;
+      std::vector<StreamEvent> events;
+      for (std::size_t at = 0; at < text.size(); at += step) {
+        for (auto& it : splitter.Feed(text.substr(at, step))) events.push_back(std::move(it));
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, events.size());
+      CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), events[0].bytes);
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, events[1].id.value());
+      CPPUNIT_ASSERT_EQUAL(std::string("id: 3\ndata: c\n"), std::string(splitter.rest()));
+    }
+  }
+
+  void ReadsIds() {
+    EventSplitter splitter;
+    const auto events = splitter.Feed("weights: 2\nid:41\ndata: x\n\ndata: id: 7\n\nid: x\n\n");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, events.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{41}, events[0].id.value());
+    CPPUNIT_ASSERT(!events[1].id);
+    CPPUNIT_ASSERT(!events[2].id);
+    CPPUNIT_ASSERT(splitter.rest().empty());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
+
+class SwapPlanTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SwapPlanTest);
+  CPPUNIT_TEST(SpreadsTheSwapsOverTheWindow);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against all endpoints swapping at once, and against one that swaps after the window.
+  void SpreadsTheSwapsOverTheWindow() {
+    std::vector<std::string> endpoints;
+    for (int i = 0; i < 20; ++i) endpoints.push_back("10.0.0." + std::to_string(i) + ":80");
+    const SwapSettings settings;
+    std::map<Duration, int> at_once;
+    for (const auto& it : endpoints) {
+      const auto rank = SwapRank(it, endpoints);
+      CPPUNIT_ASSERT(rank < endpoints.size());
+      const auto offset = SwapOffset(rank, endpoints.size(), settings);
+      CPPUNIT_ASSERT(offset >= settings.spread && offset <= settings.window);
+      ++at_once[offset];
+    }
+    CPPUNIT_ASSERT_EQUAL(settings.groups, at_once.size());
+    for (const auto& [offset, n] : at_once) CPPUNIT_ASSERT(n <= 4);
+    CPPUNIT_ASSERT(SwapOffset(0, 1, settings) == settings.spread);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SwapPlanTest);
+
+class WeightsTargetsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WeightsTargetsTest);
+  CPPUNIT_TEST(EachVersionHasItsOwnBound);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a version whose bound starts anew because the next one was named.
+  void EachVersionHasItsOwnBound() {
+    WeightsTargets targets;
+    CPPUNIT_ASSERT(targets.Name("m", 2, At(seconds(18))));
+    CPPUNIT_ASSERT(targets.Name("m", 3, At(seconds(21))));
+    CPPUNIT_ASSERT(!targets.Name("m", 2, At(seconds(30))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, targets.Newest("m"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, targets.Due("m", seconds(6), At(seconds(23))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, targets.Due("m", seconds(6), At(seconds(24))));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, targets.Due("m", seconds(6), At(seconds(27))));
+    CPPUNIT_ASSERT(targets.OldestUnmet("m", 1) == At(seconds(18)));
+    CPPUNIT_ASSERT(targets.OldestUnmet("m", 2) == At(seconds(21)));
+    CPPUNIT_ASSERT(!targets.OldestUnmet("m", 3));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, targets.Newest("other"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(WeightsTargetsTest);
+
+class SubsetsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SubsetsTest);
+  CPPUNIT_TEST(PartsAreDisjointEqualAndWhole);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against endpoints that belong to two processes or to none.
+  void PartsAreDisjointEqualAndWhole() {
+    const std::map<std::string, std::string> processes{
+        {"p1", "a"}, {"p2", "a"}, {"p3", "b"}, {"p4", "c"}};
+    std::map<std::string, std::string> endpoints;
+    const char* domains[] = {"a", "b", "c"};
+    for (int i = 0; i < 22; ++i) endpoints["e" + std::to_string(i)] = domains[i % 3];
+    std::set<std::string> seen;
+    for (const auto& [process, domain] : processes) {
+      const auto own = OwnSubset(process, processes, endpoints);
+      CPPUNIT_ASSERT(own.size() == 5 || own.size() == 6);
+      for (const auto& it : own) CPPUNIT_ASSERT(seen.insert(it).second);
+    }
+    CPPUNIT_ASSERT_EQUAL(endpoints.size(), seen.size());
+    for (const auto& it : OwnSubset("p3", processes, endpoints)) {
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), endpoints[it]);
+    }
+    CPPUNIT_ASSERT(OwnSubset("p9", processes, endpoints).empty());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SubsetsTest);
+
+}  // namespace
+}  // namespace wagtailslip::serving
