Take a relayed leaving whatever its number

The control process that acknowledged a leaving had lost its links to the others, so the number it put on the relayed record was below the one the ingress processes already had, and they ignored it.

Change: a leaving is final for its incarnation; control processes also relay what changed to ingress processes, and acknowledge a leaving only while they reach more than half of the control processes they know. Test: TakesALeavingWithAnOlderNumber.

Conclusion: numbers order announcements, not departures.

--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -260,8 +260,9 @@
   }
   if (relayed.instances.empty()) return;
   relayed.__isset.instances = true;
-  // A sidecar has links to few control processes only.
-  mesh_->SendTo(Processes({MemberKind::kSidecar}), relayed);
+  // A sidecar has links to few control processes only, and an ingress process may have lost the one
+  // to the sender.
+  mesh_->SendTo(Processes({MemberKind::kIngress, MemberKind::kSidecar}), relayed);
 }
 
 void ControlNode::Announce(serving::EndpointRecord record, TimePoint now) {
@@ -414,13 +415,12 @@
 }
 
 bool ControlNode::InTouch() const {
-  const auto& membership = log_->replica().membership();
-  if (membership.voter_count() == 0) return true;
+  const auto known = ControlProcesses();
   std::size_t linked = 0;
-  for (const auto& id : membership.Voters()) {
-    if (id.process == settings_.mesh_address() || mesh_->Linked(id.process)) ++linked;
+  for (const auto& it : known) {
+    if (it == settings_.mesh_address() || mesh_->Linked(it)) ++linked;
   }
-  return linked >= membership.quorum();
+  return 2 * linked > known.size();
 }
 
 std::vector<std::string> ControlNode::IngressAddresses() const {
--- a/src/serving/instance_table.cc
+++ b/src/serving/instance_table.cc
@@ -39,8 +39,10 @@
   if (IsDeparted(record)) return Announcement::kIgnored;
   const auto it = endpoints_.find(record.id);
   const EndpointRecord* known = it == endpoints_.end() ? nullptr : &it->second;
-  if (record.state == EndpointState::kGone && record.started_ms == 0 && known != nullptr) {
-    // A process that did not know the endpoint relays its leaving without an incarnation.
+  // A leaving is final for its incarnation. Its number may lag: the process that relays it may have
+  // missed announcements, or may not know the endpoint at all and name no incarnation.
+  if (record.state == EndpointState::kGone && known != nullptr &&
+      (record.started_ms == 0 || record.started_ms >= known->started_ms)) {
     Remove(record.id, now);
     return Announcement::kChanged;
   }
@@ -51,12 +53,8 @@
     }
   }
   if (record.state == EndpointState::kGone) {
-    if (known == nullptr) {
-      departed_[record.id] = {record.started_ms, now};
-      return Announcement::kIgnored;
-    }
-    Remove(record.id, now);
-    return Announcement::kChanged;
+    departed_[record.id] = {record.started_ms, now};
+    return Announcement::kIgnored;
   }
   // An address belongs to the incarnation that started last. An older one is still announced by
   // messages that were held up on their way.
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -146,6 +146,7 @@
   CPPUNIT_TEST(GivesAnAddressToTheNewestIncarnation);
   CPPUNIT_TEST(DoesNotBringBackWhatHasLeft);
   CPPUNIT_TEST(RelaysALeavingOfAnUnknownEndpoint);
+  CPPUNIT_TEST(TakesALeavingWithAnOlderNumber);
   CPPUNIT_TEST(KeepsAServiceThatIsSilentAsAWhole);
   CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +208,23 @@
     CPPUNIT_ASSERT(table.Find("i") == nullptr);
   }
 
+  // Guards against requests to an endpoint whose leaving was relayed by a process that had missed
+  // its last announcements.
+  void TakesALeavingWithAnOlderNumber() {
+    const TimePoint now = At(seconds(1));
+    InstanceTable relay;
+    relay.Apply(Record("i", 5, 4), now);
+    InstanceTable table;
+    table.Apply(Record("i", 5, 12), now);
+    CPPUNIT_ASSERT(table.Apply(relay.Leave("i", now), now) == Announcement::kChanged);
+    CPPUNIT_ASSERT(table.Find("i") == nullptr);
+    // A later incarnation is not concerned.
+    table.Apply(Record("i", 7, 1), now);
+    auto gone = Record("i", 5, 20);
+    gone.state = EndpointState::kGone;
+    CPPUNIT_ASSERT(table.Apply(gone, now) == Announcement::kIgnored);
+  }
+
   // Guards against losing a whole service because announcements do not get through.
   void KeepsAServiceThatIsSilentAsAWhole() {
     InstanceTable table;
