Wait for an endpoint's answer when no other attempt may follow

Change: patience ends early only if another attempt is allowed and the budget of repeats has room.

Conclusion: silence alone is no reason to end an answer.

--- a/include/wagtailslip/serving/repeat_budget.h
+++ b/include/wagtailslip/serving/repeat_budget.h
@@ -28,6 +28,8 @@
 
   /// Counts a request of a caller to a service.
   void OnRequest(const std::string& service, TimePoint now);
+  /// Whether Take would grant a repeat.
+  bool HasRoom(const std::string& service, std::size_t processes, TimePoint now);
   /// Takes one repeat.
   /// @param processes ingress processes that share the budget
   /// @return false if the window has no room; nothing may be sent then
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -173,6 +173,10 @@
 
 Duration Exchange::AnswerPatience() const {
   const Duration left = std::max(TimeLeft(), Duration(std::chrono::milliseconds(1)));
+  // Without another attempt to come, an endpoint's silence is no reason to give up on it.
+  const bool may_try_another =
+      history_.sends + 1 < route_->max_attempts && node_.MayRepeat(service_, MonotonicNow());
+  if (!may_try_another) return left;
   if (route_->kind == serving::RouteKind::kStreaming && route_->repeatable()) {
     return std::min(left, kStreamPatience);
   }
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -52,6 +52,10 @@
   bool TakeRepeat(const std::string& service, TimePoint now) {
     return budget_.Take(service, processes_, now);
   }
+  /// Whether TakeRepeat would be granted now.
+  bool MayRepeat(const std::string& service, TimePoint now) {
+    return budget_.HasRoom(service, processes_, now);
+  }
   void OnLoad(const std::string& endpoint, std::uint32_t running, std::uint32_t waiting,
               TimePoint now) {
     placement_.OnLoad(endpoint, running, waiting, now);
--- a/src/serving/repeat_budget.cc
+++ b/src/serving/repeat_budget.cc
@@ -28,8 +28,8 @@
   ++Current(service, now).requests;
 }
 
-bool RepeatBudget::Take(const std::string& service, std::size_t processes, TimePoint now) {
-  Slice& current = Current(service, now);
+bool RepeatBudget::HasRoom(const std::string& service, std::size_t processes, TimePoint now) {
+  Current(service, now);
   double requests = 0;
   double repeats = 0;
   for (const auto& it : slices_[service]) {
@@ -37,8 +37,12 @@
     repeats += it.repeats;
   }
   const double part = bounds_.extra / static_cast<double>(std::max<std::size_t>(processes, 1));
-  if (repeats + 1 > kUsedPart * (bounds_.ratio * requests + part)) return false;
-  ++current.repeats;
+  return repeats + 1 <= kUsedPart * (bounds_.ratio * requests + part);
+}
+
+bool RepeatBudget::Take(const std::string& service, std::size_t processes, TimePoint now) {
+  if (!HasRoom(service, processes, now)) return false;
+  ++Current(service, now).repeats;
   return true;
 }
 
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,325 @@
+// Messages of the platform, decoded into the product's types.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "platform/control_calls.h"
+#include "platform/engine_calls.h"
+#include "platform/engine_state.h"
+#include "platform/json_fields.h"
+#include "platform/request_headers.h"
+#include "platform/service_config.h"
+#include "platform/settings.h"
+
+namespace wagtailslip::platform {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json SettingsFile() {
+  return {{"node-name", "edge-1"},
+          {"ip", "10.0.0.5"},
+          {"zone", "north"},
+          {"region", "upper"},
+          {"port-range", {7700, 7710}},
+          {"seed-nodes", {"10.0.0.1:8000", "10.0.0.2:8000"}},
+          {"bootstrap", true},
+          {"zones", {{"north", "upper"}, {"south", "lower"}}},
+          {"listen-addrs", {{"frontend", "10.0.0.5:8005"}, {"readiness", "10.0.0.5:8002"}}},
+          {"limits", {{"max-open-files", 900}, {"bandwidth-mbps", 8.0}}},
+          {"timing-bounds", {{"version_ms", 8000}, {"retry-budget-extra", 104}}},
+          {"a-field-of-tomorrow", json::array()}};
+}
+
+json ConfigFile() {
+  return {{"version", 7},
+          {"route-table",
+           {{{"name", "r1"},
+             {"host", "desk.example"},
+             {"path-prefix", "/a/"},
+             {"route-type", "streaming"},
+             {"timeout-ms", 6000},
+             {"target-latency-ms", 400},
+             {"priority", 1},
+             {"backend", "assistant"},
+             {"max-attempts", 2},
+             {"stream-resume", true}},
+            {{"host", "desk.example"},
+             {"path-prefix", "/b/"},
+             {"route-type", "non_idempotent"},
+             {"timeout-ms", 800},
+             {"weighted-backends", {{{"backend", "bookings"}, {"weight", 3}}}}}}},
+          {"backends",
+           {{{"name", "assistant"},
+             {"runtime",
+              {{"batch-slots", 16},
+               {"layers", 4},
+               {"chunk-count", 8},
+               {"read_per_s", 19000.0},
+               {"model-list", {{{"name", "m1"}}}}}}},
+            {{"name", "weights"}, {"upstream", "172.20.0.3:80"}},
+            {{"name", "bookings"}, {"max-connections", 90}}}},
+          {"limits", {{"idle-timeout-ms", 12000}}},
+          {"tenants", {{{"name", "shop"}, {"api-keys", {"k1"}}, {"priority", 2}}}}};
+}
+
+json Announcement() {
+  return {{"backend", "assistant"}, {"address", "10.0.0.9:80"},
+          {"zone", "north"},        {"state", "ready"},
+          {"sequence", 4},          {"born", 1700000000123},
+          {"batch-slots", 16},      {"warmup-remaining-ms", 0}};
+}
+
+class PlatformTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PlatformTest);
+  CPPUNIT_TEST(DecodesSettings);
+  CPPUNIT_TEST(RefusesBadSettings);
+  CPPUNIT_TEST(DecodesAConfiguration);
+  CPPUNIT_TEST(RefusesAConfigurationThatCannotBeReadInFull);
+  CPPUNIT_TEST(ParsesCalls);
+  CPPUNIT_TEST(RefusesAnnouncementsOfOtherWriters);
+  CPPUNIT_TEST(TellsWholeWeightsFromPartial);
+  CPPUNIT_TEST(SetsAndStripsHeaders);
+  CPPUNIT_TEST(ReadsAnswers);
+  CPPUNIT_TEST(ReadsDigests);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void DecodesSettings() {
+    const auto settings = DecodeSettings(SettingsFile().dump());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.5:7700"), settings.mesh_address());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.5:7701"), settings.chunk_address());
+    CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.5:8005"), settings.caller_address);
+    CPPUNIT_ASSERT(settings.control_address.empty());
+    CPPUNIT_ASSERT(settings.first_start);
+    CPPUNIT_ASSERT_EQUAL(std::string("lower"), settings.regions.at("south"));
+    CPPUNIT_ASSERT_EQUAL(1e6, settings.link_rate);
+    CPPUNIT_ASSERT(settings.bounds.weights_propagation == std::chrono::seconds(8));
+    CPPUNIT_ASSERT_EQUAL(104.0, settings.bounds.repeat_extra);
+  }
+
+  // Guards against a process that starts with half of its settings.
+  void RefusesBadSettings() {
+    const std::vector<std::function<void(json&)>> faults{
+        [](json& s) { s.erase("ip"); },
+        [](json& s) { s["ip"] = 7; },
+        [](json& s) { s["port-range"] = {7700}; },
+        [](json& s) {
+          s["port-range"] = {7710, 7700};
+        },
+        [](json& s) { s["seed-nodes"] = "10.0.0.1:8000"; },
+        [](json& s) { s["bootstrap"] = "yes"; },
+    };
+    for (const auto& spoil : faults) {
+      json file = SettingsFile();
+      spoil(file);
+      CPPUNIT_ASSERT_THROW_MESSAGE(file.dump(), DecodeSettings(file.dump()),
+                                   deployment::SettingsError);
+    }
+    CPPUNIT_ASSERT_THROW(DecodeSettings("{\"ip\": "), deployment::SettingsError);
+    CPPUNIT_ASSERT_THROW(ReadSettings("/nowhere/settings"), deployment::SettingsError);
+  }
+
+  void DecodesAConfiguration() {
+    const auto config = DecodeServiceConfig(ConfigFile().dump());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, config.version);
+    CPPUNIT_ASSERT(config.routes[0].repeatable());
+    CPPUNIT_ASSERT(config.routes[0].latency_objective == milliseconds(400));
+    CPPUNIT_ASSERT(!config.routes[1].repeatable());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, config.routes[1].services[0].weight);
+    CPPUNIT_ASSERT_EQUAL(std::string("m1"), config.FindService("assistant")->engine->model);
+    CPPUNIT_ASSERT_EQUAL(std::string("172.20.0.3:80"), config.FindService("weights")->origin);
+    CPPUNIT_ASSERT(!config.FindService("bookings")->engine);
+    CPPUNIT_ASSERT(config.limits.idle_timeout == std::chrono::seconds(12));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, config.accounts[0].priority);
+  }
+
+  // Guards against a configuration of which a part is dropped silently.
+  void RefusesAConfigurationThatCannotBeReadInFull() {
+    const std::vector<std::function<void(json&)>> faults{
+        [](json& c) { c.erase("version"); },
+        [](json& c) { c["version"] = "7"; },
+        [](json& c) { c["route-table"] = json::object(); },
+        [](json& c) { c["route-table"][0].erase("host"); },
+        [](json& c) { c["route-table"][0]["route-type"] = "sometimes"; },
+        [](json& c) { c["route-table"][0]["backend"] = "nowhere"; },
+        [](json& c) { c["route-table"][0]["timeout-ms"] = 0; },
+        [](json& c) { c["route-table"][0]["priority"] = -1; },
+        [](json& c) { c["route-table"][1]["weighted-backends"][0]["weight"] = 0; },
+        [](json& c) { c["route-table"][1]["path-prefix"] = "/a/"; },
+        [](json& c) { c["backends"][0]["runtime"]["model-list"] = json::array(); },
+        [](json& c) {
+          c["tenants"].push_back({{"name", "b"}, {"api-keys", {"k1"}}});
+        },
+        [](json& c) { c["tenants"][0]["api-keys"] = "k1"; },
+    };
+    for (const auto& spoil : faults) {
+      json config = ConfigFile();
+      spoil(config);
+      CPPUNIT_ASSERT_THROW_MESSAGE(config.dump(), DecodeServiceConfig(config.dump()),
+                                   serving::ServingError);
+    }
+    const std::string whole = ConfigFile().dump();
+    for (std::size_t n = 0; n < whole.size(); n += 7) {
+      CPPUNIT_ASSERT_THROW(DecodeServiceConfig(whole.substr(0, n)), serving::ServingError);
+    }
+  }
+
+  void ParsesCalls() {
+    struct Case {
+      const char* method;
+      const char* path;
+      ControlCall call;
+      const char* endpoint;
+    };
+    const Case cases[] = {
+        {"POST", "/config/replace", ControlCall::kReplaceConfig, ""},
+        {"GET", "/config/replace", ControlCall::kUnknown, ""},
+        {"GET", "/config/fetch", ControlCall::kReadConfig, ""},
+        {"POST", "/version-put", ControlCall::kNameWeights, ""},
+        {"GET", "/lookup", ControlCall::kLookup, ""},
+        {"POST", "/replicas/i-1/heartbeat", ControlCall::kAnnounce, "i-1"},
+        {"POST", "/replicas/i-1/deregister", ControlCall::kLeave, "i-1"},
+        {"POST", "/replicas//heartbeat", ControlCall::kUnknown, ""},
+        {"POST", "/replicas/a/b/heartbeat", ControlCall::kUnknown, ""},
+    };
+    for (const auto& it : cases) {
+      const auto parsed = ParseControlCall(it.method, it.path);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.path, std::string(kControlCalls.Name(it.call)),
+                                   std::string(kControlCalls.Name(parsed.call)));
+      CPPUNIT_ASSERT_EQUAL(std::string(it.endpoint), parsed.endpoint);
+    }
+  }
+
+  // Guards against an endpoint that is used because of a message that does not describe one.
+  void RefusesAnnouncementsOfOtherWriters() {
+    const auto record = DecodeAnnouncement("i-1", Announcement().dump());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1700000000123}, record.started_ms);
+    CPPUNIT_ASSERT(record.state == serving::EndpointState::kServing);
+    const std::vector<std::function<void(json&)>> faults{
+        [](json& a) { a.erase("address"); },    [](json& a) { a["state"] = "resting"; },
+        [](json& a) { a["sequence"] = "4"; },   [](json& a) { a["backend"] = json::array(); },
+        [](json& a) { a["born"] = 1.5; },       [](json& a) { a.erase("zone"); },
+        [](json& a) { a["batch-slots"] = -1; },
+    };
+    for (const auto& spoil : faults) {
+      json announcement = Announcement();
+      spoil(announcement);
+      CPPUNIT_ASSERT_THROW_MESSAGE(announcement.dump(),
+                                   DecodeAnnouncement("i-1", announcement.dump()), PlatformError);
+    }
+    CPPUNIT_ASSERT_THROW(DecodeAnnouncement("i-1", "\x01\x02"), PlatformError);
+  }
+
+  // Guards against an engine that is taken to serve a version of which it lacks layers.
+  void TellsWholeWeightsFromPartial() {
+    struct Case {
+      const char* name;
+      json layers;
+      std::int64_t version;
+    };
+    const Case cases[] = {
+        {"one range", {{{"source", 0}, {"to", 16}, {"version", 2}}}, 2},
+        {"two ranges",
+         {{{"source", 8}, {"to", 16}, {"version", 2}}, {{"source", 0}, {"to", 8}, {"version", 2}}},
+         2},
+        {"gap",
+         {{{"source", 0}, {"to", 7}, {"version", 2}}, {{"source", 8}, {"to", 16}, {"version", 2}}},
+         0},
+        {"two versions",
+         {{{"source", 0}, {"to", 8}, {"version", 1}}, {{"source", 8}, {"to", 16}, {"version", 2}}},
+         0},
+        {"none", json::array(), 0},
+    };
+    for (const auto& it : cases) {
+      const json report{{"model-list", {{{"name", "m1"}, {"version", 2}}}}, {"layers", it.layers}};
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.version, DecodeHeldWeights(report).whole_version);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, DecodeHeldWeights(json::object()).whole_version);
+    const auto state = DecodeEngineState(
+        R"({"model-list":[],"busy":true,"active":3,"queued":1,"born":12,"pace":1.5})");
+    CPPUNIT_ASSERT(state.order_in_progress);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, state.running);
+    CPPUNIT_ASSERT_EQUAL(1.5, state.pace);
+  }
+
+  // Guards against a key that reaches an endpoint, and against fields that a caller forges.
+  void SetsAndStripsHeaders() {
+    net::HttpRequest request(net::http::verb::post, "/a/x?y=1", 11);
+    request.set("Host", "desk.example");
+    request.set("Attempt-Id", "77");
+    request.set("Authorization", "Bearer k1");
+    request.set("Tenant", "forged");
+    request.set("Target-Replica", "forged");
+    request.set("Expected-Version", "9");
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Other", "kept");
+    request.set("Last-Event-Id", "3");
+    request.set("Deadline-Ms", "1500");
+    request.set("Token-Usage", "1460,80");
+    request.body() = "body";
+    const auto caller = DecodeCallerRequest(request);
+    CPPUNIT_ASSERT_EQUAL(std::string("k1"), caller.key);
+    CPPUNIT_ASSERT(caller.time_left == milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{3}, caller.last_event.value());
+    CPPUNIT_ASSERT_EQUAL(1460.0, caller.prompt_tokens);
+
+    ForwardFields fields;
+    fields.endpoint = "i-1";
+    fields.account = "shop";
+    fields.time_left = milliseconds(700);
+    fields.priority = 12;
+    fields.last_event = 8;
+    const auto forwarded = MakeForwardedRequest(request, fields);
+    const auto value = [&](const char* name) { return std::string(forwarded[name]); };
+    CPPUNIT_ASSERT_EQUAL(std::string("/a/x?y=1"), std::string(forwarded.target()));
+    CPPUNIT_ASSERT_EQUAL(std::string("body"), forwarded.body());
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("Authorization"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("X-Hop"));
+    CPPUNIT_ASSERT_EQUAL(std::string(), value("Expected-Version"));
+    CPPUNIT_ASSERT_EQUAL(std::string("kept"), value("X-Other"));
+    CPPUNIT_ASSERT_EQUAL(std::string("shop"), value("Tenant"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), value("Target-Replica"));
+    CPPUNIT_ASSERT_EQUAL(std::string("700"), value("Deadline-Ms"));
+    CPPUNIT_ASSERT_EQUAL(std::string("9"), value("Request-Priority"));
+    CPPUNIT_ASSERT_EQUAL(std::string("8"), value("Last-Event-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                         static_cast<std::ptrdiff_t>(forwarded.count("Last-Event-Id")));
+  }
+
+  void ReadsAnswers() {
+    net::HttpResponse response;
+    response.status = 503;
+    response.headers["Not-Executed"] = "1";
+    response.headers["Replica-Load"] = "3,1,8";
+    auto answer = DecodeEndpointAnswer(response);
+    CPPUNIT_ASSERT(answer.not_run);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, answer.load->waiting);
+    CPPUNIT_ASSERT_EQUAL(std::string("Not-Executed: 1\r\n"), ReturnedHeaderLines(response));
+    response.headers.clear();
+    CPPUNIT_ASSERT(!DecodeEndpointAnswer(response).not_run);
+    response.status = 421;
+    CPPUNIT_ASSERT(DecodeEndpointAnswer(response).not_run);
+  }
+
+  void ReadsDigests() {
+    const std::string hex(64, 'a');
+    const auto digests = DecodeDigests(
+        json{{"version", 2}, {"chunk-bytes", 32768}, {"chunk-digests", {hex, hex}}}.dump());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, digests.digests.size());
+    CPPUNIT_ASSERT_THROW(
+        DecodeDigests(
+            json{{"version", 2}, {"chunk-bytes", 32768}, {"chunk-digests", {"aa"}}}.dump()),
+        PlatformError);
+    CPPUNIT_ASSERT(DecodeOrderAnswer(409) == OrderAnswer::kConflict);
+    CPPUNIT_ASSERT(DecodeOrderAnswer(412) == OrderAnswer::kRefused);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformTest);
+
+}  // namespace
+}  // namespace wagtailslip::platform
