Compress configurations between processes; replace dead voters one for one

The test of a wiped process found six voters of which one was dead: its successor was promoted before its silence was noticed.

Change: configurations are compressed once, at the leader. A standby takes the place of a dead voter, and the number of voters neither grows beside a dead one nor shrinks while several seem dead. Sidecars send a change of load alone every 400 ms.

--- a/cmake/WagtailslipOptions.cmake
+++ b/cmake/WagtailslipOptions.cmake
@@ -1,6 +1,7 @@
 # Compiler options and third-party libraries shared by all targets.
 find_package(Threads REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 find_library(WTS_CAF_CORE caf_core REQUIRED)
 find_library(WTS_THRIFT thrift REQUIRED)
 find_library(WTS_CPPUNIT cppunit REQUIRED)
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -130,6 +130,7 @@
   try {
     command.config_body = exchange.request().body();
     command.config_version = platform::DecodeServiceConfig(command.config_body).version;
+    command.config_body = PackConfig(command.config_body);
     if (command.config_version <= 0) problem = "the version is not above 0";
   } catch (const serving::ServingError& e) {
     problem = e.what();
@@ -158,7 +159,7 @@
   if (node_.log().state().config_version == 0) {
     co_return co_await Unavailable(exchange, "there is no configuration yet");
   }
-  const std::string body = node_.log().state().config_body;
+  const std::string body = UnpackConfig(node_.log().state().config_body);
   co_await exchange.Respond(200, body);
 }
 
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -1,10 +1,12 @@
 #include "control_log.h"
 
 #include <algorithm>
+#include <set>
 
 #include "gen/mesh_types.h"
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/codec/compact.h"
+#include "wagtailslip/codec/deflate.h"
 #include "wagtailslip/process/events.h"
 
 namespace wagtailslip::control {
@@ -19,12 +21,12 @@
 constexpr Duration kRepairPeriod = std::chrono::milliseconds(100);
 // A wiped or replaced process must count again within the catch-up time of the deployment, 4 s.
 constexpr Duration kVoterDeadAfter = std::chrono::milliseconds(1600);
+constexpr Duration kCaughtUpFor = std::chrono::milliseconds(700);
 constexpr Duration kLeaderSilence = std::chrono::milliseconds(1500);
+constexpr std::size_t kMostConfigBytes = std::size_t{32} * 1024 * 1024;
 constexpr std::uint64_t kSnapshotEntries = 64;
 constexpr std::size_t kSnapshotBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t kRetainedEntries = 16;
-// Every control process votes, so that the log goes on while more than half of them run.
-constexpr std::size_t kMostVoters = 99;
 
 agreement::ReplicaConfig LogConfig(const agreement::ReplicaId& id) {
   agreement::ReplicaConfig config;
@@ -73,6 +75,12 @@
 
 }  // namespace
 
+std::string PackConfig(std::string_view body) { return codec::Deflate(body); }
+
+std::string UnpackConfig(std::string_view packed) {
+  return codec::Inflate(packed, kMostConfigBytes);
+}
+
 ControlLog::ControlLog(const deployment::NodeSettings& settings,
                        const std::vector<std::string>& first_voters, Outlets outlets,
                        std::int64_t incarnation, TimePoint now)
@@ -252,10 +260,42 @@
   for (auto& done : expired) done(false);
 }
 
+std::optional<agreement::MembershipChange> ControlLog::PlanRepair(TimePoint now) {
+  const auto& membership = replica_->membership();
+  std::set<std::string> live{process_};
+  std::optional<agreement::ReplicaId> dead;
+  std::optional<agreement::ReplicaId> ready;
+  for (const auto& [id, role] : membership.members()) {
+    const auto* progress = replica_->progress(id);
+    if (progress == nullptr) continue;
+    // The contact of a member that has never answered lies before any time that can be subtracted.
+    const bool answers = progress->contact > now - kVoterDeadAfter;
+    if (answers) live.insert(id.process);
+    const bool settled = now - leading_since_ >= kVoterDeadAfter;
+    if (role == agreement::MemberRole::kVoter && !answers && settled) dead = id;
+    if (role == agreement::MemberRole::kStandby && progress->caught_up > now - kCaughtUpFor) {
+      ready = id;
+    }
+  }
+  wanted_voters_ = std::max({wanted_voters_, live.size(), membership.voter_count()});
+  if (!ready) return std::nullopt;
+  const bool predecessor_votes =
+      std::any_of(membership.members().begin(), membership.members().end(), [&](const auto& row) {
+        return row.first.process == ready->process && row.second == agreement::MemberRole::kVoter;
+      });
+  // One for one: the number of voters must not shrink while several seem dead, because what is
+  // acknowledged would then lie on fewer disks than may be lost.
+  if (membership.voter_count() < wanted_voters_ && !predecessor_votes) {
+    return agreement::MembershipChange{agreement::ChangeKind::kPromote, *ready};
+  }
+  if (dead) return agreement::MembershipChange{agreement::ChangeKind::kRemove, *dead};
+  return std::nullopt;
+}
+
 void ControlLog::Repair(TimePoint now) {
   if (now < repair_at_ || !Leading(now)) return;
   repair_at_ = now + kRepairPeriod;
-  const auto change = replica_->PlanRepair(kMostVoters, kVoterDeadAfter, now);
+  const auto change = PlanRepair(now);
   if (!change) return;
   auto result = replica_->ChangeMembership(*change, now);
   if (result.status == agreement::ProposeStatus::kAccepted) {
@@ -290,6 +330,10 @@
   HandleEffects(replica_->Tick(now), now);
   if (replica_->role() != last_role_) {
     last_role_ = replica_->role();
+    if (last_role_ == agreement::Role::kLeader) {
+      leading_since_ = now;
+      wanted_voters_ = 0;
+    }
     LogEvent(Event::kReplicaRoleChanged,
              {{"role", agreement::kRoles.Name(last_role_)}, {"term", replica_->term()}});
   }
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "wagtailslip/agreement/replica.h"
@@ -17,7 +18,8 @@
 
 /// Content of a control command: a service configuration, or a version of weights to be served.
 struct Command {
-  /// Version and body of a service configuration; version 0 if the command has none.
+  /// Version and body of a service configuration, see PackConfig; version 0 if the command has
+  /// none.
   std::int64_t config_version = 0;
   std::string config_body;
   std::string model;
@@ -33,11 +35,17 @@
 /// What the log has agreed on.
 struct AgreedState {
   std::int64_t config_version = 0;
-  /// Shared with the messages that carry it.
+  /// As in a command.
   std::string config_body;
   std::map<std::string, Target> targets;
 };
 
+/// Body of a configuration as it is kept in the log and sent to other processes: compressed,
+/// because a copy goes to each of them over links that requests share.
+std::string PackConfig(std::string_view body);
+/// @throws codec::CodecError if it is damaged
+std::string UnpackConfig(std::string_view packed);
+
 /// The replicated log of the control processes with its disk. Runs on one thread.
 class ControlLog {
  public:
@@ -89,6 +97,9 @@
   void Restore(const std::string& snapshot, TimePoint now);
   void ExpirePending(TimePoint now);
   void Repair(TimePoint now);
+  /// The next change that brings the voters to their number: all processes vote, so that the log
+  /// goes on while more than half run, and a dead one makes room for a standby that is ready.
+  std::optional<agreement::MembershipChange> PlanRepair(TimePoint now);
   void Compact();
 
   std::string process_;
@@ -104,7 +115,10 @@
   std::map<agreement::Index, Pending> pending_;
   agreement::Role last_role_ = agreement::Role::kFollower;
   TimePoint heard_leader_{};
+  TimePoint leading_since_{};
   TimePoint repair_at_{};
+  /// Most voters and processes that answered at the same time, while this process led.
+  std::size_t wanted_voters_ = 0;
   std::uint64_t applied_since_snapshot_ = 0;
   std::size_t bytes_since_snapshot_ = 0;
 };
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -377,7 +377,7 @@
   sources_version_ = state.config_version;
   std::vector<wire::ModelSource> sources;
   try {
-    const auto config = platform::DecodeServiceConfig(state.config_body);
+    const auto config = platform::DecodeServiceConfig(UnpackConfig(state.config_body));
     std::string origin;
     for (const auto& it : config.services) {
       if (!it.origin.empty()) origin = it.origin;
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -294,12 +294,15 @@
     bytes += it.bytes;
   }
   if (bytes.empty()) co_return true;
+  const TimePoint now = MonotonicNow();
+  if (history_.answer_started) longest_pause_ = std::max(longest_pause_, now - last_event_at_);
+  last_event_at_ = now;
   if (history_.answer_started) {
     co_await caller_.WriteChunk(bytes);
     co_return true;
   }
   history_.answer_started = true;
-  first_event_at_ = MonotonicNow();
+  first_event_at_ = now;
   metrics_.Record(process::Latency::kFirstByte, first_event_at_ - received_);
   co_await caller_.StartStreamLines(200, header_lines, std::move(bytes));
   co_return true;
@@ -378,6 +381,10 @@
   }
 }
 
+double Exchange::FirstEventMs() const {
+  return first_event_at_ == TimePoint{} ? -1 : ToMilliseconds(first_event_at_ - received_);
+}
+
 Task<void> Exchange::Finish(NextStep step, AttemptOutcome last) {
   switch (step) {
     case NextStep::kPassFailure:
@@ -472,6 +479,8 @@
                                     {"status", last_status_},
                                     {"next", serving::kNextSteps.Name(step)},
                                     {"waited_ms", ToMilliseconds(begun - received_)},
+                                    {"first_event_ms", FirstEventMs()},
+                                    {"longest_pause_ms", ToMilliseconds(longest_pause_)},
                                     {"ms", ToMilliseconds(now - received_)}});
     if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) continue;
     if (outcome == AttemptOutcome::kCallerGone) caller_.CloseAfter();
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -59,6 +59,8 @@
   net::Task<void> Answer(unsigned status, std::string_view reason,
                          std::optional<Duration> retry_after = std::nullopt);
   Duration TimeLeft() const;
+  /// Time from the request to the first event; -1 if there was none.
+  double FirstEventMs() const;
   Duration AnswerPatience() const;
   serving::AttemptOutcome OutcomeOfError(bool timed_out, bool started) const;
 
@@ -83,6 +85,8 @@
   /// Weights that made the events so far.
   std::int64_t stream_weights_ = 0;
   TimePoint first_event_at_{};
+  TimePoint last_event_at_{};
+  Duration longest_pause_{};
   unsigned last_status_ = 0;
   /// The attempt in progress has not begun to answer.
   bool begin_pending_ = false;
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -5,6 +5,7 @@
 #include "gen/mesh_types.h"
 #include "platform/service_config.h"
 #include "wagtailslip/base/digest.h"
+#include "wagtailslip/codec/deflate.h"
 #include "wagtailslip/mesh/codec.h"
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/process/clock.h"
@@ -19,6 +20,7 @@
 using process::MonotonicNow;
 
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
+constexpr std::size_t kMostConfigBytes = std::size_t{32} * 1024 * 1024;
 constexpr Duration kIngressMemory = std::chrono::seconds(20);
 constexpr Duration kExpirePeriod = std::chrono::seconds(1);
 constexpr Duration kEndpointLife = std::chrono::seconds(12);
@@ -193,10 +195,10 @@
     return;
   }
   try {
-    auto config =
-        std::make_shared<serving::ServiceConfig>(platform::DecodeServiceConfig(body.body));
+    auto config = std::make_shared<serving::ServiceConfig>(
+        platform::DecodeServiceConfig(codec::Inflate(body.body, kMostConfigBytes)));
     routes_ = std::make_shared<const serving::RouteTable>(std::move(config));
-  } catch (const serving::ServingError& e) {
+  } catch (const Error& e) {
     LogEvent(Event::kServiceConfigRefused, {{"version", body.version}, {"error", e.what()}});
     return;
   }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -23,7 +23,7 @@
 constexpr std::uint16_t kMetricsPort = 9464;
 constexpr Duration kTickPeriod = std::chrono::milliseconds(50);
 constexpr Duration kEnginePeriod = std::chrono::milliseconds(120);
-constexpr Duration kReadingPeriod = std::chrono::milliseconds(500);
+constexpr Duration kReadingPeriod = std::chrono::milliseconds(400);
 constexpr Duration kLinkPatience = std::chrono::milliseconds(1000);
 constexpr std::size_t kHomes = 2;
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(500);
@@ -71,9 +71,9 @@
   return self;
 }
 
-bool SameReading(const serving::EndpointReading& a, const serving::EndpointReading& b) {
-  return a.started_ms == b.started_ms && a.weights == b.weights && a.running == b.running &&
-         a.waiting == b.waiting && a.swapping == b.swapping;
+/// Whether two readings differ in load only, which ingress processes mostly know themselves.
+bool SameWeights(const serving::EndpointReading& a, const serving::EndpointReading& b) {
+  return a.started_ms == b.started_ms && a.weights == b.weights && a.swapping == b.swapping;
 }
 
 }  // namespace
@@ -236,7 +236,7 @@
   reading.waiting = engine_state_->waiting;
   reading.swapping = ordered_version_ > reading.weights || engine_state_->order_in_progress;
   reading.pace = engine_state_->pace;
-  if (SameReading(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
+  if (SameWeights(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
   wire::MeshMessage message;
   message.__isset.readings = true;
   message.readings.push_back(mesh::ToWire(reading));
