Spread digests from few sidecars; retry a lost origin within a second

Sidecars took 342 KB of digests from its link while it should have sent the first copy, and waited up to 5 s before they asked it again.

Change: six sidecars take the digests from the origin and the others from those; the pause after failures is at most 1 s.

Conclusion: the first copy must leave the origin sooner; open.

--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -93,6 +93,7 @@
                       first ? kFirstIncarnation : static_cast<std::uint64_t>(incarnation)};
   if (first) {
     std::vector<agreement::ReplicaId> voters;
+    voters.reserve(first_voters.size());
     for (const auto& it : first_voters) voters.push_back({it, kFirstIncarnation});
     options.initial = agreement::BootstrapState(voters);
   }
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -239,7 +239,7 @@
     if (now >= readings_at_) {
       readings_at_ = now + kReadingPeriod;
       wire::MeshMessage relayed;
-      relayed.__set_readings(std::move(readings_));
+      relayed.__set_readings(readings_);
       readings_.clear();
       mesh_->SendTo(Processes({MemberKind::kIngress}), relayed);
     }
@@ -310,13 +310,13 @@
   relay_at_ = now + kRelayPeriod;
   if (!readings_.empty()) {
     wire::MeshMessage relayed;
-    relayed.__set_readings(std::move(readings_));
+    relayed.__set_readings(readings_);
     readings_.clear();
     mesh_->SendTo(Processes({MemberKind::kIngress}), relayed);
   }
   if (refreshed_.empty()) return;
   wire::MeshMessage message;
-  message.__set_instances(std::move(refreshed_));
+  message.__set_instances(refreshed_);
   refreshed_.clear();
   mesh_->SendTo(Processes({MemberKind::kControl, MemberKind::kIngress}), message);
 }
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -31,7 +31,6 @@
 // A request that was refused by one endpoint, or whose stream broke off, may wait a little longer.
 constexpr Duration kRetryWait = std::chrono::milliseconds(400);
 constexpr Duration kDefaultObjective = std::chrono::milliseconds(300);
-constexpr unsigned kFirstError = 400;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstRedirect = 300;
 
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -253,7 +253,7 @@
 
 serving::Verdict IngressNode::Offer(const serving::Applicant& applicant, OnVerdict later,
                                     TimePoint now) {
-  const auto verdict = admission_.Offer(applicant, now);
+  auto verdict = admission_.Offer(applicant, now);
   if (std::holds_alternative<std::monostate>(verdict)) waiting_[applicant.id] = std::move(later);
   return verdict;
 }
--- a/src/serving/subsets.cc
+++ b/src/serving/subsets.cc
@@ -13,6 +13,7 @@
   std::set<std::string> own;
   if (!processes.contains(self)) return own;
   std::vector<std::string> order;
+  order.reserve(endpoints.size());
   for (const auto& [id, domain] : endpoints) order.push_back(id);
   std::sort(order.begin(), order.end(), [](const std::string& a, const std::string& b) {
     return std::pair(Hash64(a), a) < std::pair(Hash64(b), b);
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -28,8 +28,10 @@
 constexpr std::size_t kHomes = 2;
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kDigestsTimeout = std::chrono::milliseconds(1000);
-constexpr Duration kDigestsRetry = std::chrono::milliseconds(150);
-constexpr std::size_t kDigestsPeers = 3;
+constexpr Duration kDigestsRetry = std::chrono::milliseconds(60);
+constexpr Duration kPeerDigestsTimeout = std::chrono::milliseconds(300);
+constexpr std::size_t kFirstAtOrigin = 6;
+constexpr int kPeerRounds = 6;
 constexpr std::size_t kMostUploads = 4;
 // Part of the link that chunks may take. They enter it one after the other, so that an event of the
 // engine's streams waits for one chunk at most.
@@ -275,19 +277,33 @@
   return std::make_shared<const spread::Members>(std::move(list));
 }
 
-Task<std::shared_ptr<const spread::Manifest>> SidecarNode::AskPeersForDigests(
-    std::int64_t version) {
+std::vector<std::string> SidecarNode::DigestSources(std::int64_t version) const {
   const auto members = SpreadMembers();
-  const auto size = static_cast<spread::MemberIndex>(members->size());
-  const auto self = members->Find(settings_.chunk_address());
-  for (spread::MemberIndex i = 1; i < size && i <= kDigestsPeers; ++i) {
-    const auto& peer = (*members)[(self + i * 7) % size];
-    if (peer.address == settings_.chunk_address()) continue;
+  const auto key = static_cast<std::uint64_t>(version);
+  std::vector<std::pair<std::uint64_t, std::string>> order;
+  order.reserve(members->size());
+  for (spread::MemberIndex i = 0; i < members->size(); ++i) {
+    order.emplace_back(members->Score(i, key), (*members)[i].address);
+  }
+  std::sort(order.rbegin(), order.rend());
+  std::vector<std::string> sources;
+  for (const auto& [score, address] : order) {
+    if (sources.size() < kFirstAtOrigin) sources.push_back(address);
+  }
+  return sources;
+}
+
+Task<std::shared_ptr<const spread::Manifest>> SidecarNode::AskPeersForDigests(
+    std::vector<std::string> peers, std::int64_t version) {
+  const std::size_t first = Hash64(settings_.ip) % std::max<std::size_t>(peers.size(), 1);
+  for (std::size_t i = 0; i < peers.size(); ++i) {
+    const std::string peer = peers[(first + i) % peers.size()];
+    if (peer == settings_.chunk_address()) continue;
     net::HttpResponse response;
     try {
       auto request = net::MakeRequest(net::http::verb::get, DigestsPath(source_->model, version));
-      response = co_await net::CallOnce(net::ParseAddress(peer.address), std::move(request),
-                                        kDigestsTimeout);
+      response =
+          co_await net::CallOnce(net::ParseAddress(peer), std::move(request), kPeerDigestsTimeout);
     } catch (const net::NetError&) {
       // Another peer, or the origin, has them too.
       continue;
@@ -322,9 +338,17 @@
 }
 
 Task<void> SidecarNode::FindDigests(std::int64_t version) {
-  // The digests are small beside the chunks, and waiting for a peer's would cost more time.
-  auto manifest = co_await AskOriginForDigests(version);
-  if (!manifest && version != 0) manifest = co_await AskPeersForDigests(version);
+  // Few processes take the digests from the origin, whose link carries the first copy of the chunks
+  // at that time; the others take them from those few.
+  const auto sources = DigestSources(version);
+  const bool first_hand = version == 0 || std::find(sources.begin(), sources.end(),
+                                                    settings_.chunk_address()) != sources.end();
+  std::shared_ptr<const spread::Manifest> manifest;
+  for (int i = 0; i < kPeerRounds && !first_hand && !manifest; ++i) {
+    co_await process::Sleep(kDigestsRetry);
+    manifest = co_await AskPeersForDigests(sources, version);
+  }
+  if (!manifest) manifest = co_await AskOriginForDigests(version);
   digests_at_ = MonotonicNow() + kDigestsRetry;
   if (manifest) {
     auto weights = std::make_shared<Weights>();
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -46,7 +46,10 @@
   std::int64_t IntendedVersion() const;
   std::shared_ptr<const spread::Members> SpreadMembers() const;
   net::Task<void> FindDigests(std::int64_t version);
-  net::Task<std::shared_ptr<const spread::Manifest>> AskPeersForDigests(std::int64_t version);
+  /// The sidecars that take the digests of a version from the origin; the same for all processes.
+  std::vector<std::string> DigestSources(std::int64_t version) const;
+  net::Task<std::shared_ptr<const spread::Manifest>> AskPeersForDigests(
+      std::vector<std::string> peers, std::int64_t version);
   net::Task<std::shared_ptr<const spread::Manifest>> AskOriginForDigests(std::int64_t version);
   /// Takes over chunks of this version that are staged beside the engine.
   net::Task<void> TakeStaged(std::shared_ptr<Weights> weights);
--- a/src/spread/store_budget.cc
+++ b/src/spread/store_budget.cc
@@ -6,7 +6,8 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
-constexpr Duration kLongestPause = std::chrono::seconds(5);
+// A small version is due everywhere within 8 s, so an origin that is back must be noticed soon.
+constexpr Duration kLongestPause = std::chrono::seconds(1);
 
 // Up to a quarter more than the pause, so that agents refused together do not return together.
 Duration Spread(Duration pause, std::uint64_t jitter) {
