Keep the time of naming of weights over restarts

After all control processes and an ingress process had restarted, version 2 counted as named at the restart, so old weights were allowed 15 s after its acknowledgement.

Conclusion: ages must not start at a process's own start.

--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -765,6 +765,10 @@
 void WeightsTarget::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
+
+void WeightsTarget::__set_named_utc_ms(const int64_t val) {
+  this->named_utc_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const WeightsTarget& obj)
 {
   obj.printTo(out);
@@ -817,6 +821,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->named_utc_ms);
+          this->__isset.named_utc_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -846,6 +858,10 @@
   xfer += oprot->writeI64(this->age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("named_utc_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->named_utc_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -856,6 +872,7 @@
   swap(a.model, b.model);
   swap(a.version, b.version);
   swap(a.age_ms, b.age_ms);
+  swap(a.named_utc_ms, b.named_utc_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -863,12 +880,14 @@
   model = other6.model;
   version = other6.version;
   age_ms = other6.age_ms;
+  named_utc_ms = other6.named_utc_ms;
   __isset = other6.__isset;
 }
 WeightsTarget& WeightsTarget::operator=(const WeightsTarget& other7) {
   model = other7.model;
   version = other7.version;
   age_ms = other7.age_ms;
+  named_utc_ms = other7.named_utc_ms;
   __isset = other7.__isset;
   return *this;
 }
@@ -878,6 +897,7 @@
   out << "model=" << to_string(model);
   out << ", " << "version=" << to_string(version);
   out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "named_utc_ms=" << to_string(named_utc_ms);
   out << ")";
 }
 
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -333,10 +333,11 @@
 std::ostream& operator<<(std::ostream& out, const InstanceReading& obj);
 
 typedef struct _WeightsTarget__isset {
-  _WeightsTarget__isset() : model(false), version(false), age_ms(false) {}
+  _WeightsTarget__isset() : model(false), version(false), age_ms(false), named_utc_ms(false) {}
   bool model :1;
   bool version :1;
   bool age_ms :1;
+  bool named_utc_ms :1;
 } _WeightsTarget__isset;
 
 class WeightsTarget : public virtual ::apache::thrift::TBase {
@@ -347,13 +348,15 @@
   WeightsTarget() noexcept
                 : model(),
                   version(0),
-                  age_ms(0) {
+                  age_ms(0),
+                  named_utc_ms(0) {
   }
 
   virtual ~WeightsTarget() noexcept;
   std::string model;
   int64_t version;
   int64_t age_ms;
+  int64_t named_utc_ms;
 
   _WeightsTarget__isset __isset;
 
@@ -363,6 +366,8 @@
 
   void __set_age_ms(const int64_t val);
 
+  void __set_named_utc_ms(const int64_t val);
+
   bool operator == (const WeightsTarget & rhs) const
   {
     if (!(model == rhs.model))
@@ -371,6 +376,8 @@
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(named_utc_ms == rhs.named_utc_ms))
+      return false;
     return true;
   }
   bool operator != (const WeightsTarget &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -44,6 +44,8 @@
   1: string model
   2: i64 version
   3: i64 age_ms
+  // In the log only: when the version was named, UTC.
+  4: i64 named_utc_ms
 }
 
 struct ServiceConfigBody {
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -170,6 +170,9 @@
     const auto weights = platform::DecodeNamedWeights(exchange.request().body());
     command.model = weights.model;
     command.weights = weights.version;
+    command.named_utc_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(process::UtcNow().time_since_epoch())
+            .count();
   } catch (const platform::PlatformError& e) {
     problem = e.what();
   }
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -24,6 +24,7 @@
 constexpr Duration kCaughtUpFor = std::chrono::milliseconds(700);
 constexpr Duration kLeaderSilence = std::chrono::milliseconds(1500);
 constexpr std::size_t kMostConfigBytes = std::size_t{32} * 1024 * 1024;
+constexpr std::size_t kRememberedTargets = 4;
 constexpr std::uint64_t kSnapshotEntries = 64;
 constexpr std::size_t kSnapshotBytes = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t kRetainedEntries = 16;
@@ -54,6 +55,7 @@
     wire::WeightsTarget target;
     target.model = command.model;
     target.version = command.weights;
+    target.named_utc_ms = command.named_utc_ms;
     w.__set_target(target);
   }
   return codec::EncodeCompact(w);
@@ -69,6 +71,7 @@
   if (w.__isset.target) {
     command.model = w.target.model;
     command.weights = w.target.version;
+    command.named_utc_ms = w.target.named_utc_ms;
   }
   return command;
 }
@@ -192,13 +195,22 @@
     LogEvent(Event::kServiceConfigAgreed,
              {{"version", command.config_version}, {"bytes", command.config_body.size()}});
   }
-  if (command.weights > 0) {
-    Target& target = state_.targets[command.model];
-    if (command.weights > target.version) {
-      target = {command.weights, now};
-      LogEvent(Event::kWeightsNamed, {{"model", command.model}, {"version", command.weights}});
-    }
-  }
+  if (command.weights > 0) ApplyTarget(command.model, command.weights, command.named_utc_ms, now);
+}
+
+void ControlLog::ApplyTarget(const std::string& model, std::int64_t version,
+                             std::int64_t named_utc_ms, TimePoint now) {
+  auto& targets = state_.targets[model];
+  if (!targets.empty() && version <= targets.back().version) return;
+  // The entry may be applied long after it was committed, by a process that has restarted.
+  const auto utc_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(outlets_.utc_now().time_since_epoch());
+  const Duration age =
+      std::max(utc_ms - std::chrono::milliseconds(named_utc_ms), std::chrono::milliseconds(0));
+  targets.push_back({version, named_utc_ms, now - age});
+  if (targets.size() > kRememberedTargets) targets.erase(targets.begin());
+  LogEvent(Event::kWeightsNamed,
+           {{"model", model}, {"version", version}, {"age_ms", ToMilliseconds(age)}});
 }
 
 void ControlLog::Restore(const std::string& snapshot, TimePoint now) {
@@ -208,8 +220,7 @@
     state_.config_body = w.service_config.body;
   }
   for (const auto& it : w.targets) {
-    Target& target = state_.targets[it.model];
-    if (it.version > target.version) target = {it.version, now};
+    ApplyTarget(it.model, it.version, it.named_utc_ms, now);
   }
 }
 
@@ -317,11 +328,14 @@
     body.body = state_.config_body;
     w.__set_service_config(body);
   }
-  for (const auto& [model, target] : state_.targets) {
-    wire::WeightsTarget it;
-    it.model = model;
-    it.version = target.version;
-    w.targets.push_back(it);
+  for (const auto& [model, targets] : state_.targets) {
+    for (const auto& target : targets) {
+      wire::WeightsTarget it;
+      it.model = model;
+      it.version = target.version;
+      it.named_utc_ms = target.named_utc_ms;
+      w.targets.push_back(it);
+    }
   }
   const auto snapshot = replica_->Compact(applied_, codec::EncodeCompact(w));
   if (snapshot) store_->SaveSnapshot(*snapshot);
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -24,11 +24,16 @@
   std::string config_body;
   std::string model;
   std::int64_t weights = 0;
+  /// When the weights were named, UTC milliseconds.
+  std::int64_t named_utc_ms = 0;
 };
 
-/// A version of weights that was named, and when this process learned of it.
+/// A version of weights that was named.
 struct Target {
   std::int64_t version = 0;
+  /// When it was named, UTC milliseconds. A process that restarts knows the age of a version by it.
+  std::int64_t named_utc_ms = 0;
+  /// The same by this process's clock.
   TimePoint since{};
 };
 
@@ -37,7 +42,8 @@
   std::int64_t config_version = 0;
   /// As in a command.
   std::string config_body;
-  std::map<std::string, Target> targets;
+  /// The last versions of each model, oldest first. One that was overtaken still has its bound.
+  std::map<std::string, std::vector<Target>> targets;
 };
 
 /// Body of a configuration as it is kept in the log and sent to other processes: compressed,
@@ -55,6 +61,7 @@
     std::function<void()> schedule_flush;
     /// The agreed state has changed.
     std::function<void()> on_change;
+    std::function<UtcTime()> utc_now;
   };
   /// Called once: true if the command is committed, false if that is not known in time.
   using Done = std::function<void(bool committed)>;
@@ -93,6 +100,8 @@
 
   void HandleEffects(agreement::Effects effects, TimePoint now);
   void Apply(const agreement::Entry& entry, TimePoint now);
+  void ApplyTarget(const std::string& model, std::int64_t version, std::int64_t named_utc_ms,
+                   TimePoint now);
   void ApplyCommand(const Command& command, TimePoint now);
   void Restore(const std::string& snapshot, TimePoint now);
   void ExpirePending(TimePoint now);
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -38,6 +38,14 @@
   return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
 }
 
+wire::WeightsTarget TargetToWire(const std::string& model, const Target& target, TimePoint now) {
+  wire::WeightsTarget w;
+  w.model = model;
+  w.version = target.version;
+  w.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.since).count();
+  return w;
+}
+
 mesh::Member Describe(const deployment::NodeSettings& settings, std::int64_t incarnation) {
   mesh::Member self;
   self.process = settings.mesh_address();
@@ -79,6 +87,7 @@
   outlets.schedule_flush = [this] {
     net::asio::post(context_, [this] { log_->Flush(MonotonicNow()); });
   };
+  outlets.utc_now = [] { return process::UtcNow(); };
   outlets.on_change = [this] { OnAgreed(MonotonicNow()); };
   log_ = std::make_unique<ControlLog>(settings, first_voters, outlets, incarnation, now);
 }
@@ -206,12 +215,8 @@
     message.instances.push_back(mesh::ToWire(record, now));
   }
   message.__isset.targets = true;
-  for (const auto& [model, target] : log_->state().targets) {
-    wire::WeightsTarget w;
-    w.model = model;
-    w.version = target.version;
-    w.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.since).count();
-    message.targets.push_back(w);
+  for (const auto& [model, targets] : log_->state().targets) {
+    for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
   }
   if (member.kind == MemberKind::kSidecar) message.__set_sources(sources_);
   mesh_->Send(member.process, message);
@@ -356,14 +361,12 @@
 
 void ControlNode::FeedTargets(TimePoint now) {
   wire::MeshMessage message;
-  for (const auto& [model, target] : log_->state().targets) {
-    if (fed_targets_[model] >= target.version) continue;
-    fed_targets_[model] = target.version;
-    wire::WeightsTarget w;
-    w.model = model;
-    w.version = target.version;
-    w.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.since).count();
-    message.targets.push_back(w);
+  for (const auto& [model, targets] : log_->state().targets) {
+    for (const auto& it : targets) {
+      if (fed_targets_[model] >= it.version) continue;
+      fed_targets_[model] = it.version;
+      message.targets.push_back(TargetToWire(model, it, now));
+    }
   }
   if (message.targets.empty()) return;
   message.__isset.targets = true;
--- a/tests/control_log_test.cc
+++ b/tests/control_log_test.cc
@@ -49,6 +49,7 @@
     outlets.send = [this](const agreement::Message& message) { sent_.push_back(message); };
     outlets.schedule_flush = [this, i] { flush_.insert(i); };
     outlets.on_change = [] {};
+    outlets.utc_now = [this] { return utc(); };
     nodes_[i] = std::make_unique<ControlLog>(
         settings, std::vector{Process(1), Process(2), Process(3)}, outlets, ++incarnation_, now_);
   }
@@ -91,18 +92,33 @@
   /// Proposes a configuration at the leader.
   /// @return whether it was acknowledged
   bool Put(std::int64_t version, const std::string& body) {
-    ControlLog* leader = Leader();
-    if (leader == nullptr) return false;
-    std::optional<bool> outcome;
     Command command;
     command.config_version = version;
     command.config_body = body;
+    return Propose(command);
+  }
+
+  bool Propose(const Command& command) {
+    ControlLog* leader = Leader();
+    if (leader == nullptr) return false;
+    std::optional<bool> outcome;
     leader->Propose(
         command, [&outcome](bool committed) { outcome = committed; }, now_);
     for (int i = 0; i < 300 && !outcome; ++i) Run(kStep);
     return outcome.value_or(false);
   }
 
+  /// Names weights at the leader.
+  bool Name(std::int64_t version) {
+    Command command;
+    command.model = "m";
+    command.weights = version;
+    command.named_utc_ms =
+        std::chrono::duration_cast<milliseconds>(utc().time_since_epoch()).count();
+    return Propose(command);
+  }
+
+  UtcTime utc() const { return UtcTime(now_.time_since_epoch() + seconds(1'700'000'000)); }
   ControlLog& node(int i) { return *nodes_.at(i); }
   TimePoint now() const { return now_; }
   std::size_t voters() { return Leader() ? Leader()->replica().membership().voter_count() : 0; }
@@ -142,6 +158,7 @@
   CPPUNIT_TEST(KeepsWhatWasAcknowledgedOverARestartOfAll);
   CPPUNIT_TEST(ReplacesAWipedProcessInTime);
   CPPUNIT_TEST(AnIsolatedLeaderIsNotCurrent);
+  CPPUNIT_TEST(KnowsTheAgeOfWeightsAfterARestart);
   CPPUNIT_TEST(BoundsLogLines);
   CPPUNIT_TEST_SUITE_END();
 
@@ -226,6 +243,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("two"), group.node(leader).state().config_body);
   }
 
+  // Guards against a bound that starts anew because all processes were restarted, and against one
+  // that is forgotten because the next version was named.
+  void KnowsTheAgeOfWeightsAfterARestart() {
+    Group group("age");
+    StartAll(group, 3);
+    CPPUNIT_ASSERT(group.Name(2));
+    const TimePoint named = group.now();
+    group.Run(seconds(3));
+    CPPUNIT_ASSERT(group.Name(3));
+    for (int i = 1; i <= 3; ++i) group.Kill(i);
+    group.Run(seconds(4));
+    for (int i = 1; i <= 3; ++i) group.Start(i, false);
+    group.Run(seconds(4));
+    for (int i = 1; i <= 3; ++i) {
+      const auto& targets = group.node(i).state().targets.at("m");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, targets.size());
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{2}, targets[0].version);
+      CPPUNIT_ASSERT(targets[0].since <= named);
+      CPPUNIT_ASSERT(targets[0].since >= named - milliseconds(500));
+      CPPUNIT_ASSERT(targets[1].since >= named + seconds(3) - milliseconds(500));
+    }
+  }
+
   void BoundsLogLines() {
     process::LogVolume volume(10, 20);
     int written = 0;
