--- a/include/wagtailslip/serving/service_config.h
+++ b/include/wagtailslip/serving/service_config.h
@@ -92,7 +92,7 @@
 /// What callers may send, and how long they may take.
 struct CallerLimits {
   std::uint32_t header_bytes = 16 * 1024;
-  std::uint64_t body_bytes = 4 * 1024 * 1024;
+  std::uint64_t body_bytes = std::uint64_t{4} * 1024 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
 };
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -273,6 +273,7 @@
   }
   add(settings_.ip, settings_.failure_domain);
   std::vector<spread::Member> list;
+  list.reserve(members.size());
   for (auto& [address, member] : members) list.push_back(std::move(member));
   return std::make_shared<const spread::Members>(std::move(list));
 }
@@ -287,6 +288,7 @@
   }
   std::sort(order.rbegin(), order.rend());
   std::vector<std::string> sources;
+  sources.reserve(kFirstAtOrigin);
   for (const auto& [score, address] : order) {
     if (sources.size() < kFirstAtOrigin) sources.push_back(address);
   }
