Split the sidecar by concern; one place for known control processes

Cause: read-through.

Change: files moved apart as they were; mesh::KnownControls and DescribeSelf serve all three programs; OnMisdirected, which did what OnRefused does, is gone.

--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -34,10 +34,6 @@
 constexpr Duration kEndpointLife = std::chrono::seconds(12);
 constexpr Duration kEndpointRecent = std::chrono::milliseconds(2500);
 
-std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
-  return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
-}
-
 wire::WeightsTarget TargetToWire(const std::string& model, const Target& target, TimePoint now) {
   wire::WeightsTarget w;
   w.model = model;
@@ -46,29 +42,14 @@
   return w;
 }
 
-mesh::Member Describe(const deployment::NodeSettings& settings, std::int64_t incarnation) {
-  mesh::Member self;
-  self.process = settings.mesh_address();
-  self.kind = MemberKind::kControl;
-  self.failure_domain = settings.failure_domain;
-  self.region = settings.region;
-  self.service_address = settings.control_address;
-  self.accepting = true;
-  self.incarnation = incarnation;
-  return self;
-}
-
 }  // namespace
 
 ControlNode::ControlNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
                          std::int64_t incarnation, TimePoint now)
-    : context_(context), settings_(settings), timer_(context) {
-  // All processes use the same ports, so a seed's address names its links too.
-  std::vector<std::string> first_voters;
-  for (const auto& it : settings.seeds) {
-    first_voters.push_back(MeshAddressOf(it, settings.first_port));
-    seeds_.insert(first_voters.back());
-  }
+    : context_(context), settings_(settings), timer_(context), known_(settings) {
+  auto self =
+      mesh::DescribeSelf(settings, MemberKind::kControl, settings.control_address, incarnation);
+  self.accepting = true;
   mesh::MeshNode::Handlers handlers;
   handlers.on_member = [this](const mesh::Member& member) { OnMember(member); };
   handlers.on_lost = [this](const mesh::Member& member) { OnLost(member); };
@@ -76,8 +57,7 @@
     OnMessage(from, message);
   };
   mesh_ = std::make_unique<mesh::MeshNode>(context, net::ParseAddress(settings.mesh_address()),
-                                           Describe(settings, incarnation), mesh::MeshLimits{},
-                                           handlers);
+                                           std::move(self), mesh::MeshLimits{}, handlers);
   ControlLog::Outlets outlets;
   outlets.send = [this](const agreement::Message& message) {
     wire::MeshMessage w;
@@ -89,6 +69,7 @@
   };
   outlets.utc_now = [] { return process::UtcNow(); };
   outlets.on_change = [this] { OnAgreed(MonotonicNow()); };
+  const std::vector<std::string> first_voters(known_.seeds().begin(), known_.seeds().end());
   log_ = std::make_unique<ControlLog>(settings, first_voters, outlets, incarnation, now);
 }
 
@@ -144,13 +125,12 @@
   }
 }
 
-std::set<std::string> ControlNode::ControlProcesses() const {
-  std::set<std::string> processes = seeds_;
+std::set<std::string> ControlNode::ControlProcesses() {
+  std::set<std::string> processes = known_.All();
   for (const auto& [id, role] : log_->replica().membership().members()) {
     processes.insert(id.process);
   }
   for (const auto& it : mesh_->Members(MemberKind::kControl)) processes.insert(it.process);
-  for (const auto& [process, known] : known_by_) processes.insert(known.begin(), known.end());
   return processes;
 }
 
@@ -203,7 +183,7 @@
   LogEvent(Event::kLinkLost,
            {{"peer", member.process}, {"kind", mesh::kMemberKinds.Name(member.kind)}});
   feeds_.erase(member.process);
-  known_by_.erase(member.process);
+  known_.Forget(member.process);
 }
 
 void ControlNode::SendEverything(const mesh::Member& member, TimePoint now) {
@@ -232,11 +212,7 @@
                  now);
   }
   if (message.__isset.members && from.kind == MemberKind::kControl) {
-    auto& known = known_by_[from.process];
-    known.clear();
-    for (const auto& it : message.members) {
-      if (it.kind == static_cast<std::int16_t>(MemberKind::kControl)) known.insert(it.process);
-    }
+    known_.Take(from.process, message.members);
   }
   if (message.__isset.instances) OnRecords(message.instances, now);
   if (message.__isset.readings) {
@@ -417,7 +393,7 @@
   return {};
 }
 
-bool ControlNode::InTouch() const {
+bool ControlNode::InTouch() {
   const auto known = ControlProcesses();
   std::size_t linked = 0;
   for (const auto& it : known) {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -9,6 +9,7 @@
 #include "control_log.h"
 #include "gen/mesh_types.h"
 #include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/mesh/known_controls.h"
 #include "wagtailslip/mesh/mesh_node.h"
 #include "wagtailslip/net/asio.h"
 #include "wagtailslip/serving/instance_table.h"
@@ -33,7 +34,7 @@
   std::string LeaderAddress() const;
   /// Whether a majority of the control processes is linked, so that what an endpoint says here
   /// reaches those that route to it.
-  bool InTouch() const;
+  bool InTouch();
 
   /// Takes what an endpoint announced, and relays it.
   void Announce(serving::EndpointRecord record, TimePoint now);
@@ -67,7 +68,7 @@
   void FlushRelay(TimePoint now);
   void RefreshSources(TimePoint now);
   std::vector<std::string> Processes(std::initializer_list<mesh::MemberKind> kinds) const;
-  std::set<std::string> ControlProcesses() const;
+  std::set<std::string> ControlProcesses();
 
   net::asio::io_context& context_;
   deployment::NodeSettings settings_;
@@ -75,9 +76,7 @@
   std::unique_ptr<mesh::MeshNode> mesh_;
   std::unique_ptr<ControlLog> log_;
   serving::InstanceTable table_;
-  std::set<std::string> seeds_;
-  /// Control processes that linked control processes know of.
-  std::map<std::string, std::set<std::string>> known_by_;
+  mesh::KnownControls known_;
   std::map<std::string, Feed> feeds_;
   std::vector<wire::InstanceRecord> refreshed_;
   TimePoint relay_at_{};
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -365,8 +365,7 @@
     case AttemptOutcome::kNotConnected:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kConnectFailed, now);
     case AttemptOutcome::kNotRun:
-      return last_status_ == 421 ? node_.OnMisdirected(placed.id, now)
-                                 : node_.OnRefused(placed.id, now);
+      return node_.OnRefused(placed.id, now);
     case AttemptOutcome::kFailed:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kServerError, now);
     case AttemptOutcome::kBroken:
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -30,21 +30,6 @@
 constexpr Duration kWeightsMargin = std::chrono::milliseconds(2000);
 constexpr Duration kBusyWeightsMargin = std::chrono::milliseconds(2800);
 
-std::string MeshAddressOf(const std::string& control_address, std::uint16_t port) {
-  return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
-}
-
-mesh::Member Describe(const deployment::NodeSettings& settings, std::int64_t incarnation) {
-  mesh::Member self;
-  self.process = settings.mesh_address();
-  self.kind = MemberKind::kIngress;
-  self.failure_domain = settings.failure_domain;
-  self.region = settings.region;
-  self.service_address = settings.caller_address;
-  self.incarnation = incarnation;
-  return self;
-}
-
 serving::PlacementSettings PlacementFor(const deployment::NodeSettings& settings) {
   serving::PlacementSettings placement;
   placement.failure_domain = settings.failure_domain;
@@ -63,20 +48,21 @@
     : context_(context),
       settings_(settings),
       timer_(context),
+      known_(settings),
       placement_(PlacementFor(settings),
                  Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       budget_(BoundsFor(settings)) {
-  for (const auto& it : settings.seeds) seeds_.insert(MeshAddressOf(it, settings.first_port));
   mesh::MeshNode::Handlers handlers;
   handlers.on_member = [this](const mesh::Member& member) { OnMember(member); };
   handlers.on_lost = [this](const mesh::Member& member) { OnLost(member); };
   handlers.on_message = [this](const mesh::Member& from, const wire::MeshMessage& message) {
     OnMessage(from, message);
   };
-  mesh_ = std::make_unique<mesh::MeshNode>(context, net::ParseAddress(settings.mesh_address()),
-                                           Describe(settings, incarnation), mesh::MeshLimits{},
-                                           handlers);
+  mesh_ = std::make_unique<mesh::MeshNode>(
+      context, net::ParseAddress(settings.mesh_address()),
+      mesh::DescribeSelf(settings, MemberKind::kIngress, settings.caller_address, incarnation),
+      mesh::MeshLimits{}, handlers);
 }
 
 void IngressNode::Start() {
@@ -127,18 +113,16 @@
 void IngressNode::OnLost(const mesh::Member& member) {
   LogEvent(Event::kLinkLost,
            {{"peer", member.process}, {"kind", mesh::kMemberKinds.Name(member.kind)}});
-  known_by_.erase(member.process);
+  known_.Forget(member.process);
 }
 
 void IngressNode::OnMessage(const mesh::Member& from, const wire::MeshMessage& message) {
   const TimePoint now = MonotonicNow();
   if (message.__isset.members) {
-    auto& known = known_by_[from.process];
-    known.clear();
+    known_.Take(from.process, message.members);
     std::map<std::string, std::string> ingress{
         {settings_.mesh_address(), settings_.failure_domain}};
     for (const auto& it : message.members) {
-      if (it.kind == static_cast<std::int16_t>(MemberKind::kControl)) known.insert(it.process);
       if (it.kind == static_cast<std::int16_t>(MemberKind::kIngress)) {
         ingress[it.process] = it.failure_domain;
       }
@@ -234,14 +218,7 @@
   placement_.Sync(table_, routes_->config());
 }
 
-void IngressNode::UpdateLinks() {
-  std::set<std::string> processes = seeds_;
-  for (const auto& [process, known] : known_by_) processes.insert(known.begin(), known.end());
-  // Without any link the last known processes are tried, not only the seeds.
-  if (known_by_.empty()) processes.insert(last_known_.begin(), last_known_.end());
-  last_known_ = processes;
-  mesh_->KeepLinks(processes);
-}
+void IngressNode::UpdateLinks() { mesh_->KeepLinks(known_.All()); }
 
 std::int64_t IngressNode::LeastWeights(const std::string& model, TimePoint now) const {
   return targets_.Due(model, settings_.bounds.weights_propagation - kWeightsMargin, now);
@@ -298,9 +275,4 @@
   SchedulePump();
 }
 
-void IngressNode::OnMisdirected(const std::string& endpoint, TimePoint now) {
-  placement_.Refused(endpoint, now);
-  SchedulePump();
-}
-
 }  // namespace wagtailslip::ingress
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/mesh/known_controls.h"
 #include "wagtailslip/mesh/mesh_node.h"
 #include "wagtailslip/net/asio.h"
 #include "wagtailslip/serving/admission.h"
@@ -64,10 +65,10 @@
     placement_.Begun(endpoint, prompt_tokens);
   }
   void OnFinished(const std::string& endpoint, traffic::AttemptResult result, TimePoint now);
+  /// The endpoint did not run the request: it is full, has other weights than expected, or another
+  /// incarnation has its address.
   void OnRefused(const std::string& endpoint, TimePoint now);
   void OnReleased(const std::string& endpoint);
-  /// Another incarnation has the address, or the endpoint has other weights than expected.
-  void OnMisdirected(const std::string& endpoint, TimePoint now);
   Duration RetryAfter(const std::string& service, TimePoint now) {
     return admission_.RetryAfter(service, now);
   }
@@ -93,9 +94,7 @@
   deployment::NodeSettings settings_;
   net::asio::steady_timer timer_;
   std::unique_ptr<mesh::MeshNode> mesh_;
-  std::set<std::string> seeds_;
-  std::map<std::string, std::set<std::string>> known_by_;
-  std::set<std::string> last_known_;
+  mesh::KnownControls known_;
   std::shared_ptr<const serving::RouteTable> routes_;
   serving::InstanceTable table_;
   std::uint64_t synced_revision_ = 0;
--- /dev/null
+++ b/src/mesh/known_controls.cc
@@ -0,0 +1,49 @@
+#include "wagtailslip/mesh/known_controls.h"
+
+#include "gen/mesh_types.h"
+
+namespace wagtailslip::mesh {
+namespace {
+
+/// All processes use the same ports, so a seed's address names its links too.
+std::string LinkAddressOf(const std::string& control_address, std::uint16_t port) {
+  return control_address.substr(0, control_address.rfind(':')) + ":" + std::to_string(port);
+}
+
+}  // namespace
+
+Member DescribeSelf(const deployment::NodeSettings& settings, MemberKind kind,
+                    const std::string& service_address, std::int64_t incarnation) {
+  Member self;
+  self.process = settings.mesh_address();
+  self.kind = kind;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  self.service_address = service_address;
+  self.incarnation = incarnation;
+  return self;
+}
+
+KnownControls::KnownControls(const deployment::NodeSettings& settings) {
+  for (const auto& it : settings.seeds) seeds_.insert(LinkAddressOf(it, settings.first_port));
+}
+
+void KnownControls::Take(const std::string& from, const std::vector<wire::MeshMember>& members) {
+  auto& listed = listed_by_[from];
+  listed.clear();
+  for (const auto& it : members) {
+    if (it.kind == static_cast<std::int16_t>(MemberKind::kControl)) listed.insert(it.process);
+  }
+}
+
+void KnownControls::Forget(const std::string& from) { listed_by_.erase(from); }
+
+std::set<std::string> KnownControls::All() {
+  std::set<std::string> all = seeds_;
+  for (const auto& [process, listed] : listed_by_) all.insert(listed.begin(), listed.end());
+  if (listed_by_.empty()) all.insert(last_.begin(), last_.end());
+  last_ = all;
+  return all;
+}
+
+}  // namespace wagtailslip::mesh
--- /dev/null
+++ b/src/sidecar/sidecar_links.cc
@@ -0,0 +1,112 @@
+// Links to the control processes, and the readings that are sent there.
+#include <algorithm>
+
+#include "gen/mesh_types.h"
+#include "sidecar_node.h"
+#include "wagtailslip/base/digest.h"
+#include "wagtailslip/mesh/codec.h"
+#include "wagtailslip/process/clock.h"
+#include "wagtailslip/process/events.h"
+
+namespace wagtailslip::sidecar {
+namespace {
+
+using mesh::MemberKind;
+using process::Event;
+using process::LogEvent;
+using process::MonotonicNow;
+
+constexpr Duration kReadingPeriod = std::chrono::milliseconds(400);
+constexpr Duration kLinkPatience = std::chrono::milliseconds(1000);
+constexpr std::size_t kHomes = 2;
+
+/// Whether two readings differ in load only, which ingress processes mostly know themselves.
+bool SameWeights(const serving::EndpointReading& a, const serving::EndpointReading& b) {
+  return a.started_ms == b.started_ms && a.weights == b.weights && a.swapping == b.swapping;
+}
+
+}  // namespace
+
+void SidecarNode::UpdateLinks(TimePoint now) {
+  const std::set<std::string> known = known_.All();
+  // The order spreads the sidecars over the control processes.
+  std::vector<std::string> order(known.begin(), known.end());
+  std::sort(order.begin(), order.end(), [this](const std::string& a, const std::string& b) {
+    return Hash64(a, Hash64(settings_.ip)) < Hash64(b, Hash64(settings_.ip));
+  });
+  std::set<std::string> homes;
+  std::size_t good = 0;
+  for (const auto& it : order) {
+    if (good >= kHomes) break;
+    homes.insert(it);
+    const auto [since, added] = home_since_.try_emplace(it, now);
+    if (mesh_->Linked(it)) since->second = now;
+    // A process that cannot be linked is still tried, but another one is taken besides.
+    if (now - since->second < kLinkPatience) ++good;
+  }
+  std::erase_if(home_since_, [&](const auto& row) { return !homes.contains(row.first); });
+  mesh_->KeepLinks(homes);
+}
+
+void SidecarNode::OnMember(const mesh::Member& member) {
+  LogEvent(Event::kLinkUp,
+           {{"peer", member.process}, {"kind", mesh::kMemberKinds.Name(member.kind)}});
+  reading_sent_at_ = {};
+}
+
+void SidecarNode::OnLost(const mesh::Member& member) {
+  LogEvent(Event::kLinkLost,
+           {{"peer", member.process}, {"kind", mesh::kMemberKinds.Name(member.kind)}});
+  known_.Forget(member.process);
+}
+
+void SidecarNode::OnMessage(const mesh::Member& from, const wire::MeshMessage& message) {
+  const TimePoint now = MonotonicNow();
+  if (message.__isset.members) {
+    known_.Take(from.process, message.members);
+  }
+  if (message.__isset.instances) {
+    for (const auto& it : message.instances) {
+      if (it.service_name == settings_.engine_service || it.service_name.empty()) {
+        table_.Apply(mesh::FromWire(it, now), now);
+      }
+    }
+  }
+  if (message.__isset.sources) {
+    for (const auto& it : message.sources) {
+      if (it.service_name == settings_.engine_service) source_ = Source{it.model, it.origin};
+    }
+  }
+  if (message.__isset.targets) {
+    for (const auto& it : message.targets) {
+      const TimePoint since = now - std::chrono::milliseconds(it.age_ms);
+      if (!targets_.Name(it.model, it.version, since)) continue;
+      LogEvent(Event::kWeightsNamed,
+               {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
+    }
+  }
+}
+
+void SidecarNode::SendReading(TimePoint now) {
+  if (!engine_state_) return;
+  serving::EndpointReading reading;
+  reading.address = settings_.engine_address;
+  reading.started_ms = engine_state_->started_ms;
+  reading.weights = engine_state_->weights.whole_version;
+  reading.running = engine_state_->running;
+  reading.waiting = engine_state_->waiting;
+  reading.swapping = ordered_version_ > reading.weights || engine_state_->order_in_progress;
+  reading.pace = engine_state_->pace;
+  if (SameWeights(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
+  wire::MeshMessage message;
+  message.__isset.readings = true;
+  message.readings.push_back(mesh::ToWire(reading));
+  for (const auto& it : mesh_->Members(MemberKind::kControl)) {
+    if (!mesh_->Send(it.process, message)) continue;
+    sent_reading_ = reading;
+    reading_sent_at_ = now;
+    return;
+  }
+}
+
+}  // namespace wagtailslip::sidecar
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -9,6 +9,7 @@
 
 #include "engine_link.h"
 #include "wagtailslip/deployment/node_settings.h"
+#include "wagtailslip/mesh/known_controls.h"
 #include "wagtailslip/mesh/mesh_node.h"
 #include "wagtailslip/net/http_server.h"
 #include "wagtailslip/process/metrics.h"
@@ -88,9 +89,7 @@
   process::RateGate upload_;
   std::size_t uploads_ = 0;
 
-  std::set<std::string> seeds_;
-  std::map<std::string, std::set<std::string>> known_by_;
-  std::set<std::string> last_known_;
+  mesh::KnownControls known_;
   std::map<std::string, TimePoint> home_since_;
 
   serving::InstanceTable table_;
