Make the longest pause of an origin a limit of the session

Change: StoreBudget takes the longest pause; sessions keep 5 s, sidecars of a deployment use 1 s because their versions are due within 8 s. The test stays as it is.

--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -40,6 +40,8 @@
   std::uint64_t lowest_rate = 1 << 20;
   Duration min_deadline = std::chrono::seconds(2);
   Duration max_deadline = std::chrono::seconds(120);
+  /// Longest pause before an origin that failed is asked again.
+  Duration longest_origin_pause = std::chrono::seconds(5);
 };
 
 /// A request for a chunk.
--- a/include/wagtailslip/spread/store_budget.h
+++ b/include/wagtailslip/spread/store_budget.h
@@ -9,6 +9,10 @@
 /// Honours the rate limit of the weight store and backs off while it fails.
 class StoreBudget {
  public:
+  /// @param longest_pause longest pause after failures in a row
+  explicit StoreBudget(Duration longest_pause = std::chrono::seconds(5))
+      : longest_pause_(longest_pause) {}
+
   /// True if a request may be sent.
   bool MayAsk(TimePoint now) const { return now >= open_at_; }
 
@@ -26,6 +30,7 @@
   void OnServed() { failures_ = 0; }
 
  private:
+  Duration longest_pause_;
   TimePoint open_at_{};
   std::uint32_t failures_ = 0;
 };
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -34,6 +34,8 @@
   limits.poll_timeout = std::chrono::milliseconds(800);
   limits.min_deadline = std::chrono::milliseconds(700);
   limits.lowest_rate = 1 << 17;
+  // Versions are due everywhere within 8 s, so an origin that is back must be noticed soon.
+  limits.longest_origin_pause = std::chrono::seconds(1);
   return limits;
 }
 
--- a/src/spread/session.cc
+++ b/src/spread/session.cc
@@ -42,7 +42,8 @@
       strategy_(std::move(strategy)),
       policy_(policy),
       limits_(limits),
-      random_(MixHash(seed, Hash64(self_))) {
+      random_(MixHash(seed, Hash64(self_))),
+      origin_(limits.longest_origin_pause) {
   if (members_->Find(self_) == kNoMember) {
     throw SpreadError("agent " + self_ + " is not in the member list");
   }
--- a/src/spread/store_budget.cc
+++ b/src/spread/store_budget.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(250);
-// A small version is due everywhere within 8 s, so an origin that is back must be noticed soon.
-constexpr Duration kLongestPause = std::chrono::seconds(1);
 
 // Up to a quarter more than the pause, so that agents refused together do not return together.
 Duration Spread(Duration pause, std::uint64_t jitter) {
@@ -25,7 +23,7 @@
 }
 
 void StoreBudget::OnFailed(std::uint64_t jitter, TimePoint now) {
-  const Duration pause = std::min(kLongestPause, kFirstPause * (1 << std::min(failures_, 10U)));
+  const Duration pause = std::min(longest_pause_, kFirstPause * (1 << std::min(failures_, 10U)));
   ++failures_;
   open_at_ = std::max(open_at_, now + Spread(pause, jitter));
 }
