Bound what a peer that sends without end can take

Cause: a chunk size without end kept the HTTP parser collecting bytes: the buffer had no limit, and each byte was scanned with all before it. A body that trickled prolonged a call for as long as bytes came, because the limit of a call counted anew for each piece; so did an endless body up to 64 MiB, which is half of a sidecar's memory.

Change: the buffers of client and server hold one read beside the longest head. Call() ends at its limit, whatever arrives; a chunk of weights may still come slowly for three times its deadline. Answers of engines and chunks are limited to 8 MiB.

--- a/include/wagtailslip/net/http_client.h
+++ b/include/wagtailslip/net/http_client.h
@@ -41,6 +41,10 @@
   /// @param timeout limit for the whole call
   /// @throws TimeoutError, NetError
   Task<HttpResponse> Call(HttpRequest request, Duration timeout);
+  /// The same for an answer that may come slowly.
+  /// @param idle limit for each piece of the answer
+  /// @param timeout limit for the whole call
+  Task<HttpResponse> Call(HttpRequest request, Duration idle, Duration timeout);
   /// Sends a request and reads the answer's header.
   Task<HttpResponse> Start(HttpRequest request, Duration timeout);
   /// Reads the next piece of the body after Start; nothing at its end.
@@ -48,14 +52,19 @@
   /// @throws NetError if the connection ends before the body does
   Task<std::optional<std::string>> ReadSome(Duration timeout);
 
+  /// Most bytes of an answer's body; a longer one is an error.
   void set_body_limit(std::uint64_t bytes) { body_limit_ = bytes; }
   /// Whether another request may be sent on this connection.
   bool reusable() const { return reusable_; }
   void Close();
 
  private:
+  /// Received bytes that are not parsed yet; a chunk size without end would fill any buffer. The
+  /// longest head that the parser takes fits, beside one read.
+  static constexpr std::size_t kMostBuffered = std::size_t{80} * 1024;
+
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMostBuffered};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
   std::uint64_t body_limit_ = 64ULL * 1024 * 1024;
   bool reusable_ = false;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,5 +1,6 @@
 #include "wagtailslip/net/http_client.h"
 
+#include <algorithm>
 #include <array>
 
 #include "wagtailslip/net/address.h"
@@ -95,9 +96,20 @@
 }
 
 Task<HttpResponse> HttpConnection::Call(HttpRequest request, Duration timeout) {
-  HttpResponse response = co_await Start(std::move(request), timeout);
-  while (auto piece = co_await ReadSome(timeout)) response.body += *piece;
-  co_return response;
+  co_return co_await Call(std::move(request), timeout, timeout);
+}
+
+Task<HttpResponse> HttpConnection::Call(HttpRequest request, Duration idle, Duration timeout) {
+  const auto end = std::chrono::steady_clock::now() + timeout;
+  HttpResponse response = co_await Start(std::move(request), std::min(idle, timeout));
+  while (true) {
+    // A server that sends a byte now and then must not prolong the call.
+    const Duration left = end - std::chrono::steady_clock::now();
+    if (left <= Duration::zero()) throw TimeoutError("the answer was not whole in time");
+    auto piece = co_await ReadSome(std::min(idle, left));
+    if (!piece) co_return response;
+    response.body += *piece;
+  }
 }
 
 void HttpConnection::Close() {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -12,6 +12,9 @@
 namespace wagtailslip::net {
 namespace {
 
+// One read beside the longest head. A larger buffer would only collect a chunk size without end.
+constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+
 using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 NetError ToNetError(const char* action, const error_code& ec) {
@@ -226,7 +229,7 @@
 Task<void> HttpServer::State::Serve(tcp::socket socket) {
   const auto self = shared_from_this();
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(limits.header_bytes + kReadBytes);
   ++connections;
   try {
     if (connections > limits.connections) {
--- a/src/sidecar/engine_link.cc
+++ b/src/sidecar/engine_link.cc
@@ -7,6 +7,8 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(1000);
+// The longest answer is a staged chunk; bounds what a faulty engine can make this process hold.
+constexpr std::uint64_t kMostAnswerBytes = std::uint64_t{8} * 1024 * 1024;
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 
@@ -18,6 +20,7 @@
     std::exception_ptr problem;
     try {
       auto connection = co_await pool_.Acquire(address_, kConnectTimeout, fresh);
+      connection->set_body_limit(kMostAnswerBytes);
       net::HttpRequest copy = request;
       response = co_await connection->Call(std::move(copy), kCallTimeout);
       pool_.Release(address_, std::move(connection));
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -25,6 +25,12 @@
 constexpr int kPeerRounds = 6;
 // All chunks of the users' weights; the first copy of larger ones would wait for its neighbours.
 constexpr std::size_t kMostOwnChunks = 64;
+// A chunk on a narrow link may still be of use after its deadline, when another source has been
+// asked; one that trickles in for longer is not.
+constexpr int kSlowChunkFactor = 3;
+// Far more than a chunk or a bitmap of chunks; bounds what a faulty source can make this process
+// hold.
+constexpr std::uint64_t kMostChunkBytes = std::uint64_t{8} * 1024 * 1024;
 constexpr Duration kSessionPeriod = std::chrono::milliseconds(50);
 
 /// Limits for weights of a few megabytes that are to be everywhere within seconds.
@@ -236,7 +242,9 @@
                                           ChunkPath(weights->model, weights->version, fetch.chunk));
     const auto endpoint = net::ParseAddress(address);
     auto connection = co_await peers_.Acquire(endpoint, kPeerConnectTimeout, from_origin);
-    response = co_await connection->Call(std::move(request), timeout);
+    connection->set_body_limit(kMostChunkBytes);
+    const Duration most = kSlowChunkFactor * timeout;
+    response = co_await connection->Call(std::move(request), timeout, most);
     // The origin accepts few connections, so none is kept open to it.
     if (!from_origin) peers_.Release(endpoint, std::move(connection));
     if (response.status == 404) reason = spread::FailureReason::kMissing;
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr Duration kTimeout = std::chrono::seconds(10);
+constexpr std::size_t kBodyLimit = std::size_t{256} * 1024;
+// Bytes that the kernel takes for both ends of a loopback connection.
+constexpr std::size_t kSocketBuffers = std::size_t{16} * 1024 * 1024;
 
 Task<void> Answer(HttpExchange& exchange) {
   if (exchange.path() == "/stream") {
@@ -32,6 +35,8 @@
   CPPUNIT_TEST(CutStreamIsAnError);
   CPPUNIT_TEST(OversizedBodyIsRefused);
   CPPUNIT_TEST(RefusedConnectionIsConnectError);
+  CPPUNIT_TEST(EndsACallToAServerThatSendsWithoutEnd);
+  CPPUNIT_TEST(EndsARequestWhoseChunkSizeHasNoEnd);
   CPPUNIT_TEST_SUITE_END();
 
   void Run(const std::function<Task<void>(tcp::endpoint)>& body) {
@@ -105,6 +110,93 @@
       CPPUNIT_ASSERT(refused);
     });
   }
+
+  // The parser keeps a chunk size until it is whole, so one without end must meet a limit.
+  void EndsARequestWhoseChunkSizeHasNoEnd() {
+    Run([](tcp::endpoint address) -> Task<void> {
+      tcp::socket socket(co_await asio::this_coro::executor);
+      co_await socket.async_connect(address, asio::use_awaitable);
+      std::string bytes = "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+      std::size_t sent = 0;
+      error_code ec;
+      while (!ec && sent <= kSocketBuffers) {
+        sent += co_await asio::async_write(socket, asio::buffer(bytes),
+                                           asio::redirect_error(asio::use_awaitable, ec));
+        bytes = std::string(1024, '0');
+      }
+      CPPUNIT_ASSERT(ec);
+    });
+  }
+
+  // Servers that send bytes without end, or one now and then, must neither fill the memory nor hold
+  // the caller beyond its limit. Each sends until the connection is closed.
+  void EndsACallToAServerThatSendsWithoutEnd() {
+    struct Case {
+      const char* name;
+      std::string first;
+      std::string repeated;
+      Duration pause;
+      bool times_out;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string block(16 * 1024, 'a');
+    const Duration none = Duration::zero();
+    const Duration slow = std::chrono::milliseconds(20);
+    const Case cases[] = {
+        {"no answer", "", block, none, false},
+        {"a head line", ok + "X-Fill: ", block, none, false},
+        {"head fields", ok, "X-Fill: a\r\n", none, false},
+        {"a body without length", ok + "\r\n", block, none, false},
+        {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n", none, false},
+        {"a chunk size", ok + "Transfer-Encoding: chunked\r\n\r\n", "0", none, false},
+        {"a slow head", ok, "X", slow, true},
+        {"a slow body", ok + "\r\n", "a", slow, true},
+    };
+    for (const auto& it : cases) {
+      asio::io_context context;
+      tcp::acceptor acceptor(context, ParseAddress("127.0.0.1:0"));
+      std::size_t sent = 0;
+      asio::co_spawn(
+          context,
+          [&]() -> Task<void> {
+            tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::steady_timer timer(context);
+            error_code ec;
+            std::string bytes = it.first;
+            while (!ec) {
+              sent += co_await asio::async_write(socket, asio::buffer(bytes),
+                                                 asio::redirect_error(asio::use_awaitable, ec));
+              bytes = it.repeated;
+              if (it.pause == Duration::zero()) continue;
+              timer.expires_after(it.pause);
+              co_await timer.async_wait(asio::use_awaitable);
+            }
+          },
+          asio::detached);
+      bool failed = false;
+      bool timed_out = false;
+      asio::co_spawn(
+          context,
+          [&]() -> Task<void> {
+            HttpConnection connection(context.get_executor());
+            connection.set_body_limit(kBodyLimit);
+            co_await connection.Connect(acceptor.local_endpoint(), kTimeout);
+            const Duration limit = it.times_out ? std::chrono::milliseconds(300) : kTimeout;
+            try {
+              co_await connection.Call(MakeRequest(http::verb::get, "/"), limit);
+            } catch (const TimeoutError&) {
+              failed = timed_out = true;
+            } catch (const NetError&) {
+              failed = true;
+            }
+          },
+          asio::detached);
+      context.run();
+      CPPUNIT_ASSERT_MESSAGE(it.name, failed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.times_out, timed_out);
+      CPPUNIT_ASSERT_MESSAGE(it.name, sent <= kBodyLimit + kSocketBuffers);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
 
