Answer in time or refuse at once under sustained overload

A full batch, a long wait before it and up to 190 ms of prompts ahead of each request add up to more than the objective, so the engines' work went into late answers. With many ingress processes what one could not place went to the engines of others, all to the same one, whose prompts it did not know.

Change: a request waits for a fifth of its objective instead of 0.45, and one that came back for 300 ms instead of 800. An engine takes as many requests as it has slots, 0.7 of that for late ones, 0.6 at the engine of another process, of which two are drawn at random. At most 120 ms of prompts are ahead of a request (190 before), 50 for late ones (70).

--- a/include/wagtailslip/serving/admission.h
+++ b/include/wagtailslip/serving/admission.h
@@ -42,6 +42,21 @@
   TimePoint latest_start{};
 };
 
+/// What decides how long a request may wait for an endpoint.
+struct WaitQuery {
+  TimePoint received{};
+  /// Time from the arrival to the answer that the request is meant to have.
+  Duration objective{};
+  /// The objective is missed already.
+  bool late = false;
+  /// An endpoint refused the request, or its stream broke off.
+  bool sent_before = false;
+  TimePoint deadline{};
+};
+
+/// Time until which a request is worth waiting for an endpoint.
+TimePoint LatestStart(const WaitQuery& query, TimePoint now);
+
 /// Answer to an applicant: an endpoint, a refusal, or nothing yet.
 using Verdict = std::variant<std::monostate, Placed, Refusal>;
 
--- a/include/wagtailslip/serving/attempt_policy.h
+++ b/include/wagtailslip/serving/attempt_policy.h
@@ -12,6 +12,7 @@
 enum class AttemptOutcome {
   kDelivered,     ///< The endpoint's whole answer reached the caller.
   kNotConnected,  ///< No byte of the request was sent.
+  kWithheld,      ///< The endpoint must not get the request any more; no byte of it was sent.
   kNotRun,        ///< The endpoint said that it did not run the request.
   kFailed,        ///< A whole answer with a server error; it has run.
   kBroken,        ///< The answer is missing, damaged or cut, and the caller has seen none of it.
@@ -21,9 +22,10 @@
   kExpired,       ///< The caller's time is over.
   kCallerGone,
 };
-inline constexpr EnumTable<AttemptOutcome, 10> kAttemptOutcomes{
+inline constexpr EnumTable<AttemptOutcome, 11> kAttemptOutcomes{
     {{{AttemptOutcome::kDelivered, "delivered"},
       {AttemptOutcome::kNotConnected, "not-connected"},
+      {AttemptOutcome::kWithheld, "withheld"},
       {AttemptOutcome::kNotRun, "not-run"},
       {AttemptOutcome::kFailed, "failed"},
       {AttemptOutcome::kBroken, "broken"},
--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -17,9 +17,17 @@
 
 struct PlacementSettings {
   std::string failure_domain;
-  /// Requests beyond the slots that an engine is given, so that its batch never runs empty while
-  /// the next request is on its way.
-  std::uint32_t engine_overflow = 2;
+  /// Part of an engine's slots that requests may fill. Behind a full batch a request waits for a
+  /// slot and for the prompts before it, and misses its objective.
+  double engine_fill = 1.0;
+  /// The same for a request that has missed its objective already, so that new ones find a slot.
+  double engine_fill_if_late = 0.7;
+  /// The same at an engine of another process's subset. Its prompts are not known here, so only one
+  /// that has clearly room takes what this process's own engines cannot.
+  double engine_fill_if_other = 0.6;
+  /// Endpoints of other subsets that a request is offered to, drawn at random. All processes see
+  /// the same one as the idlest, and would send it what they have left at once.
+  double other_sample = 2;
   /// The same for other services, as a multiple of their slots.
   double service_overflow = 1.0;
   /// Part of the slots up to which a request begins at once.
@@ -27,8 +35,8 @@
   /// Longest time that an engine may need to read the prompts of this process's requests that have
   /// not begun, where another is to follow. Behind more of them it would miss its objective, and
   /// one that has missed it already must not stand in the way of others.
-  Duration most_reading = std::chrono::milliseconds(190);
-  Duration most_reading_if_late = std::chrono::milliseconds(70);
+  Duration most_reading = std::chrono::milliseconds(120);
+  Duration most_reading_if_late = std::chrono::milliseconds(50);
   /// Time for which a report of load counts.
   Duration report_life = std::chrono::milliseconds(1500);
   /// Time without new requests after an endpoint refused one because it was full.
@@ -121,6 +129,15 @@
   void Release(const std::string& id);
   /// The endpoint did not run a request: it is full, leaving, or another incarnation.
   void Refused(const std::string& id, TimePoint now);
+  /// The endpoint said in an answer that it leaves. This incarnation gets nothing more, whatever it
+  /// announces, because announcements lag.
+  /// @return false if that was known, or the endpoint is not
+  bool MarkLeaving(const std::string& id);
+  /// The endpoint wants no requests for a while.
+  void Pause(const std::string& id, Duration pause, TimePoint now);
+  /// Whether an endpoint that was chosen may still be sent a request, for example after the time
+  /// that a connection to it took.
+  bool Accepts(const std::string& id, TimePoint now) const;
 
   struct Pool {
     std::size_t endpoints = 0;
@@ -152,6 +169,8 @@
     std::uint32_t own_at_report = 0;
     TimePoint reported_at{};
     TimePoint closed_until{};
+    /// An answer of this incarnation said that it leaves.
+    bool leaving = false;
     /// Time of the last connection, and of the last slow one.
     Duration connect{};
     TimePoint connected_at{};
@@ -162,7 +181,7 @@
   /// Expected time in milliseconds until the answer of one more request begins.
   double Cost(const Endpoint& endpoint, double load, TimePoint now) const;
   bool SlowPath(const Endpoint& endpoint, TimePoint now) const;
-  double Capacity(const Endpoint& endpoint) const;
+  double Capacity(const Endpoint& endpoint, bool late) const;
   /// Whether the prompts ahead of a request leave it time to begin.
   bool ReadsInTime(const Endpoint& endpoint, bool late) const;
   bool Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -19,20 +19,10 @@
 namespace asio = net::asio;
 
 constexpr Duration kReturnWithoutConfig = std::chrono::milliseconds(500);
-// Part of a latency objective that a request may wait for an endpoint; the rest is needed to
-// answer.
-constexpr double kWaitPart = 0.45;
-// A request that was refused by one endpoint, or whose stream broke off, may wait a little longer.
-constexpr Duration kRetryWait = std::chrono::milliseconds(400);
-// A request that has missed its objective already may wait for a gap between the others.
-constexpr Duration kLateWait = std::chrono::milliseconds(800);
+// Time after which a verdict that should have come with the latest start is taken for lost.
+constexpr Duration kVerdictGuard = std::chrono::milliseconds(400);
 constexpr Duration kDefaultObjective = std::chrono::milliseconds(300);
 
-Duration Scaled(Duration duration, double factor) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ToSeconds(duration)) *
-                                              factor);
-}
-
 }  // namespace
 
 Exchange::Exchange(IngressNode& node, process::Metrics& metrics, net::HttpExchange& caller)
@@ -141,12 +131,8 @@
   applicant.priority = Priority();
   applicant.arrived = received_;
   applicant.query.late = late_;
-  if (history_.sends > 0) {
-    applicant.latest_start = now + kRetryWait;
-  } else {
-    applicant.latest_start = received_ + (late_ ? kLateWait : Scaled(Objective(), kWaitPart));
-  }
-  applicant.latest_start = std::min(applicant.latest_start, deadline_);
+  applicant.latest_start =
+      serving::LatestStart({received_, Objective(), late_, history_.sends > 0, deadline_}, now);
 
   struct Waiting {
     explicit Waiting(const asio::any_io_executor& executor) : timer(executor) {}
@@ -165,7 +151,7 @@
   if (!std::holds_alternative<std::monostate>(verdict)) co_return verdict;
   presence_->timer = &waiting->timer;
   // The admission itself refuses at the latest start; the timer only guards against a lost verdict.
-  waiting->timer.expires_after(applicant.latest_start - now + kRetryWait);
+  waiting->timer.expires_after(applicant.latest_start - now + kVerdictGuard);
   net::error_code ec;
   co_await waiting->timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
   presence_->timer = nullptr;
@@ -202,6 +188,7 @@
       return node_.OnFinished(placed.id, traffic::AttemptResult::kBroken, now);
     case AttemptOutcome::kSilent:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kTimeout, now);
+    case AttemptOutcome::kWithheld:
     case AttemptOutcome::kOvertaken:
     case AttemptOutcome::kExpired:
     case AttemptOutcome::kCallerGone:
@@ -290,7 +277,11 @@
       presence_->upstream = nullptr;
     }
     Settle(placed, outcome);
-    if (outcome != AttemptOutcome::kNotConnected || history_.unconnected == 0) {
+    // An endpoint that could not be reached may be tried once more, and one that takes nothing for
+    // the moment may be the only one.
+    const bool may_return = outcome == AttemptOutcome::kWithheld ||
+                            (outcome == AttemptOutcome::kNotConnected && history_.unconnected > 0);
+    if (!may_return) {
       tried_.push_back(placed.id);
     }
     serving::NoteOutcome(history_, outcome);
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -16,6 +16,13 @@
 // meets the next refusal.
 constexpr Duration kReturnWithoutUsable = std::chrono::milliseconds(1800);
 constexpr std::size_t kMostWaiting = 2000;
+// Part of a latency objective that a request may wait for an endpoint. Under sustained overload
+// every admitted request waits that long, and an engine with a full batch needs the rest to answer.
+constexpr double kWaitPart = 0.2;
+// A request that was refused by one endpoint, or whose stream broke off, may wait a little longer.
+constexpr Duration kRetryWait = std::chrono::milliseconds(400);
+// A request that has missed its objective already may wait for a gap between the others.
+constexpr Duration kLateWait = std::chrono::milliseconds(300);
 
 /// Whether `a` is served before `b`, or with it.
 bool NotAfter(const Applicant& a, const Applicant& b) {
@@ -28,6 +35,13 @@
 
 }  // namespace
 
+TimePoint LatestStart(const WaitQuery& query, TimePoint now) {
+  const Duration wait =
+      query.late ? kLateWait : FromSeconds(ToSeconds(query.objective) * kWaitPart);
+  const TimePoint latest = query.sent_before ? now + kRetryWait : query.received + wait;
+  return std::min(latest, query.deadline);
+}
+
 double& Admission::ShareOf(const Applicant& applicant) {
   double& share = shares_[applicant.account];
   // An account that was idle does not collect a claim on the past.
--- a/src/serving/attempt_policy.cc
+++ b/src/serving/attempt_policy.cc
@@ -15,7 +15,7 @@
 }  // namespace
 
 void NoteOutcome(AttemptHistory& history, AttemptOutcome outcome) {
-  if (outcome == AttemptOutcome::kNotConnected) {
+  if (outcome == AttemptOutcome::kNotConnected || outcome == AttemptOutcome::kWithheld) {
     ++history.unconnected;
   } else {
     ++history.sends;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -78,7 +78,7 @@
     const std::int64_t least = least_weights_[service];
     std::map<std::string, std::string> domains;
     for (const Endpoint* it : endpoints) {
-      if (it->record.state != EndpointState::kServing) continue;
+      if (it->record.state != EndpointState::kServing || it->leaving) continue;
       if (it->engine && (it->weights == 0 || it->weights < least || it->swapping)) continue;
       domains[it->record.id] = it->record.failure_domain;
     }
@@ -170,10 +170,11 @@
   return cost;
 }
 
-double Placement::Capacity(const Endpoint& endpoint) const {
+double Placement::Capacity(const Endpoint& endpoint, bool late) const {
   const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
-  return endpoint.engine ? slots + settings_.engine_overflow
-                         : slots * (1 + settings_.service_overflow);
+  if (!endpoint.engine) return slots * (1 + settings_.service_overflow);
+  const double fill = late ? settings_.engine_fill_if_late : settings_.engine_fill;
+  return slots * (endpoint.in_subset ? fill : std::min(fill, settings_.engine_fill_if_other));
 }
 
 bool Placement::ReadsInTime(const Endpoint& endpoint, bool late) const {
@@ -188,7 +189,7 @@
 }
 
 bool Placement::Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const {
-  if (endpoint.record.state != EndpointState::kServing) return false;
+  if (endpoint.record.state != EndpointState::kServing || endpoint.leaving) return false;
   if (Contains(query.excluded, endpoint.record.id)) return false;
   if (!endpoint.engine) return true;
   if (endpoint.weights == 0 || endpoint.weights < query.least_weights) return false;
@@ -210,6 +211,10 @@
   least = std::max(least, query.least_weights);
   if (subsets_due_ && now - subsets_at_ >= kSubsetPeriod) AssignSubsets(now);
   std::uniform_real_distribution<double> noise(0, ToMilliseconds(settings_.noise));
+  const auto others = std::count_if(pool->second.begin(), pool->second.end(),
+                                    [](const Endpoint* it) { return !it->in_subset; });
+  std::bernoulli_distribution sampled(
+      others == 0 ? 0.0 : std::min(1.0, settings_.other_sample / static_cast<double>(others)));
   Endpoint* best = nullptr;
   double best_score = 0;
   bool best_is_probe = false;
@@ -223,8 +228,9 @@
     any_healthy = any_healthy || healthy;
     if (!healthy && !probe) continue;
     if (now < it->closed_until) continue;
+    if (!it->in_subset && !sampled(random_)) continue;
     const double load = Load(*it, now);
-    if (load >= Capacity(*it) || !ReadsInTime(*it, query.late)) continue;
+    if (load >= Capacity(*it, query.late) || !ReadsInTime(*it, query.late)) continue;
     const double score = Cost(*it, load, now) + noise(random_);
     if (best == nullptr || probe || (score < best_score && !best_is_probe)) {
       best = it;
@@ -237,7 +243,7 @@
     for (Endpoint* it : pool->second) {
       if (!Usable(*it, query, now) || now < it->closed_until) continue;
       const double load = Load(*it, now);
-      if (load < Capacity(*it) && (best == nullptr || load < best_score)) {
+      if (load < Capacity(*it, query.late) && (best == nullptr || load < best_score)) {
         best = it;
         best_score = load;
       }
@@ -274,7 +280,27 @@
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
   if (it->second.own > 0) --it->second.own;
-  it->second.closed_until = now + settings_.refusal_pause;
+  it->second.closed_until = std::max(it->second.closed_until, now + settings_.refusal_pause);
+}
+
+bool Placement::MarkLeaving(const std::string& id) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end() || it->second.leaving) return false;
+  it->second.leaving = true;
+  subsets_due_ = true;
+  return true;
+}
+
+void Placement::Pause(const std::string& id, Duration pause, TimePoint now) {
+  const auto it = endpoints_.find(id);
+  if (it == endpoints_.end()) return;
+  it->second.closed_until = std::max(it->second.closed_until, now + pause);
+}
+
+bool Placement::Accepts(const std::string& id, TimePoint now) const {
+  const auto it = endpoints_.find(id);
+  return it != endpoints_.end() && it->second.record.state == EndpointState::kServing &&
+         !it->second.leaving && now >= it->second.closed_until;
 }
 
 Placement::Pool Placement::Survey(const PlacementQuery& query, TimePoint now) const {
@@ -285,7 +311,7 @@
     ++result.endpoints;
     if (!Usable(*it, query, now)) continue;
     ++result.usable;
-    result.slots += Capacity(*it);
+    result.slots += Capacity(*it, query.late);
     result.load += Load(*it, now);
   }
   return result;
