Send nothing to an endpoint that says it leaves or wants a pause

Cause: the users' endpoints say in all answers that they leave (Server-Leaving), and may add Retry-After to a 503. Neither was read, so requests went on until the announcement had come through, and 120 ms after a refusal. A request whose connection took long was also sent whatever had been learned meanwhile: that the endpoint leaves, or that its weights are due for replacement and the link to it is slow.

Change: platform/ decodes both; Placement keeps a leaving for the incarnation, whatever it announces, and the longer of two pauses. The process that sees a leaving tells the control processes, which tell the others. After a connection is open, and before anything is sent, the endpoint is checked once more; a connection that took over 40 ms is not used for weights within 2.8 s of their bound. The request then goes elsewhere (kWithheld), since nothing was sent. A success without the request's id is no longer taken for its answer: it may have been sent before the request was read. Answers that are kept whole end at 4 MiB.

--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -20,6 +20,9 @@
 constexpr Duration kStreamPatience = std::chrono::milliseconds(1800);
 constexpr Duration kLookupPatience = std::chrono::milliseconds(350);
 constexpr unsigned kFirstRedirect = 300;
+// Longest answer that is kept until it is whole, as long as the longest request that callers may
+// send by default. A faulty endpoint may send without end.
+constexpr std::size_t kMostAnswerBytes = std::size_t{4} * 1024 * 1024;
 
 }  // namespace
 
@@ -64,10 +67,14 @@
     // Nothing was sent, so another endpoint may take the request.
     connected = false;
   }
-  node_.OnConnect(placed.id, MonotonicNow() - begun, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  node_.OnConnect(placed.id, now - begun, now);
+  const std::string model = engine_ == nullptr ? std::string() : engine_->model;
   auto outcome = AttemptOutcome::kNotConnected;
   if (presence_->gone) {
     outcome = AttemptOutcome::kCallerGone;
+  } else if (connected && !node_.MaySend(placed, model, now - begun, now)) {
+    outcome = AttemptOutcome::kWithheld;
   } else if (connected && TimeLeft() > Duration::zero()) {
     outcome = co_await Send(upstream, placed);
   }
@@ -101,18 +108,22 @@
   if (failed) co_return OutcomeOfError(timed_out, history_.answer_started);
   const auto answer = platform::DecodeEndpointAnswer(response);
   last_status_ = answer.status;
+  if (answer.leaving) node_.OnLeaving(placed.id, MonotonicNow());
+  if (answer.pause) node_.OnPause(placed.id, *answer.pause, MonotonicNow());
   if (answer.load) {
     node_.OnLoad(placed.id, answer.load->running, answer.load->waiting, MonotonicNow());
   }
   if (answer.not_run) co_return AttemptOutcome::kNotRun;
-  // The answer of another request may arrive where this one's is due.
-  if (!answer.attempt_id.empty() && answer.attempt_id != request_.attempt_id) {
+  // The answer of another request may arrive where this one's is due, and one without an id may
+  // have been sent before the request was read.
+  const bool success = answer.status < kFirstRedirect;
+  if ((success || !answer.attempt_id.empty()) && answer.attempt_id != request_.attempt_id) {
     co_return OutcomeOfError(false, history_.answer_started);
   }
-  if (answer.status < kFirstRedirect && (!answer.is_signed || answer.encoded)) {
+  if (success && (!answer.is_signed || answer.encoded)) {
     co_return OutcomeOfError(false, history_.answer_started);
   }
-  if (answer.is_event_stream && answer.status < kFirstRedirect) {
+  if (answer.is_event_stream && success) {
     co_return co_await RelayStream(upstream, response, answer);
   }
   if (history_.answer_started) co_return AttemptOutcome::kCut;
@@ -138,6 +149,7 @@
   Piece piece = co_await ReadPiece(upstream);
   while (piece.bytes) {
     body += *piece.bytes;
+    if (body.size() > kMostAnswerBytes) co_return OutcomeOfError(false, false);
     piece = co_await ReadPiece(upstream);
   }
   if (piece.failed) co_return OutcomeOfError(piece.timed_out, false);
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -188,10 +188,13 @@
   wire::MeshMessage message;
   message.__isset.service_config = true;
   message.service_config.version = routes_->config().version;
-  if (!processes.empty()) return mesh_->SendTo(processes, message);
-  std::vector<std::string> all;
-  for (const auto& it : mesh_->Members(MemberKind::kControl)) all.push_back(it.process);
-  mesh_->SendTo(all, message);
+  mesh_->SendTo(processes.empty() ? ControlProcesses() : processes, message);
+}
+
+std::vector<std::string> IngressNode::ControlProcesses() const {
+  std::vector<std::string> processes;
+  for (const auto& it : mesh_->Members(MemberKind::kControl)) processes.push_back(it.process);
+  return processes;
 }
 
 void IngressNode::Sync() {
@@ -268,4 +271,39 @@
   SchedulePump();
 }
 
+void IngressNode::OnLeaving(const std::string& endpoint, TimePoint now) {
+  const auto* known = table_.Find(endpoint);
+  if (known == nullptr || !placement_.MarkLeaving(endpoint)) return;
+  LogEvent(Event::kServiceEndpointChanged,
+           {{"endpoint", endpoint},
+            {"service", known->service},
+            {"state", serving::kEndpointStates.Name(serving::EndpointState::kDraining)},
+            {"weights", known->weights},
+            {"from", "its answer"}});
+  if (known->state != serving::EndpointState::kServing) return;
+  // Its own announcement may be seconds away. The number is the next one, so that an announcement
+  // after that replaces this record.
+  serving::EndpointRecord record = *known;
+  record.state = serving::EndpointState::kDraining;
+  ++record.sequence;
+  wire::MeshMessage message;
+  message.__isset.instances = true;
+  message.instances.push_back(mesh::ToWire(record, now));
+  mesh_->SendTo(ControlProcesses(), message);
+}
+
+void IngressNode::OnPause(const std::string& endpoint, Duration pause, TimePoint now) {
+  placement_.Pause(endpoint, pause, now);
+}
+
+bool IngressNode::MaySend(const serving::Placed& placed, const std::string& model, Duration connect,
+                          TimePoint now) const {
+  if (!placement_.Accepts(placed.id, now)) return false;
+  if (model.empty()) return true;
+  if (placed.weights < LeastWeights(model, now)) return false;
+  // The request waits on its way as long as the opening of the connection did.
+  const bool slow = connect > serving::PlacementSettings{}.slow_connect;
+  return !slow || placed.weights >= LeastWeightsIfBusy(model, now);
+}
+
 }  // namespace wagtailslip::ingress
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -87,6 +87,15 @@
   /// incarnation has its address.
   void OnRefused(const std::string& endpoint, TimePoint now);
   void OnReleased(const std::string& endpoint);
+  /// An answer of the endpoint said that it leaves.
+  void OnLeaving(const std::string& endpoint, TimePoint now);
+  /// The endpoint wants no requests for a while.
+  void OnPause(const std::string& endpoint, Duration pause, TimePoint now);
+  /// Whether a request may be sent on a connection that has just been opened.
+  /// @param model of the endpoint's engine; empty for any other service
+  /// @param connect time that the connection took
+  bool MaySend(const serving::Placed& placed, const std::string& model, Duration connect,
+               TimePoint now) const;
   Duration RetryAfter(const std::string& service, TimePoint now) {
     return admission_.RetryAfter(service, now);
   }
@@ -99,7 +108,9 @@
   void OnLost(const mesh::Member& member) override;
   void OnMessage(const mesh::Member& from, const wire::MeshMessage& message) override;
   void TakeConfig(const wire::ServiceConfigBody& body);
+  /// @param processes receivers; empty for all control processes
   void ReportVersion(const std::vector<std::string>& processes);
+  std::vector<std::string> ControlProcesses() const;
   void NoteIngress(std::map<std::string, std::string> processes, TimePoint now);
   void Sync();
   void UpdateLinks();
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(TellsWholeWeightsFromPartial);
   CPPUNIT_TEST(SetsAndStripsHeaders);
   CPPUNIT_TEST(ReadsAnswers);
+  CPPUNIT_TEST(ReadsWhatAnEndpointSaysOfItself);
   CPPUNIT_TEST(ReadsDigests);
   CPPUNIT_TEST_SUITE_END();
 
@@ -306,6 +307,38 @@
     CPPUNIT_ASSERT(DecodeEndpointAnswer(response).not_run);
   }
 
+  // Guards against requests to an endpoint that leaves, or that asked for a pause.
+  void ReadsWhatAnEndpointSaysOfItself() {
+    struct Case {
+      unsigned status;
+      const char* name;
+      const char* value;
+      bool leaving;
+      std::optional<Duration> pause;
+    };
+    const Case cases[] = {
+        {200, "Server-Leaving", "1", true, std::nullopt},
+        {503, "server-leaving", " 1", true, std::nullopt},
+        {200, "Server-Leaving", "0", false, std::nullopt},
+        {200, "Server-Leaving", "", false, std::nullopt},
+        {503, "Retry-After", "2", false, Duration(std::chrono::seconds(2))},
+        {503, "Retry-After", "0.25", false, Duration(std::chrono::milliseconds(250))},
+        {503, "Retry-After", "1e300", false, Duration(std::chrono::hours(24))},
+        {503, "Retry-After", "-1", false, std::nullopt},
+        {503, "Retry-After", "nan", false, std::nullopt},
+        {503, "Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT", false, std::nullopt},
+        {200, "Retry-After", "2", false, std::nullopt},
+    };
+    for (const auto& it : cases) {
+      net::HttpResponse response;
+      response.status = it.status;
+      response.headers[it.name] = it.value;
+      const auto answer = DecodeEndpointAnswer(response);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.value, it.leaving, answer.leaving);
+      CPPUNIT_ASSERT_MESSAGE(it.value, it.pause == answer.pause);
+    }
+  }
+
   void ReadsDigests() {
     const std::string hex(64, 'a');
     const auto digests = DecodeDigests(
