Let the first copy leave the origin although fetchers stop

The log shows three reasons: what a stopped fetcher owed was taken over only 0.9 s after its last progress; a chunk that only a stopped one had shown counted as available; and fetchers gave up connections to the origin after 0.5 s, while the answer waited behind their own chunks in the queue of its link, and then paused.

Change: a fetcher whose bitmap is overdue by 0.3 s counts as stopped, and what it has as unavailable. Takeovers are decided before neighbours fill the places for requests, and four times as often where waiting is shortened. A connection to the origin may take 1.5 s.

--- a/include/wagtailslip/spread/session.h
+++ b/include/wagtailslip/spread/session.h
@@ -190,9 +190,11 @@
   void ExpireRequests(TimePoint now, TickResult& result);
   bool MayAsk(const Peer& peer, ChunkIndex chunk, TimePoint now) const;
   bool MayAskOrigin(TimePoint now) const;
+  /// The neighbour has not answered the last request for its bitmap in time.
+  bool Silent(const Peer& peer, TimePoint now) const;
   bool Hopeless(Slot slot, TimePoint now) const;
   bool Owns(ChunkIndex chunk, TimePoint now) const;
-  bool Available(ChunkIndex chunk, bool remote) const;
+  bool Available(ChunkIndex chunk, bool remote, TimePoint now) const;
   bool FromOrigin(ChunkIndex chunk, TimePoint now) const;
   bool WindowOpen() const;
   void FindSuspects(TimePoint now);
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -18,6 +18,9 @@
 namespace asio = net::asio;
 
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(500);
+// While the first copy leaves the origin, the answer to a connection waits in the queue of its link
+// behind a chunk for each fetcher. A fetcher that gives up then pauses while the link runs idle.
+constexpr Duration kOriginConnectTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kDigestsTimeout = std::chrono::milliseconds(1000);
 constexpr Duration kDigestsRetry = std::chrono::milliseconds(60);
 constexpr Duration kPeerDigestsTimeout = std::chrono::milliseconds(300);
@@ -46,7 +49,7 @@
   limits.longest_origin_pause = std::chrono::seconds(1);
   // An origin may be gone seconds after a version was named, so the first copy leaves it without
   // pauses: two requests hide the round trip, and neighbours get little of a fetcher's link. What a
-  // stopped fetcher owes is taken over after 0.9 s instead of 3 s.
+  // stopped fetcher owes is taken over after 0.9 s instead of 3 s, or after 0.3 s of silence.
   limits.settle = std::chrono::milliseconds(250);
   limits.unconfirmed = kMostOwnChunks;
   limits.to_origin = 2;
@@ -241,7 +244,8 @@
                        : net::MakeRequest(net::http::verb::get,
                                           ChunkPath(weights->model, weights->version, fetch.chunk));
     const auto endpoint = net::ParseAddress(address);
-    auto connection = co_await peers_.Acquire(endpoint, kPeerConnectTimeout, from_origin);
+    const Duration connect = from_origin ? kOriginConnectTimeout : kPeerConnectTimeout;
+    auto connection = co_await peers_.Acquire(endpoint, connect, from_origin);
     connection->set_body_limit(kMostChunkBytes);
     const Duration most = kSlowChunkFactor * timeout;
     response = co_await connection->Call(std::move(request), timeout, most);
--- a/src/spread/session_tick.cc
+++ b/src/spread/session_tick.cc
@@ -29,6 +29,9 @@
 constexpr std::size_t kSuspectRequests = 2;
 // Makes a suspect peer the last choice.
 constexpr double kSuspectCost = 1000;
+// A fetcher whose bitmap is overdue for this time is taken for stopped. Bitmaps are small and come
+// within tens of milliseconds, where progress shows only as fast as the origin sends.
+constexpr Duration kSilence = seconds(1);
 // A neighbour that offers this many wanted chunks is asked for its bitmap less often.
 constexpr int kEnoughOffers = 16;
 
@@ -54,10 +57,12 @@
   if (Complete()) return result;
   FindSuspects(now);
   AskAssigned(now, result);
+  const bool check = now >= next_takeover_check_;
+  // Before the neighbours, whose chunks would take all places.
+  if (check) AskTakeovers(now, result);
   AskNeighbours(now, result);
-  if (now >= next_takeover_check_) {
-    next_takeover_check_ = now + kTakeoverCheck;
-    AskTakeovers(now, result);
+  if (check) {
+    next_takeover_check_ = now + Shortened(kTakeoverCheck);
     AskFallback(now, result);
     AskExtra(now, result);
     AskDuplicates(now, result);
@@ -131,9 +136,10 @@
   }
 }
 
-bool Session::Available(ChunkIndex chunk, bool remote) const {
+bool Session::Available(ChunkIndex chunk, bool remote, TimePoint now) const {
   return std::any_of(peers_.begin(), peers_.end(), [&](const Peer& peer) {
-    return (peer.local || remote) && !peer.Suspect() && peer.have.Test(chunk);
+    // Those are passed over that have stopped with the only copy.
+    return (peer.local || remote) && !peer.Suspect() && !Silent(peer, now) && peer.have.Test(chunk);
   });
 }
 
@@ -176,9 +182,14 @@
   return std::all_of(peers_.begin(), peers_.end(), [](const Peer& peer) { return peer.contacted; });
 }
 
+bool Session::Silent(const Peer& peer, TimePoint now) const {
+  return peer.polling && now - (peer.poll_deadline - limits_.poll_timeout) >= Shortened(kSilence);
+}
+
 bool Session::Hopeless(Slot slot, TimePoint now) const {
   if (slot >= peers_.size()) return true;
   const Peer& peer = peers_[slot];
+  if (Silent(peer, now)) return true;
   const Duration limit = Shortened(WaitingFor(policy_).takeover);
   return now - peer.progress_at >= limit || (peer.Suspect() && now - peer.suspect_since >= limit);
 }
@@ -266,10 +277,10 @@
     if (requests_.size() >= limits_.outstanding) return;
     if (UnderWay(c)) continue;
     Slot peer = BestPeer(c, now, true, false);
-    if (peer == kNoSlot && !Available(c, false)) peer = BestPeer(c, now, false, true);
+    if (peer == kNoSlot && !Available(c, false, now)) peer = BestPeer(c, now, false, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
-    } else if (origin_open && MayAskOrigin(now) && !Available(c, true) && FromOrigin(c, now)) {
+    } else if (origin_open && MayAskOrigin(now) && !Available(c, true, now) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
     }
   }
@@ -277,9 +288,14 @@
 
 void Session::AskNeighbours(TimePoint now, TickResult& result) {
   std::vector<std::uint64_t> offered(have_.words().size());
-  const bool owes = std::any_of(assigned_.begin(), assigned_.end(), [&](ChunkIndex c) {
-    return !have_.Test(c) && plan_.chunks[c].from_origin;
-  });
+  const auto missing = [&](ChunkIndex c) {
+    return !have_.Test(c) && plan_.chunks[c].from_origin && !Available(c, false, now);
+  };
+  const bool owes =
+      std::any_of(assigned_.begin(), assigned_.end(),
+                  [&](ChunkIndex c) { return !have_.Test(c) && plan_.chunks[c].from_origin; }) ||
+      std::any_of(substitute_.begin(), substitute_.end(),
+                  [&](ChunkIndex c) { return missing(c) && Owns(c, now); });
   std::size_t most = limits_.outstanding;
   if (owes && limits_.beside_own > 0) most = std::min(most, limits_.beside_own + origin_requests_);
   while (requests_.size() < most) {
@@ -311,12 +327,12 @@
   std::erase_if(substitute_, [&](ChunkIndex c) { return have_.Test(c); });
   for (const ChunkIndex c : substitute_) {
     if (requests_.size() >= limits_.outstanding) return;
-    if (UnderWay(c) || Available(c, false) || !Owns(c, now)) continue;
+    if (UnderWay(c) || Available(c, false, now) || !Owns(c, now)) continue;
     const Slot peer = BestPeer(c, now, false, true);
     if (peer != kNoSlot) {
       Ask(c, peer, now, result);
       ++stats_.takeovers;
-    } else if (MayAskOrigin(now) && !Available(c, true) && FromOrigin(c, now)) {
+    } else if (MayAskOrigin(now) && !Available(c, true, now) && FromOrigin(c, now)) {
       Ask(c, kOriginSlot, now, result);
       ++stats_.takeovers;
     }
@@ -331,7 +347,7 @@
   if (!MayAskOrigin(now)) return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || UnderWay(c) || Available(c, true)) continue;
+    if (have_.Test(c) || UnderWay(c) || Available(c, true, now)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
@@ -351,7 +367,7 @@
     return;
   ChunkIndex best = kMaxChunks;
   for (ChunkIndex c = 0; c < have_.size(); ++c) {
-    if (have_.Test(c) || UnderWay(c) || Available(c, true)) continue;
+    if (have_.Test(c) || UnderWay(c) || Available(c, true, now)) continue;
     if (best == kMaxChunks || priority_[c] < priority_[best]) best = c;
   }
   if (best == kMaxChunks) return;
--- a/tests/spread_session_test.cc
+++ b/tests/spread_session_test.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 
 #include "wagtailslip/spread/session.h"
 
@@ -246,6 +247,12 @@
     return now_ - TimePoint{};
   }
   double copies() const { return static_cast<double>(taken_) / kChunks; }
+  /// Stops agents that fetch from the origin; what they asked for is still sent.
+  /// @param at time since the start
+  void Freeze(std::size_t count, Duration at) {
+    to_freeze_ = count;
+    freeze_at_ = at;
+  }
 
  private:
   static constexpr Duration kStep = milliseconds(10);
@@ -266,6 +273,7 @@
   bool FirstCopyOut() const {
     Bitmap all(kChunks);
     for (MemberIndex i = 0; i < sessions_.size(); ++i) {
+      if (frozen_.contains(i)) continue;
       for (std::size_t c = 0; c < kChunks; ++c) {
         if (sessions_[i].have().Test(c)) all.Set(c);
       }
@@ -275,9 +283,14 @@
 
   void Step() {
     now_ += kStep;
+    for (const Transfer& it : origin_) {
+      if (now_ - TimePoint{} < freeze_at_ || frozen_.size() >= to_freeze_) break;
+      frozen_.insert(it.to);
+    }
     std::vector<std::pair<MemberIndex, std::string>> polls;
     polls.swap(polls_);
     for (const auto& [to, peer] : polls) {
+      if (frozen_.contains(IndexOf(peer))) continue;
       sessions_[to].OnPeerHave(peer, sessions_[IndexOf(peer)].have(), now_);
     }
     std::map<MemberIndex, double> receiving;
@@ -292,7 +305,7 @@
     Deliver(origin_);
     Deliver(peers_);
     for (MemberIndex i = 0; i < sessions_.size(); ++i) {
-      Send(i, sessions_[i].Tick(now_));
+      if (!frozen_.contains(i)) Send(i, sessions_[i].Tick(now_));
     }
   }
 
@@ -300,6 +313,7 @@
     const auto first = std::stable_partition(transfers.begin(), transfers.end(),
                                              [](const Transfer& it) { return it.left > 0; });
     for (auto it = first; it != transfers.end(); ++it) {
+      if (frozen_.contains(it->to)) continue;
       sessions_[it->to].OnChunk(it->fetch.chunk, it->fetch.source, ChunkResult::kOk, now_);
     }
     transfers.erase(first, transfers.end());
@@ -324,6 +338,9 @@
   std::vector<std::pair<MemberIndex, std::string>> polls_;
   std::size_t taken_ = 0;
   TimePoint now_{};
+  std::size_t to_freeze_ = 0;
+  Duration freeze_at_{};
+  std::set<MemberIndex> frozen_;
 };
 
 class SpreadSessionTest : public CppUnit::TestFixture {
@@ -337,6 +354,7 @@
   CPPUNIT_TEST(SupersededSessionKeepsSharedChunks);
   CPPUNIT_TEST(UnknownNamesAreIgnored);
   CPPUNIT_TEST(FirstCopyLeavesAtTheRateOfTheOrigin);
+  CPPUNIT_TEST(FirstCopyLeavesAlthoughFetchersStop);
   CPPUNIT_TEST_SUITE_END();
 
   const TimePoint start_{seconds(100)};
@@ -489,6 +507,21 @@
     }
   }
 
+  // Pattern: 0.6 s into the spread, two of the agents that fetch from the origin stop, and the
+  // origin is gone before others notice. Those that are done with their part have time to take
+  // over.
+  void FirstCopyLeavesAlthoughFetchersStop() {
+    constexpr Duration kOriginLife = milliseconds(2100);
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+      SharedOrigin origin(seed);
+      origin.Freeze(2, milliseconds(600));
+      const double took_ms = ToMilliseconds(origin.RunFirstCopy(seconds(10)));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(took_ms) + " ms, seed " + std::to_string(seed),
+                             took_ms <= ToMilliseconds(kOriginLife));
+      CPPUNIT_ASSERT(origin.copies() <= 1.5);
+    }
+  }
+
   void UnknownNamesAreIgnored() {
     Session session = Make(2, 4);
     session.Start(start_);
