Log the pause that an endpoint asks for

Cause: a refusal by an endpoint that asked for a pause could not be told from one that is full; the process that believed in the pause said nothing of it. No change of behaviour.

--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -294,6 +294,8 @@
 
 void IngressNode::OnPause(const std::string& endpoint, Duration pause, TimePoint now) {
   placement_.Pause(endpoint, pause, now);
+  LogEvent(Event::kServiceEndpointChanged,
+           {{"endpoint", endpoint}, {"pause_s", ToSeconds(pause)}, {"from", "its answer"}});
 }
 
 bool IngressNode::MaySend(const serving::Placed& placed, const std::string& model, Duration connect,
