Elect at once when all voters were restarted

Cause: after a power loss of all machines the processes were back 1.4 s later, the last voter 0.6 s after that, and a leader stood another 0.8 s later: each voter sat out a lease that it might have granted before its restart, and the first candidate was refused by voters that came later. Change: a voter that has heard no leader since its start asks all voters every 40 ms; a voter in the same state answers without waiting. Only the vote of every voter elects, since one of them is any leader that could still hold a lease: it refuses if it leads, and has lost its lease if it was restarted. Among equal logs the greatest id gets the pre-votes. A leader that is not yet a known voter holds no lease, because others may elect without it. A group that lost a disk elects as before.

--- a/include/wagtailslip/agreement/message.h
+++ b/include/wagtailslip/agreement/message.h
@@ -15,6 +15,9 @@
   bool pre_vote = false;
   Index last_index = 0;
   Term last_term = 0;
+  /// The candidate has heard no leader since its start and counts only a vote of every voter. A
+  /// voter in the same state then need not wait for a lease that it granted before its start.
+  bool after_restart = false;
 };
 
 struct VoteReply {
--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -43,6 +43,9 @@
   /// Time until a candidate without a majority tries again.
   Duration retry_min = std::chrono::milliseconds(100);
   Duration retry_max = std::chrono::milliseconds(300);
+  /// Time between two attempts at an election by all voters after all of them were restarted. A few
+  /// round trips.
+  Duration restart_poll = std::chrono::milliseconds(40);
   /// Entries in one request; a member far behind gets more, within `max_batch_bytes`.
   std::size_t max_batch_entries = 1024;
   std::size_t max_batch_bytes = 1024UL * 1024;
@@ -202,7 +205,14 @@
   // Elections.
   void OnVoteRequest(const Message& m, const VoteRequest& request, TimePoint now);
   void OnVoteReply(const Message& m, const VoteReply& reply, TimePoint now);
-  void Campaign(bool pre_vote, TimePoint now);
+  /// Kind of an election.
+  enum class Electorate {
+    /// A majority; each voter has heard no leader for `election_min`.
+    kMajority,
+    /// All voters; each has heard no leader since its start, or for `election_min`.
+    kAllAfterRestart
+  };
+  void Campaign(Electorate electorate, bool pre_vote, TimePoint now);
   void BecomeFollower(Term term, std::optional<ReplicaId> leader, TimePoint now);
   void BecomeLeader(TimePoint now);
   void SetVote(const ReplicaId& candidate);
@@ -213,7 +223,10 @@
   std::optional<Membership> AfterReplacement() const;
   /// A voter, or the standby of a pending replacement.
   bool MayLead() const;
+  bool MayAskAllVoters() const;
   bool Elected() const;
+  /// The voters once the pending change is committed.
+  Membership AfterPendingChange() const;
   TimePoint QuorumContact(TimePoint now) const;
   // Replication.
   void OnAppendRequest(const Message& m, const AppendRequest& request, TimePoint now);
@@ -286,6 +299,10 @@
   TimePoint heard_at_;
   TimePoint election_deadline_;
   std::set<ReplicaId> votes_;
+  Electorate electorate_ = Electorate::kMajority;
+  /// A leader was heard, or this replica led, since its start.
+  bool led_since_start_ = false;
+  TimePoint restart_poll_at_;
 
   // Follower.
   /// Entries up to here match the leader of this term.
--- a/src/agreement/replica.cc
+++ b/src/agreement/replica.cc
@@ -11,7 +11,8 @@
       vote_(state.hard_state.vote),
       saved_(std::move(state.hard_state)),
       random_state_(seed),
-      heard_at_(now) {
+      heard_at_(now),
+      restart_poll_at_(now + config_.restart_poll) {
   if (config_.id.process.empty()) throw AgreementError("a replica needs a process id");
   if (config_.election_min < config_.lease || config_.lease_margin >= config_.lease) {
     throw AgreementError("the election timeout is shorter than the lease");
@@ -80,7 +81,10 @@
       for (auto& [id, progress] : progress_) FeedMember(id, progress, now);
     }
   } else if (now >= election_deadline_ && MayLead()) {
-    Campaign(true, now);
+    Campaign(Electorate::kMajority, true, now);
+  } else if (MayAskAllVoters() && now >= restart_poll_at_) {
+    restart_poll_at_ = now + config_.restart_poll;
+    Campaign(Electorate::kAllAfterRestart, true, now);
   }
   return TakeEffects();
 }
--- a/src/agreement/replica_election.cc
+++ b/src/agreement/replica_election.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 #include "wagtailslip/agreement/replica.h"
 
@@ -32,6 +33,7 @@
   WTS_INVARIANT(!leader_ || *leader_ == m.from);
   role_ = Role::kFollower;
   leader_ = m.from;
+  led_since_start_ = true;
   heard_at_ = now;
   echo_ = std::max(echo_, sent_at);
   ResetElectionDeadline(now, config_.election_min, config_.election_max);
@@ -69,7 +71,9 @@
   return TakeEffects();
 }
 
-void Replica::Campaign(bool pre_vote, TimePoint now) {
+void Replica::Campaign(Electorate electorate, bool pre_vote, TimePoint now) {
+  electorate_ = electorate;
+  const bool after_restart = electorate == Electorate::kAllAfterRestart;
   if (pre_vote) {
     ++counters_.pre_campaigns;
     role_ = Role::kPreCandidate;
@@ -85,10 +89,13 @@
   echo_ = TimePoint{};
   acknowledgement_due_ = false;
   votes_ = {config_.id};
-  ResetElectionDeadline(now, config_.retry_min, config_.retry_max);
+  // An attempt at an election by all voters does not put off the one by a majority.
+  if (!after_restart || !pre_vote) {
+    ResetElectionDeadline(now, config_.retry_min, config_.retry_max);
+  }
   if (Elected()) {
     if (pre_vote) {
-      Campaign(false, now);
+      Campaign(electorate, false, now);
     } else {
       BecomeLeader(now);
     }
@@ -98,7 +105,7 @@
   for (const auto& [id, role] : membership_.members()) {
     const bool promoted = pending_change_ && ChangeAt(*pending_change_).id == id;
     if (id == config_.id || (role != MemberRole::kVoter && !promoted)) continue;
-    SendWithTerm(id, term, VoteRequest{pre_vote, log_.last(), log_.last_term()});
+    SendWithTerm(id, term, VoteRequest{pre_vote, log_.last(), log_.last_term(), after_restart});
   }
 }
 
@@ -109,7 +116,25 @@
   return after && after->IsVoter(config_.id);
 }
 
+bool Replica::MayAskAllVoters() const {
+  // An attempt by a majority that is under way is not disturbed.
+  const bool idle = role_ == Role::kFollower ||
+                    (role_ == Role::kPreCandidate && electorate_ == Electorate::kAllAfterRestart);
+  return idle && !led_since_start_ && MayLead();
+}
+
 bool Replica::Elected() const {
+  if (electorate_ == Electorate::kAllAfterRestart) {
+    // One of these is any leader whose lease may still run. It has lost its lease if it votes
+    // before it led again, and refuses otherwise.
+    const auto all = [this](const Membership& membership) {
+      const auto& members = membership.members();
+      return std::all_of(members.begin(), members.end(), [this](const auto& row) {
+        return row.second != MemberRole::kVoter || votes_.contains(row.first);
+      });
+    };
+    return all(membership_) && all(AfterPendingChange());
+  }
   const auto majority = [this](const Membership& membership) {
     const auto votes = std::count_if(votes_.begin(), votes_.end(),
                                      [&](const ReplicaId& id) { return membership.IsVoter(id); });
@@ -122,7 +147,8 @@
 }
 
 void Replica::OnVoteRequest(const Message& m, const VoteRequest& request, TimePoint now) {
-  const bool heard = HeardLeaderRecently(now);
+  const bool restarted = request.after_restart && !led_since_start_;
+  const bool heard = !restarted && HeardLeaderRecently(now);
   if (heard) ++counters_.votes_refused_by_lease;
   if (!request.pre_vote && m.term > term_ && !heard) BecomeFollower(m.term, std::nullopt, now);
   const bool up_to_date =
@@ -130,6 +156,11 @@
   bool granted = !heard && up_to_date;
   if (request.pre_vote) {
     granted = granted && m.term > term_;
+    // All voters ask at once; only one of them may be granted the votes of all.
+    if (request.after_restart && MayLead()) {
+      granted = granted && std::tuple(request.last_term, request.last_index, m.from) >
+                               std::tuple(log_.last_term(), log_.last(), config_.id);
+    }
   } else {
     granted =
         granted && m.term == term_ && role_ == Role::kFollower && (!vote_ || *vote_ == m.from);
@@ -148,7 +179,7 @@
   votes_.insert(m.from);
   if (!Elected()) return;
   if (reply.pre_vote) {
-    Campaign(false, now);
+    Campaign(electorate_, false, now);
   } else {
     BecomeLeader(now);
   }
@@ -159,6 +190,7 @@
   ++counters_.elections_won;
   role_ = Role::kLeader;
   leader_ = config_.id;
+  led_since_start_ = true;
   elected_at_ = now;
   votes_.clear();
   progress_.clear();
@@ -182,7 +214,8 @@
 }
 
 bool Replica::HasLease(TimePoint now) const {
-  if (role_ != Role::kLeader) return false;
+  // A leader that is not known to be a voter may be unknown to others who elect without it.
+  if (role_ != Role::kLeader || !membership_.IsVoter(config_.id)) return false;
   const TimePoint contact = QuorumContact(now);
   const bool held =
       contact != TimePoint::min() && now < contact + config_.lease - config_.lease_margin;
--- a/src/agreement/replica_membership.cc
+++ b/src/agreement/replica_membership.cc
@@ -45,15 +45,19 @@
   if (role_ == Role::kLeader) RefreshProgress();
 }
 
-std::optional<Membership> Replica::AfterReplacement() const {
-  if (!pending_change_) return std::nullopt;
-  const MembershipChange change = ChangeAt(*pending_change_);
-  if (change.kind != ChangeKind::kReplace) return std::nullopt;
+Membership Replica::AfterPendingChange() const {
   Membership after = membership_;
-  after.Apply(change);
+  if (pending_change_) after.Apply(ChangeAt(*pending_change_));
   return after;
 }
 
+std::optional<Membership> Replica::AfterReplacement() const {
+  if (!pending_change_ || ChangeAt(*pending_change_).kind != ChangeKind::kReplace) {
+    return std::nullopt;
+  }
+  return AfterPendingChange();
+}
+
 void Replica::RebuildMembership() {
   while (!change_indexes_.empty() && change_indexes_.back() > log_.last()) {
     change_indexes_.pop_back();
--- a/src/codec/agreement_codec.cc
+++ b/src/codec/agreement_codec.cc
@@ -36,6 +36,7 @@
     v.pre_vote = d.pre_vote;
     v.last_index = Signed(d.last_index);
     v.last_term = Signed(d.last_term);
+    v.after_restart = d.after_restart;
     w.__set_vote_request(v);
   }
   void operator()(const agreement::VoteReply& d) const {
@@ -143,7 +144,8 @@
   }
   if (w.__isset.vote_request) {
     const auto& v = w.vote_request;
-    return agreement::VoteRequest{v.pre_vote, Unsigned(v.last_index), Unsigned(v.last_term)};
+    return agreement::VoteRequest{v.pre_vote, Unsigned(v.last_index), Unsigned(v.last_term),
+                                  v.after_restart};
   }
   if (w.__isset.vote_reply)
     return agreement::VoteReply{w.vote_reply.pre_vote, w.vote_reply.granted};
--- a/src/codec/gen/wagtailslip_types.cpp
+++ b/src/codec/gen/wagtailslip_types.cpp
@@ -7045,6 +7045,10 @@
 void VoteRequest::__set_last_term(const int64_t val) {
   this->last_term = val;
 }
+
+void VoteRequest::__set_after_restart(const bool val) {
+  this->after_restart = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
@@ -7097,6 +7101,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->after_restart);
+          this->__isset.after_restart = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7126,6 +7138,10 @@
   xfer += oprot->writeI64(this->last_term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("after_restart", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->after_restart);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7136,6 +7152,7 @@
   swap(a.pre_vote, b.pre_vote);
   swap(a.last_index, b.last_index);
   swap(a.last_term, b.last_term);
+  swap(a.after_restart, b.after_restart);
   swap(a.__isset, b.__isset);
 }
 
@@ -7143,12 +7160,14 @@
   pre_vote = other184.pre_vote;
   last_index = other184.last_index;
   last_term = other184.last_term;
+  after_restart = other184.after_restart;
   __isset = other184.__isset;
 }
 VoteRequest& VoteRequest::operator=(const VoteRequest& other185) noexcept {
   pre_vote = other185.pre_vote;
   last_index = other185.last_index;
   last_term = other185.last_term;
+  after_restart = other185.after_restart;
   __isset = other185.__isset;
   return *this;
 }
@@ -7158,6 +7177,7 @@
   out << "pre_vote=" << to_string(pre_vote);
   out << ", " << "last_index=" << to_string(last_index);
   out << ", " << "last_term=" << to_string(last_term);
+  out << ", " << "after_restart=" << to_string(after_restart);
   out << ")";
 }
 
--- a/src/codec/gen/wagtailslip_types.h
+++ b/src/codec/gen/wagtailslip_types.h
@@ -2832,10 +2832,11 @@
 std::ostream& operator<<(std::ostream& out, const MemberEntry& obj);
 
 typedef struct _VoteRequest__isset {
-  _VoteRequest__isset() : pre_vote(false), last_index(false), last_term(false) {}
+  _VoteRequest__isset() : pre_vote(false), last_index(false), last_term(false), after_restart(false) {}
   bool pre_vote :1;
   bool last_index :1;
   bool last_term :1;
+  bool after_restart :1;
 } _VoteRequest__isset;
 
 class VoteRequest : public virtual ::apache::thrift::TBase {
@@ -2846,13 +2847,15 @@
   VoteRequest() noexcept
               : pre_vote(0),
                 last_index(0),
-                last_term(0) {
+                last_term(0),
+                after_restart(0) {
   }
 
   virtual ~VoteRequest() noexcept;
   bool pre_vote;
   int64_t last_index;
   int64_t last_term;
+  bool after_restart;
 
   _VoteRequest__isset __isset;
 
@@ -2862,6 +2865,8 @@
 
   void __set_last_term(const int64_t val);
 
+  void __set_after_restart(const bool val);
+
   bool operator == (const VoteRequest & rhs) const
   {
     if (!(pre_vote == rhs.pre_vote))
@@ -2870,6 +2875,8 @@
       return false;
     if (!(last_term == rhs.last_term))
       return false;
+    if (!(after_restart == rhs.after_restart))
+      return false;
     return true;
   }
   bool operator != (const VoteRequest &rhs) const {
--- a/src/codec/wagtailslip.thrift
+++ b/src/codec/wagtailslip.thrift
@@ -317,6 +317,7 @@
   1: bool pre_vote
   2: i64 last_index
   3: i64 last_term
+  4: bool after_restart
 }
 
 struct VoteReply {
--- a/tests/agreement_test.cc
+++ b/tests/agreement_test.cc
@@ -1,7 +1,10 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
+#include <random>
 
 #include "wagtailslip/agreement/replica.h"
 
@@ -141,6 +144,108 @@
     {"a pre-vote for the current term", true, 3, 6, 3, false, kLater, false, 3},
 };
 
+// What a voter that may have granted a lease before its restart answers to an election by all.
+struct RestartVoteRow {
+  const char* guards;
+  /// A leader was heard since the start of the receiver.
+  bool heard;
+  bool pre_vote;
+  const char* candidate;
+  Index last_index;
+  bool granted;
+};
+constexpr RestartVoteRow kRestartVoteRows[] = {
+    {"all restarted voters wait for a lease that nobody holds", false, false, "a", 3, true},
+    {"the only candidate that all prefer is refused", false, true, "c", 3, true},
+    {"two candidates are granted the pre-votes of all", false, true, "a", 3, false},
+    {"a shorter log leads", false, false, "c", 2, false},
+    {"a lease granted since the start is ignored", true, false, "c", 3, false},
+    {"a pre-vote against a lease granted since the start", true, true, "c", 3, false},
+};
+
+/// Replicas whose messages are delayed at random, and that restart at random with what they synced.
+/// Messages to and from a replica that is down are lost.
+class UnsteadyGroup {
+ public:
+  explicit UnsteadyGroup(std::uint32_t seed) : random_(seed) {
+    for (const ReplicaId& id : kThree) {
+      nodes_[id].disk = BootstrapState(kThree);
+      Start(id);
+    }
+  }
+
+  /// Runs one step of time and returns the number of replicas that hold a lease.
+  std::size_t Step() {
+    now_ += milliseconds(5);
+    // All stop at once, or all but one, which may lead.
+    if (Chance(0.01)) {
+      const std::size_t spared = std::uniform_int_distribution<std::size_t>(0, 5)(random_);
+      std::size_t i = 0;
+      for (auto& [id, node] : nodes_) {
+        if (i++ != spared) Stop(node);
+      }
+    }
+    for (auto& [id, node] : nodes_) {
+      if (Chance(0.002)) Stop(node);
+      if (!node.replica && now_ >= node.back_at) Start(id);
+      if (node.replica) Take(id, node.replica->Tick(now_));
+    }
+    for (auto it = flying_.begin(); it != flying_.end() && it->first <= now_;) {
+      const Message m = std::move(it->second);
+      it = flying_.erase(it);
+      if (nodes_[m.to].replica) Take(m.to, nodes_[m.to].replica->Step(m, now_));
+    }
+    elected_ = elected_ || std::any_of(nodes_.begin(), nodes_.end(), [this](const auto& row) {
+                 return row.second.replica && row.second.replica->HasLease(now_);
+               });
+    return static_cast<std::size_t>(
+        std::count_if(nodes_.begin(), nodes_.end(), [this](const auto& row) {
+          return row.second.replica && row.second.replica->HasLease(now_);
+        }));
+  }
+  bool elected() const { return elected_; }
+
+ private:
+  struct Node {
+    PersistentState disk;
+    std::optional<Replica> replica;
+    TimePoint back_at{};
+  };
+
+  bool Chance(double p) { return std::bernoulli_distribution(p)(random_); }
+  void Stop(Node& node) {
+    node.replica.reset();
+    node.back_at = now_ + milliseconds(std::uniform_int_distribution<>(0, 60)(random_));
+  }
+  void Start(const ReplicaId& id) {
+    ReplicaConfig config;
+    config.id = id;
+    nodes_[id].replica.emplace(config, nodes_[id].disk, random_(), now_);
+  }
+  void Take(const ReplicaId& id, Effects effects) {
+    Node& node = nodes_[id];
+    if (effects.hard_state) node.disk.hard_state = *effects.hard_state;
+    if (effects.truncate_from) {
+      std::erase_if(node.disk.entries,
+                    [&](const Entry& e) { return e.index >= *effects.truncate_from; });
+    }
+    node.disk.entries.insert(node.disk.entries.end(), effects.append.begin(), effects.append.end());
+    for (Message& m : effects.messages) {
+      // Some messages are overtaken by restarts of both sides.
+      const int most = Chance(0.25) ? 1500 : 20;
+      const auto delay = milliseconds(std::uniform_int_distribution<>(1, most)(random_));
+      flying_.emplace(now_ + delay, std::move(m));
+    }
+    if (effects.write > 0) Take(id, node.replica->Persisted(effects.write, now_));
+  }
+
+  std::minstd_rand random_;
+  TimePoint now_{std::chrono::seconds(100)};
+  std::map<ReplicaId, Node> nodes_;
+  std::multimap<TimePoint, Message> flying_;
+  bool elected_ = false;
+};
+
 // Terms of the entries after the three initial ones: the leader's and a follower's.
 struct ConflictRow {
   const char* guards;
@@ -219,6 +324,9 @@
   CPPUNIT_TEST(ReplacementNeedsBothMajorities);
   CPPUNIT_TEST(RepairKeepsTheNumberOfVoters);
   CPPUNIT_TEST(PromotedStandbyCommitsItsReplacement);
+  CPPUNIT_TEST(RestartedVotersFollowTheTable);
+  CPPUNIT_TEST(AllRestartedElectAtOnce);
+  CPPUNIT_TEST(OneLeaseWhateverRestarts);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -263,6 +371,41 @@
     }
   }
 
+  void RestartedVotersFollowTheTable() {
+    for (const RestartVoteRow& row : kRestartVoteRows) {
+      Replica replica = MakeReplica(Id("b"), StateWithTerms({2, 2, 3}, 3), kStart);
+      if (row.heard) {
+        AppendRequest heartbeat;
+        heartbeat.prev_index = replica.last_index();
+        heartbeat.prev_term = 3;
+        replica.Step({Id("a"), Id("b"), 3, heartbeat}, kStart);
+      }
+      VoteRequest request{row.pre_vote, replica.last_index() + row.last_index - 3, 3, true};
+      const Effects effects =
+          replica.Step({Id(row.candidate), Id("b"), 4, request}, kStart + milliseconds(10));
+      const auto* reply = FindMessage<VoteReply>(effects);
+      CPPUNIT_ASSERT_MESSAGE(row.guards, reply != nullptr);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.granted, reply->granted);
+    }
+  }
+
+  // All processes lose power and come back at the same time: nobody can hold a lease.
+  void AllRestartedElectAtOnce() {
+    Group group(kThree);
+    group.Run(3 * ReplicaConfig{}.restart_poll);
+    CPPUNIT_ASSERT(group.Leader() != nullptr);
+  }
+
+  void OneLeaseWhateverRestarts() {
+    for (std::uint32_t seed = 1; seed <= 300; ++seed) {
+      UnsteadyGroup group(seed);
+      for (int i = 0; i < 2000; ++i) {
+        CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), group.Step() <= 1);
+      }
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), group.elected());
+    }
+  }
+
   void ConflictsAreResolved() {
     for (const ConflictRow& row : kConflictRows) {
       Group group({});
--- a/tests/codec_test.cc
+++ b/tests/codec_test.cc
@@ -74,8 +74,8 @@
   return std::tie(a, b, c, e, f, g, h, i, j, k, l, m, n, o);
 }
 auto Fields(const agreement::VoteRequest& d) {
-  const auto& [a, b, c] = d;
-  return std::tie(a, b, c);
+  const auto& [a, b, c, e] = d;
+  return std::tie(a, b, c, e);
 }
 auto Fields(const agreement::VoteReply& d) {
   const auto& [a, b] = d;
@@ -200,7 +200,7 @@
   members.Set({"p", 2}, agreement::MemberRole::kVoter);
   const auto entries = std::make_shared<const std::vector<agreement::Entry>>(
       std::vector<agreement::Entry>{{5, 2, agreement::EntryKind::kMembership, "data"}});
-  return {agreement::VoteRequest{true, 1, 2},
+  return {agreement::VoteRequest{true, 1, 2, true},
           agreement::VoteReply{true, true},
           agreement::AppendRequest{1, 2, entries, 3, sent},
           agreement::AppendReply{true, 1, 2, 3, 4, sent},
