Come back sooner after a restart of all processes

Change: the first dial gets 100 ms and the next follows after 50 ms, both doubling up to the old values; what was read back from the engine counts as staged; the time to come back without a configuration is 1.1 to 2.3 s; an empty engine is asked every 30 ms.

--- a/include/wagtailslip/mesh/mesh_node.h
+++ b/include/wagtailslip/mesh/mesh_node.h
@@ -20,8 +20,14 @@
   std::uint32_t frame_bytes = 16 * 1024 * 1024;
   /// Bytes that may wait on one link; a link that falls further behind is closed.
   std::size_t queue_bytes = 32UL * 1024 * 1024;
-  Duration connect_timeout = std::chrono::milliseconds(800);
-  Duration reconnect_delay = std::chrono::milliseconds(300);
+  /// The first attempt to reach a process gets a few round trips: a machine without power does not
+  /// answer, and one that starts answers the next attempt. Each failure doubles the time, for links
+  /// on which packets queue.
+  Duration first_connect_timeout = std::chrono::milliseconds(100);
+  Duration longest_connect_timeout = std::chrono::milliseconds(800);
+  /// Pause after a failed attempt, which grows in the same way.
+  Duration first_reconnect_delay = std::chrono::milliseconds(50);
+  Duration longest_reconnect_delay = std::chrono::milliseconds(300);
   /// An empty frame is sent on a link that was quiet for this long.
   Duration keepalive = std::chrono::milliseconds(400);
   /// A link without a frame for this long is closed: it may have gone silent without a reset.
--- a/include/wagtailslip/serving/admission.h
+++ b/include/wagtailslip/serving/admission.h
@@ -77,6 +77,8 @@
   std::size_t waiting() const { return waiting_.size(); }
   /// Time to name in a refusal of this service, from its queue and the rate at which it is served.
   Duration RetryAfter(const std::string& service, TimePoint now);
+  /// Time to name in a refusal while no configuration is known.
+  Duration RetryAfterWithoutConfig();
 
  private:
   struct Rate {
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -18,7 +18,6 @@
 using serving::NextStep;
 namespace asio = net::asio;
 
-constexpr Duration kReturnWithoutConfig = std::chrono::milliseconds(500);
 // Time after which a verdict that should have come with the latest start is taken for lost.
 constexpr Duration kVerdictGuard = std::chrono::milliseconds(400);
 constexpr Duration kDefaultObjective = std::chrono::milliseconds(300);
@@ -78,7 +77,7 @@
 Task<bool> Exchange::Resolve() {
   routes_ = node_.routes();
   if (!routes_) {
-    co_await Refuse("no configuration is in force yet", kReturnWithoutConfig);
+    co_await Refuse("no configuration is in force yet", node_.RetryAfterWithoutConfig());
     co_return false;
   }
   const auto target = caller_.request().target();
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -99,6 +99,7 @@
   Duration RetryAfter(const std::string& service, TimePoint now) {
     return admission_.RetryAfter(service, now);
   }
+  Duration RetryAfterWithoutConfig() { return admission_.RetryAfterWithoutConfig(); }
   const serving::InstanceTable& table() const { return table_; }
   const serving::Placement& placement() const { return placement_; }
   std::size_t waiting() const { return admission_.waiting(); }
--- a/src/mesh/mesh_node.cc
+++ b/src/mesh/mesh_node.cc
@@ -25,9 +25,16 @@
 
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
-constexpr Duration kCheckPeriod = std::chrono::milliseconds(100);
+constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+/// `first`, doubled for each failure up to `longest`.
+Duration Doubled(Duration first, int failures, Duration longest) {
+  Duration value = first;
+  for (int i = 0; i < failures && value < longest; ++i) value *= 2;
+  return std::min(value, longest);
+}
+
 SharedFrame MakeFrame(const wire::MeshMessage* message) {
   std::string body = message == nullptr ? std::string() : codec::EncodeCompact(*message);
   std::string frame;
@@ -64,6 +71,8 @@
   struct Dial {
     bool under_way = false;
     bool linked = false;
+    /// Attempts that failed since the last link.
+    int failures = 0;
     Clock::time_point next{};
   };
 
@@ -91,6 +100,8 @@
   void Accept();
   void Check();
   void Connect(const std::string& process);
+  /// Sets the time of the next attempt after a failed one or a lost link.
+  void PutOff(Dial& dial) const;
   void Adopt(const LinkPtr& link);
   void Read(const LinkPtr& link);
   bool TakeFrames(const LinkPtr& link);
@@ -133,6 +144,12 @@
   Read(link);
 }
 
+void MeshNode::State::PutOff(Dial& dial) const {
+  dial.next = Clock::now() +
+              Doubled(limits.first_reconnect_delay, dial.failures, limits.longest_reconnect_delay);
+  ++dial.failures;
+}
+
 void MeshNode::State::Connect(const std::string& process) {
   tcp::endpoint address;
   try {
@@ -145,7 +162,9 @@
   dial.under_way = true;
   auto link = std::make_shared<Link>(tcp::socket(context));
   link->dialled = process;
-  auto deadline = std::make_shared<asio::steady_timer>(context, limits.connect_timeout);
+  auto deadline = std::make_shared<asio::steady_timer>(
+      context,
+      Doubled(limits.first_connect_timeout, dial.failures, limits.longest_connect_timeout));
   deadline->async_wait([link](error_code ec) {
     error_code ignored;
     if (!ec) link->socket.close(ignored);
@@ -157,10 +176,11 @@
                                if (it == self->dials.end() || self->stopping) return;
                                it->second.under_way = false;
                                if (ec || !link->socket.is_open()) {
-                                 it->second.next = Clock::now() + self->limits.reconnect_delay;
+                                 self->PutOff(it->second);
                                  return;
                                }
                                it->second.linked = true;
+                               it->second.failures = 0;
                                self->Adopt(link);
                              });
 }
@@ -278,7 +298,7 @@
     const auto it = dials.find(link->dialled);
     if (it != dials.end()) {
       it->second.linked = false;
-      it->second.next = Clock::now() + limits.reconnect_delay;
+      PutOff(it->second);
     }
   }
   if (!link->described) return;
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -15,6 +15,9 @@
 // While no endpoint may answer, because all change their weights or lack them, an early return only
 // meets the next refusal.
 constexpr Duration kReturnWithoutUsable = std::chrono::milliseconds(1800);
+// A process without a configuration has just started, mostly together with all others. Elections,
+// configuration and weights take about a second; an earlier return meets the next refusal.
+constexpr Duration kReturnWithoutConfig = std::chrono::milliseconds(1500);
 constexpr std::size_t kMostWaiting = 2000;
 // Part of a latency objective that a request may wait for an endpoint. Under sustained overload
 // every admitted request waits that long, and an engine with a full batch needs the rest to answer.
@@ -89,6 +92,8 @@
   return Spread(wait);
 }
 
+Duration Admission::RetryAfterWithoutConfig() { return Spread(kReturnWithoutConfig); }
+
 Duration Admission::Spread(Duration wait) {
   // Callers that were refused together do not come back together.
   std::uniform_real_distribution<double> spread(0.75, 1.5);
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -15,6 +15,8 @@
 using process::MonotonicNow;
 
 constexpr Duration kEnginePeriod = std::chrono::milliseconds(120);
+// The same while the engine serves nobody and waits for an order.
+constexpr Duration kEmptyEnginePeriod = std::chrono::milliseconds(30);
 // Staged bytes may go bad; an order that follows the last check later than this checks again.
 constexpr Duration kVerifiedFor = std::chrono::milliseconds(700);
 // Time after which an order without an effect is given again.
@@ -41,7 +43,9 @@
       co_await DriveEngine();
       SendReading(MonotonicNow());
     }
-    co_await process::Sleep(kEnginePeriod);
+    const bool empty = reachable && engine_state_->weights.whole_version == 0;
+    const Duration pause = empty ? kEmptyEnginePeriod : kEnginePeriod;
+    co_await process::Sleep(pause);
   }
 }
 
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -200,12 +200,19 @@
   std::string problem;
   try {
     const auto staged = co_await engine_.StagedChunks(weights->model);
+    std::size_t taken = 0;
     for (const std::uint32_t chunk : staged) {
       if (chunk >= weights->chunks.size()) continue;
       auto bytes = co_await engine_.ReadStaged(weights->model, chunk);
       if (weights->manifest->Check(chunk, bytes) != spread::ChunkResult::kOk) continue;
       weights->chunks[chunk] = std::move(bytes);
       weights->session->MarkPresent(chunk);
+      ++taken;
+    }
+    if (taken == weights->chunks.size()) {
+      // What was read back just now need not be staged again, as after a restart of both.
+      staged_version_ = weights->version;
+      staged_at_ = MonotonicNow();
     }
   } catch (const Error& e) {
     problem = e.what();
