Look for weights before a leader stands; feed no old configuration

Change: a restarted process tells sidecars the origin from the newest configuration in its log, agreed on or not, since it only says where chunks are. It feeds configurations only once an entry of the current term is committed here.

--- a/include/wagtailslip/agreement/replica.h
+++ b/include/wagtailslip/agreement/replica.h
@@ -171,6 +171,9 @@
   /// Position up to which a read must be applied to see every committed entry; nothing without a
   /// lease or before the term's first commit.
   std::optional<Index> ReadIndex(TimePoint now) const;
+  /// Whether an entry of the current term is committed here, and with it all that was committed
+  /// before. After a restart it is not known at first which entries of the log are committed.
+  bool CommittedInTerm() const { return commit_ > 0 && log_.TermAt(commit_) == term_; }
   Role role() const { return role_; }
   Term term() const { return term_; }
   const std::optional<ReplicaId>& leader() const { return leader_; }
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -109,6 +109,14 @@
   replica_ = std::make_unique<agreement::Replica>(
       LogConfig(store_->identity()), std::move(state),
       Hash64(process_, static_cast<std::uint64_t>(incarnation)), now);
+  held_config_.config_version = state_.config_version;
+  held_config_.config_body = state_.config_body;
+  const auto& log = replica_->log();
+  for (agreement::Index i = log.base() + 1; i <= log.last(); ++i) {
+    if (log.At(i).kind != agreement::EntryKind::kCommand) continue;
+    Command command = DecodeCommand(log.At(i).data);
+    if (command.config_version > held_config_.config_version) held_config_ = std::move(command);
+  }
 }
 
 bool ControlLog::Leading(TimePoint now) const {
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -83,6 +83,12 @@
   bool Leading(TimePoint now) const;
   /// Whether what this process has applied is the newest that was acknowledged.
   bool Current(TimePoint now) const;
+  /// Whether the applied state holds all that was committed before the current term. Without it, it
+  /// may be far behind.
+  bool CaughtUp() const { return replica_->CommittedInTerm(); }
+  /// The newest configuration on this disk after a restart, which may not be agreed on. Tells where
+  /// weights are found, and nothing else.
+  const Command& held_config() const { return held_config_; }
   /// Process that leads; empty if none is known.
   std::string Leader() const;
   /// Identity to ask a place for; nothing while the log knows this process.
@@ -116,6 +122,7 @@
   std::unique_ptr<disk::LogStore> store_;
   std::unique_ptr<agreement::Replica> replica_;
   AgreedState state_;
+  Command held_config_;
   agreement::Index applied_ = 0;
   std::uint64_t last_write_ = 0;
   std::uint64_t persisted_write_ = 0;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -311,6 +311,7 @@
       continue;
     }
     if (feed.behind_since == TimePoint{}) feed.behind_since = now;
+    if (!leading && !log_->CaughtUp()) continue;
     if (!leading && now < feed.behind_since + kFollowerFeedDelay) continue;
     if (feed.sent_version == state.config_version && now < feed.sent_at + kConfigResend) continue;
     if (feed.sent_version != 0 && now < feed.sent_at + kConfigPeriod) continue;
@@ -365,13 +366,17 @@
 }
 
 void ControlNode::RefreshSources(TimePoint now) {
-  const auto& state = log_->state();
-  if (state.config_version == sources_version_ || now < sources_at_) return;
+  const bool held_is_newer = log_->held_config().config_version > log_->state().config_version;
+  const std::int64_t version =
+      held_is_newer ? log_->held_config().config_version : log_->state().config_version;
+  const std::string& body =
+      held_is_newer ? log_->held_config().config_body : log_->state().config_body;
+  if (version == sources_version_ || now < sources_at_) return;
   sources_at_ = now + kSourcePeriod;
-  sources_version_ = state.config_version;
+  sources_version_ = version;
   std::vector<wire::ModelSource> sources;
   try {
-    const auto config = platform::DecodeServiceConfig(UnpackConfig(state.config_body));
+    const auto config = platform::DecodeServiceConfig(UnpackConfig(body));
     std::string origin;
     for (const auto& it : config.services) {
       if (!it.origin.empty()) origin = it.origin;
@@ -388,8 +393,7 @@
     }
   } catch (const serving::ServingError& e) {
     // It was checked before it was proposed, so only another release can have let it in.
-    LogEvent(Event::kServiceConfigRefused,
-             {{"version", state.config_version}, {"error", e.what()}});
+    LogEvent(Event::kServiceConfigRefused, {{"version", version}, {"error", e.what()}});
     return;
   }
   if (sources == sources_) return;
--- a/tests/control_log_test.cc
+++ b/tests/control_log_test.cc
@@ -159,6 +159,7 @@
   CPPUNIT_TEST(ReplacesAWipedProcessInTime);
   CPPUNIT_TEST(AnIsolatedLeaderIsNotCurrent);
   CPPUNIT_TEST(KnowsTheAgeOfWeightsAfterARestart);
+  CPPUNIT_TEST(KnowsTheHeldConfigurationBeforeALeader);
   CPPUNIT_TEST(BoundsLogLines);
   CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +192,28 @@
     }
   }
 
+  // Guards against a restarted process that hands out an old configuration as the newest one, and
+  // against sidecars that wait for a leader before they look for weights.
+  void KnowsTheHeldConfigurationBeforeALeader() {
+    Group group("held");
+    StartAll(group, 3);
+    for (std::int64_t version = 1; version <= 5; ++version) {
+      CPPUNIT_ASSERT(group.Put(version, "body " + std::to_string(version)));
+    }
+    group.Run(seconds(1));
+    for (int i = 1; i <= 3; ++i) group.Kill(i);
+    group.Start(1, false);
+    group.Run(seconds(1));
+    CPPUNIT_ASSERT(!group.node(1).CaughtUp());
+    CPPUNIT_ASSERT_EQUAL(std::string("body 5"), group.node(1).held_config().config_body);
+    for (int i = 2; i <= 3; ++i) group.Start(i, false);
+    group.Run(seconds(3));
+    for (int i = 1; i <= 3; ++i) {
+      CPPUNIT_ASSERT(group.node(i).CaughtUp());
+      CPPUNIT_ASSERT_EQUAL(std::string("body 5"), group.node(i).state().config_body);
+    }
+  }
+
   void KeepsWhatWasAcknowledgedOverARestartOfAll() {
     Group group("restart");
     StartAll(group, 5);
