Swap engines one by one up to the bound, and announce it

Fifteen engines swapped in six groups between 2.2 and 6.4 s after the naming, all that were verified late at once; each was away 2.0 s, nearly all of it for the longest answers of its batch; and from 5.2 s on ingress processes left alone the engines whose turn had not come. Change: a sidecar plans its order from its rank, the time when it had all chunks, and the bound of the version less 1 s, and announces it with its readings. Until the order an engine takes what ends within 0.3 s of it by the caller's estimate; the margins of 2.0 and 2.8 s before the bound hold only where no live sidecar has announced a swap: from the order on an engine accepts nothing, so what is late on its way meets no older weights. Without a reading for 1 s the old margins hold.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -55,6 +55,14 @@
   Duration slow_connect = std::chrono::milliseconds(40);
   /// Time for which a connection tells the state of a link.
   Duration path_life = std::chrono::milliseconds(2500);
+  /// Time for which an announced swap counts without another reading. Sidecars send one every
+  /// 400 ms.
+  Duration plan_life = std::chrono::milliseconds(1000);
+  /// Time after the order to load by which an answer should have ended. Until its longest answer
+  /// has ended, an engine works for few.
+  Duration swap_overrun = std::chrono::milliseconds(300);
+  /// Time of a token of an answer, as a multiple of the engine's step: it reads prompts in between.
+  double token_steps = 1.5;
   /// Range of the random part, which keeps processes with the same reports from choosing the same
   /// endpoint.
   Duration noise = std::chrono::milliseconds(10);
@@ -70,10 +78,15 @@
   /// Oldest version that may answer at an endpoint where the request may have to wait, or on the
   /// way to it.
   std::int64_t least_weights_if_busy = 0;
+  /// Oldest version that may answer at an endpoint whose sidecar has announced its swap: whatever
+  /// is late on the way to it meets an engine that accepts nothing or has the newer weights.
+  std::int64_t least_weights_if_planned = 0;
   /// The only version that may answer; 0 for any.
   std::int64_t exact_weights = 0;
   /// Tokens of the prompt, which an engine reads before the answer begins.
   double prompt_tokens = 0;
+  /// Tokens that the answer is expected to have.
+  double answer_tokens = 0;
   /// A request that may run more than once may also be used to probe an ejected endpoint.
   bool repeatable = false;
   /// The objective is missed already, because the request was refused before.
@@ -101,6 +114,11 @@
   bool swapping = false;
   /// Time of a step relative to the usual one.
   double pace = 1;
+  /// Newer weights that are staged, checked and planned to be loaded; 0 for none.
+  std::int64_t next_weights = 0;
+  /// Time until the engine is ordered to load them. From then on it accepts nothing until it has
+  /// them.
+  Duration swap_in{};
 };
 
 /// Chooses endpoints by load, health, weights and failure domain. Load is estimated from reports,
@@ -138,6 +156,10 @@
   /// Whether an endpoint that was chosen may still be sent a request, for example after the time
   /// that a connection to it took.
   bool Accepts(const std::string& id, TimePoint now) const;
+  /// Whether the weights of a chosen endpoint may still answer.
+  /// @param connect time that the connection to it took
+  bool MayAnswer(const Placed& placed, const PlacementQuery& query, Duration connect,
+                 TimePoint now) const;
 
   struct Pool {
     std::size_t endpoints = 0;
@@ -154,13 +176,19 @@
     EndpointRecord record;
     bool engine = false;
     bool swapping = false;
-    TimePoint swapping_at{};
+    /// Time of the last reading.
+    TimePoint read_at{};
+    /// Announced swap.
+    std::int64_t next_weights = 0;
+    TimePoint swap_at{};
     double pace = 1;
     std::int64_t weights = 0;
     std::uint32_t own = 0;
     /// Tokens of own prompts whose answers have not begun, and tokens read per millisecond.
     double pending_tokens = 0;
     double tokens_per_ms = 0;
+    /// Time of a token of an answer.
+    Duration token_time{};
     bool in_subset = true;
     /// Processes to each endpoint that may be used, at least 1.
     double sharers = 1;
@@ -184,6 +212,10 @@
   double Capacity(const Endpoint& endpoint, bool late) const;
   /// Whether the prompts ahead of a request leave it time to begin.
   bool ReadsInTime(const Endpoint& endpoint, bool late) const;
+  /// Whether the endpoint's sidecar lives and will order newer weights in time.
+  bool SwapPlanned(const Endpoint& endpoint, TimePoint now) const;
+  /// Whether a request would end soon enough for an announced swap.
+  bool EndsBeforeSwap(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
   bool Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
   /// Divides the endpoints that may be used now among the ingress processes.
   void AssignSubsets(TimePoint now);
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -569,6 +569,14 @@
 void InstanceReading::__set_pace(const double val) {
   this->pace = val;
 }
+
+void InstanceReading::__set_next_weights(const int64_t val) {
+  this->next_weights = val;
+}
+
+void InstanceReading::__set_swap_in_ms(const int32_t val) {
+  this->swap_in_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const InstanceReading& obj)
 {
   obj.printTo(out);
@@ -653,6 +661,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->next_weights);
+          this->__isset.next_weights = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->swap_in_ms);
+          this->__isset.swap_in_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -698,6 +722,14 @@
   xfer += oprot->writeDouble(this->pace);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("next_weights", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->next_weights);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("swap_in_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->swap_in_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -712,6 +744,8 @@
   swap(a.waiting, b.waiting);
   swap(a.swapping, b.swapping);
   swap(a.pace, b.pace);
+  swap(a.next_weights, b.next_weights);
+  swap(a.swap_in_ms, b.swap_in_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -723,6 +757,8 @@
   waiting = other4.waiting;
   swapping = other4.swapping;
   pace = other4.pace;
+  next_weights = other4.next_weights;
+  swap_in_ms = other4.swap_in_ms;
   __isset = other4.__isset;
 }
 InstanceReading& InstanceReading::operator=(const InstanceReading& other5) {
@@ -733,6 +769,8 @@
   waiting = other5.waiting;
   swapping = other5.swapping;
   pace = other5.pace;
+  next_weights = other5.next_weights;
+  swap_in_ms = other5.swap_in_ms;
   __isset = other5.__isset;
   return *this;
 }
@@ -746,6 +784,8 @@
   out << ", " << "waiting=" << to_string(waiting);
   out << ", " << "swapping=" << to_string(swapping);
   out << ", " << "pace=" << to_string(pace);
+  out << ", " << "next_weights=" << to_string(next_weights);
+  out << ", " << "swap_in_ms=" << to_string(swap_in_ms);
   out << ")";
 }
 
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -248,7 +248,7 @@
 std::ostream& operator<<(std::ostream& out, const InstanceRecord& obj);
 
 typedef struct _InstanceReading__isset {
-  _InstanceReading__isset() : address(false), started_ms(false), weights(false), running(false), waiting(false), swapping(false), pace(false) {}
+  _InstanceReading__isset() : address(false), started_ms(false), weights(false), running(false), waiting(false), swapping(false), pace(false), next_weights(false), swap_in_ms(false) {}
   bool address :1;
   bool started_ms :1;
   bool weights :1;
@@ -256,6 +256,8 @@
   bool waiting :1;
   bool swapping :1;
   bool pace :1;
+  bool next_weights :1;
+  bool swap_in_ms :1;
 } _InstanceReading__isset;
 
 class InstanceReading : public virtual ::apache::thrift::TBase {
@@ -270,7 +272,9 @@
                     running(0),
                     waiting(0),
                     swapping(0),
-                    pace(0) {
+                    pace(0),
+                    next_weights(0),
+                    swap_in_ms(0) {
   }
 
   virtual ~InstanceReading() noexcept;
@@ -281,6 +285,8 @@
   int32_t waiting;
   bool swapping;
   double pace;
+  int64_t next_weights;
+  int32_t swap_in_ms;
 
   _InstanceReading__isset __isset;
 
@@ -298,6 +304,10 @@
 
   void __set_pace(const double val);
 
+  void __set_next_weights(const int64_t val);
+
+  void __set_swap_in_ms(const int32_t val);
+
   bool operator == (const InstanceReading & rhs) const
   {
     if (!(address == rhs.address))
@@ -314,6 +324,10 @@
       return false;
     if (!(pace == rhs.pace))
       return false;
+    if (!(next_weights == rhs.next_weights))
+      return false;
+    if (!(swap_in_ms == rhs.swap_in_ms))
+      return false;
     return true;
   }
   bool operator != (const InstanceReading &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -38,6 +38,8 @@
   5: i32 waiting
   6: bool swapping
   7: double pace
+  8: i64 next_weights
+  9: i32 swap_in_ms
 }
 
 struct WeightsTarget {
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -118,10 +118,12 @@
   applicant.query.excluded = tried_;
   applicant.query.repeatable = route_->repeatable();
   if (engine_ != nullptr) {
-    applicant.query.least_weights = node_.LeastWeights(engine_->model, now);
-    applicant.query.least_weights_if_busy = node_.LeastWeightsIfBusy(engine_->model, now);
+    node_.SetLeastWeights(engine_->model, applicant.query, now);
     applicant.query.exact_weights = stream_weights_;
     applicant.query.prompt_tokens = request_.prompt_tokens;
+    applicant.query.answer_tokens = request_.estimated_answer_tokens > 0
+                                        ? request_.estimated_answer_tokens
+                                        : engine_->usual_answer;
     const double usual = std::max(1.0, engine_->usual_prompt + 10 * engine_->usual_answer);
     applicant.cost =
         std::max(0.1, (request_.prompt_tokens + 10 * request_.most_answer_tokens) / usual);
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -90,8 +90,9 @@
   fields.time_left = TimeLeft();
   fields.priority = Priority();
   if (engine_ != nullptr) {
-    const std::int64_t least = node_.LeastWeights(engine_->model, MonotonicNow());
-    if (stream_weights_ != 0 || least != 0) fields.weights = placed.weights;
+    serving::PlacementQuery query;
+    node_.SetLeastWeights(engine_->model, query, MonotonicNow());
+    if (stream_weights_ != 0 || query.least_weights != 0) fields.weights = placed.weights;
   }
   fields.last_event = last_event_;
   auto forwarded = platform::MakeForwardedRequest(caller_.request(), fields);
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -27,6 +27,9 @@
 // after the engine's current pass. Where they wait for a slot or on their way the margin is longer.
 constexpr Duration kWeightsMargin = std::chrono::milliseconds(2000);
 constexpr Duration kBusyWeightsMargin = std::chrono::milliseconds(2800);
+// The same where the engine's sidecar orders newer weights before: only a sidecar that stops within
+// the life of its last reading leaves requests to be taken back.
+constexpr Duration kPlannedWeightsMargin = std::chrono::milliseconds(900);
 // A request that still waits at an engine this long before the bound is taken back. Covers the time
 // in which this process learned of the version, and the way to the engine.
 constexpr Duration kRecallMargin = std::chrono::milliseconds(500);
@@ -209,12 +212,12 @@
 
 void IngressNode::UpdateLinks() { mesh_->KeepLinks(known_.All()); }
 
-std::int64_t IngressNode::LeastWeights(const std::string& model, TimePoint now) const {
-  return targets_.Due(model, settings_.bounds.weights_propagation - kWeightsMargin, now);
-}
-
-std::int64_t IngressNode::LeastWeightsIfBusy(const std::string& model, TimePoint now) const {
-  return targets_.Due(model, settings_.bounds.weights_propagation - kBusyWeightsMargin, now);
+void IngressNode::SetLeastWeights(const std::string& model, serving::PlacementQuery& query,
+                                  TimePoint now) const {
+  const Duration bound = settings_.bounds.weights_propagation;
+  query.least_weights = targets_.Due(model, bound - kWeightsMargin, now);
+  query.least_weights_if_busy = targets_.Due(model, bound - kBusyWeightsMargin, now);
+  query.least_weights_if_planned = targets_.Due(model, bound - kPlannedWeightsMargin, now);
 }
 
 std::optional<TimePoint> IngressNode::LatestBegin(const std::string& model,
@@ -302,10 +305,9 @@
                           TimePoint now) const {
   if (!placement_.Accepts(placed.id, now)) return false;
   if (model.empty()) return true;
-  if (placed.weights < LeastWeights(model, now)) return false;
-  // The request waits on its way as long as the opening of the connection did.
-  const bool slow = connect > serving::PlacementSettings{}.slow_connect;
-  return !slow || placed.weights >= LeastWeightsIfBusy(model, now);
+  serving::PlacementQuery query;
+  SetLeastWeights(model, query, now);
+  return placement_.MayAnswer(placed, query, connect, now);
 }
 
 }  // namespace wagtailslip::ingress
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -44,10 +44,9 @@
   bool Ready() const { return routes_ != nullptr && !leaving_; }
   bool leaving() const { return leaving_; }
 
-  /// Oldest version of a model's weights that a request may be sent to now.
-  std::int64_t LeastWeights(const std::string& model, TimePoint now) const;
-  /// Oldest version that a request may be sent to where it may have to wait.
-  std::int64_t LeastWeightsIfBusy(const std::string& model, TimePoint now) const;
+  /// Sets the oldest versions of a model's weights that a request may be sent to now.
+  void SetLeastWeights(const std::string& model, serving::PlacementQuery& query,
+                       TimePoint now) const;
 
   /// When an answer of an endpoint with these weights must have begun; nothing if they are not
   /// overtaken.
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -79,6 +79,9 @@
   w.waiting = static_cast<std::int32_t>(reading.waiting);
   w.swapping = reading.swapping;
   w.pace = reading.pace;
+  w.next_weights = reading.next_weights;
+  w.swap_in_ms = static_cast<std::int32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(reading.swap_in).count());
   return w;
 }
 
@@ -89,7 +92,9 @@
           static_cast<std::uint32_t>(std::max(w.running, 0)),
           static_cast<std::uint32_t>(std::max(w.waiting, 0)),
           w.swapping,
-          w.pace};
+          w.pace,
+          w.next_weights,
+          std::chrono::milliseconds(w.swap_in_ms)};
 }
 
 }  // namespace wagtailslip::mesh
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -27,11 +27,19 @@
 // A request that has missed its objective already may wait for a gap between the others.
 constexpr Duration kLateWait = std::chrono::milliseconds(300);
 
+constexpr double kAnswerClassTokens = 32;
+
 /// Whether `a` is served before `b`, or with it.
 bool NotAfter(const Applicant& a, const Applicant& b) {
   return std::tuple(a.priority, a.query.late) <= std::tuple(b.priority, b.query.late);
 }
 
+/// Requests of one class are taken by the same endpoints: one that is about to change its weights
+/// takes short answers longer than long ones.
+int AnswerClass(const Applicant& applicant) {
+  return static_cast<int>(applicant.query.answer_tokens / kAnswerClassTokens);
+}
+
 Duration FromSeconds(double seconds) {
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
@@ -104,7 +112,8 @@
   const bool others_wait =
       std::any_of(waiting_.begin(), waiting_.end(), [&](const Applicant& other) {
         return other.query.service == applicant.query.service && NotAfter(other, applicant) &&
-               other.query.least_weights <= applicant.query.least_weights;
+               other.query.least_weights <= applicant.query.least_weights &&
+               AnswerClass(other) <= AnswerClass(applicant);
       });
   if (!others_wait) {
     if (auto placed = placement_.Choose(applicant.query, now)) {
@@ -143,11 +152,12 @@
     return std::tuple(a->priority, a->query.late, ShareOf(*a)) <
            std::tuple(b->priority, b->query.late, ShareOf(*b));
   });
-  std::set<std::tuple<std::string, std::int64_t, bool>> full;
+  std::set<std::tuple<std::string, std::int64_t, bool, int>> full;
   for (const auto& it : order) {
     // Only a retry excludes endpoints, so what one request cannot have the next of its service
     // cannot have either.
-    const std::tuple key(it->query.service, it->query.least_weights, it->query.late);
+    const std::tuple key(it->query.service, it->query.least_weights, it->query.late,
+                         AnswerClass(*it));
     if (it->query.excluded.empty() && full.contains(key)) continue;
     auto placed = placement_.Choose(it->query, now);
     if (!placed) {
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -24,6 +24,12 @@
   return std::find(list.begin(), list.end(), value) != list.end();
 }
 
+/// Time of a token while an engine has all slots in use.
+Duration TokenTime(const EngineProfile& engine, double steps) {
+  const Duration step = engine.step + engine.step_per_request * static_cast<int>(engine.slots);
+  return std::chrono::duration_cast<Duration>(step * steps);
+}
+
 }  // namespace
 
 Placement::Placement(PlacementSettings settings, std::uint64_t seed)
@@ -65,6 +71,8 @@
     const Service* service = config.FindService(record.service);
     endpoint.engine = service != nullptr && service->engine.has_value();
     endpoint.tokens_per_ms = endpoint.engine ? service->engine->prefill_rate / 1000 : 0;
+    endpoint.token_time =
+        endpoint.engine ? TokenTime(*service->engine, settings_.token_steps) : Duration::zero();
     pools_[record.service].push_back(&endpoint);
     by_address_[record.address] = &endpoint;
   }
@@ -117,8 +125,10 @@
       subsets_due_ || endpoint.weights != weights || endpoint.swapping != reading.swapping;
   endpoint.weights = weights;
   endpoint.swapping = reading.swapping;
-  endpoint.swapping_at = now;
+  endpoint.read_at = now;
   endpoint.pace = reading.pace;
+  endpoint.next_weights = next_incarnation ? 0 : reading.next_weights;
+  endpoint.swap_at = now + reading.swap_in;
   NoteReport(endpoint, reading.running + reading.waiting, now);
 }
 
@@ -188,19 +198,39 @@
          ToMilliseconds(leaves_room ? settings_.most_reading_if_late : settings_.most_reading);
 }
 
+bool Placement::SwapPlanned(const Endpoint& endpoint, TimePoint now) const {
+  return endpoint.next_weights > endpoint.weights && now - endpoint.read_at <= settings_.plan_life;
+}
+
+bool Placement::EndsBeforeSwap(const Endpoint& endpoint, const PlacementQuery& query,
+                               TimePoint now) const {
+  const double reading_ms =
+      endpoint.tokens_per_ms > 0
+          ? (endpoint.pending_tokens + query.prompt_tokens) / endpoint.tokens_per_ms
+          : 0;
+  const double answer_ms = query.answer_tokens * ToMilliseconds(endpoint.token_time);
+  const double ends_in_ms = (reading_ms + answer_ms) * endpoint.pace;
+  return ends_in_ms <= ToMilliseconds(endpoint.swap_at + settings_.swap_overrun - now);
+}
+
 bool Placement::Usable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const {
   if (endpoint.record.state != EndpointState::kServing || endpoint.leaving) return false;
   if (Contains(query.excluded, endpoint.record.id)) return false;
   if (!endpoint.engine) return true;
-  if (endpoint.weights == 0 || endpoint.weights < query.least_weights) return false;
-  if (endpoint.weights < query.least_weights_if_busy) {
+  if (endpoint.weights == 0) return false;
+  if (SwapPlanned(endpoint, now)) {
+    if (endpoint.weights < query.least_weights_if_planned) return false;
+    if (!EndsBeforeSwap(endpoint, query, now)) return false;
+  } else if (endpoint.weights < query.least_weights) {
+    return false;
+  } else if (endpoint.weights < query.least_weights_if_busy) {
     const bool idle = Load(endpoint, now) <= settings_.idle_part * endpoint.record.slots;
     const bool path_known =
         endpoint.connected_at != TimePoint{} && now - endpoint.connected_at < settings_.path_life;
     if (!idle || !path_known || SlowPath(endpoint, now)) return false;
   }
   if (query.exact_weights != 0 && endpoint.weights != query.exact_weights) return false;
-  return !endpoint.swapping || now - endpoint.swapping_at > kSwapMemory;
+  return !endpoint.swapping || now - endpoint.read_at > kSwapMemory;
 }
 
 std::optional<Placed> Placement::Choose(const PlacementQuery& query, TimePoint now) {
@@ -303,6 +333,16 @@
          !it->second.leaving && now >= it->second.closed_until;
 }
 
+bool Placement::MayAnswer(const Placed& placed, const PlacementQuery& query, Duration connect,
+                          TimePoint now) const {
+  const auto it = endpoints_.find(placed.id);
+  if (it == endpoints_.end()) return false;
+  if (SwapPlanned(it->second, now)) return placed.weights >= query.least_weights_if_planned;
+  if (placed.weights < query.least_weights) return false;
+  // The request waits on its way as long as the opening of the connection did.
+  return connect <= settings_.slow_connect || placed.weights >= query.least_weights_if_busy;
+}
+
 Placement::Pool Placement::Survey(const PlacementQuery& query, TimePoint now) const {
   Pool result;
   const auto pool = pools_.find(query.service);
--- a/src/serving/swap_plan.cc
+++ b/src/serving/swap_plan.cc
@@ -14,12 +14,10 @@
   return static_cast<std::size_t>(it - endpoints.begin());
 }
 
-Duration SwapOffset(std::size_t rank, std::size_t count, const SwapSettings& settings) {
-  const std::size_t groups = std::clamp<std::size_t>(count, 1, settings.groups);
-  const std::size_t group = rank % groups;
-  if (groups == 1) return settings.spread;
-  return settings.spread + (settings.window - settings.spread) * static_cast<int>(group) /
-                               static_cast<int>(groups - 1);
+TimePoint SwapTime(std::size_t rank, std::size_t count, TimePoint ready, TimePoint latest) {
+  // Endpoints hold the weights at about the same time, so each takes its own for that of all.
+  if (count <= 1 || latest <= ready) return ready;
+  return ready + (latest - ready) * static_cast<int>(rank) / static_cast<int>(count - 1);
 }
 
 }  // namespace wagtailslip::serving
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -17,6 +17,12 @@
 constexpr Duration kEnginePeriod = std::chrono::milliseconds(120);
 // The same while the engine serves nobody and waits for an order.
 constexpr Duration kEmptyEnginePeriod = std::chrono::milliseconds(30);
+constexpr Duration kShortestPause = std::chrono::milliseconds(5);
+// The last order precedes the bound of the weights by this time, in which the engine begins what it
+// has accepted.
+constexpr Duration kLastOrderMargin = std::chrono::milliseconds(1000);
+// Staged bytes are read back this long before the order, which takes about half of it.
+constexpr Duration kCheckAhead = std::chrono::milliseconds(250);
 // Staged bytes may go bad; an order that follows the last check later than this checks again.
 constexpr Duration kVerifiedFor = std::chrono::milliseconds(700);
 // Time after which an order without an effect is given again.
@@ -43,8 +49,7 @@
       co_await DriveEngine();
       SendReading(MonotonicNow());
     }
-    const bool empty = reachable && engine_state_->weights.whole_version == 0;
-    const Duration pause = empty ? kEmptyEnginePeriod : kEnginePeriod;
+    const Duration pause = EnginePause(MonotonicNow());
     co_await process::Sleep(pause);
   }
 }
@@ -57,12 +62,12 @@
                       [&](const auto& row) { return row.second.weights >= version; });
 }
 
-bool SidecarNode::SwapIsDue(TimePoint now) const {
+std::optional<TimePoint> SidecarNode::SwapAt() const {
   // An engine without weights serves nobody, so nothing is gained by waiting.
-  if (engine_state_->weights.whole_version == 0) return true;
-  if (OnlyExpected()) return false;
+  if (engine_state_->weights.whole_version == 0) return TimePoint{};
+  if (OnlyExpected()) return std::nullopt;
   const auto since = targets_.OldestUnmet(current_->model, engine_state_->weights.whole_version);
-  if (!since) return true;
+  if (!since) return TimePoint{};
   std::vector<std::string> serving;
   for (const auto& [id, record] : table_.endpoints()) {
     if (record.weights != 0) serving.push_back(record.address);
@@ -71,7 +76,22 @@
     serving.push_back(settings_.engine_address);
   }
   const std::size_t rank = serving::SwapRank(settings_.engine_address, serving);
-  return now - *since >= serving::SwapOffset(rank, serving.size(), serving::SwapSettings{});
+  const TimePoint latest = *since + settings_.bounds.weights_propagation - kLastOrderMargin;
+  return serving::SwapTime(rank, serving.size(), whole_at_, latest);
+}
+
+bool SidecarNode::SwapPrepared() const {
+  return engine_state_ && current_ && staged_version_ == current_->version &&
+         current_->version > engine_state_->weights.whole_version &&
+         ordered_version_ != current_->version;
+}
+
+Duration SidecarNode::EnginePause(TimePoint now) const {
+  if (!engine_state_) return kEnginePeriod;
+  if (engine_state_->weights.whole_version == 0) return kEmptyEnginePeriod;
+  const auto swap_at = SwapPrepared() ? SwapAt() : std::nullopt;
+  if (!swap_at) return kEnginePeriod;
+  return std::clamp(*swap_at - now, kShortestPause, kEnginePeriod);
 }
 
 Task<void> SidecarNode::DriveEngine() {
@@ -87,16 +107,13 @@
   if (state.order_in_progress) co_return;
   std::string problem;
   try {
-    const bool fresh = staged_version_ == weights->version && now - staged_at_ < kVerifiedFor;
-    if (!fresh) {
-      const bool due = SwapIsDue(now);
-      // Staging early leaves only the check for the moment of the order.
-      if (!due && staged_version_ == weights->version) co_return;
-      if (!co_await StageAndVerify(weights)) co_return;
-      if (!due) co_return;
-    } else if (!SwapIsDue(now)) {
-      co_return;
-    }
+    const auto swap_at = SwapAt();
+    const bool staged = staged_version_ == weights->version;
+    // Staging early leaves only the check for the moment of the order.
+    const bool check =
+        !staged || (swap_at && now >= *swap_at - kCheckAhead && now - staged_at_ >= kVerifiedFor);
+    if (check && !co_await StageAndVerify(weights)) co_return;
+    if (!swap_at || MonotonicNow() < *swap_at) co_return;
     const auto answer = co_await engine_.Load(weights->model, weights->version);
     LogEvent(Event::kSwapOrdered, {{"version", weights->version},
                                    {"held", state.weights.whole_version},
--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -20,9 +20,11 @@
 constexpr Duration kLinkPatience = std::chrono::milliseconds(1000);
 constexpr std::size_t kHomes = 2;
 
-/// Whether two readings differ in load only, which ingress processes mostly know themselves.
+/// Whether two readings differ in load only, which ingress processes mostly know themselves. The
+/// time of a planned swap moves a little with the fleet.
 bool SameWeights(const serving::EndpointReading& a, const serving::EndpointReading& b) {
-  return a.started_ms == b.started_ms && a.weights == b.weights && a.swapping == b.swapping;
+  return a.started_ms == b.started_ms && a.weights == b.weights && a.swapping == b.swapping &&
+         a.next_weights == b.next_weights;
 }
 
 }  // namespace
@@ -104,6 +106,11 @@
   reading.waiting = engine_state_->waiting;
   reading.swapping = ordered_version_ > reading.weights || engine_state_->order_in_progress;
   reading.pace = engine_state_->pace;
+  const auto swap_at = SwapPrepared() ? SwapAt() : std::nullopt;
+  if (swap_at) {
+    reading.next_weights = current_->version;
+    reading.swap_in = std::max(*swap_at - now, Duration::zero());
+  }
   if (SameWeights(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
   wire::MeshMessage message;
   message.__isset.readings = true;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -66,7 +66,12 @@
   net::Task<void> DriveEngine();
   /// The fetched version is not known to be agreed on.
   bool OnlyExpected() const;
-  bool SwapIsDue(TimePoint now) const;
+  /// When the engine is to be ordered to load the newest whole weights; nothing if it must not.
+  std::optional<TimePoint> SwapAt() const;
+  /// The newest whole weights are staged, and the engine has not been ordered to load them.
+  bool SwapPrepared() const;
+  /// Time until the engine is looked at again.
+  Duration EnginePause(TimePoint now) const;
   /// Stages all chunks and reads them back.
   /// @return whether every staged chunk matches its digest
   net::Task<bool> StageAndVerify(std::shared_ptr<Weights> weights);
@@ -108,6 +113,8 @@
   std::shared_ptr<Weights> incoming_;
   std::shared_ptr<Weights> current_;
   std::shared_ptr<Weights> previous_;
+  /// When `current_` was whole.
+  TimePoint whole_at_{};
   bool finding_digests_ = false;
   TimePoint digests_at_{};
   TimePoint session_next_{};
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -304,6 +304,7 @@
                                       {"from_peers", weights->session->stats().from_peers}});
   previous_ = current_;
   current_ = weights;
+  whole_at_ = MonotonicNow();
   incoming_.reset();
 }
 
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -29,6 +29,7 @@
   engine.model = "m";
   engine.slots = kSlots;
   engine.prefill_rate = 19100;
+  engine.step = milliseconds(9);
   config.services.push_back({"assistant", "/healthz", 100, engine, ""});
   config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
   return config;
@@ -67,10 +68,33 @@
   return query;
 }
 
+// An engine with version 1 whose sidecar has read it. Overdue is the time since the margin of an
+// engine without an announced swap; above 0 that of an announced one has passed too.
+struct SwapRow {
+  const char* guards;
+  std::int64_t next_weights;
+  int swap_in_ms;
+  double answer_tokens;
+  int overdue_ms;
+  int age_ms;
+  bool taken;
+};
+constexpr SwapRow kSwapRows[] = {
+    {"an answer that ends before the order", 2, 2000, 100, -1, 0, true},
+    {"a long answer just before the order", 2, 500, 200, -1, 0, false},
+    {"a short answer just before the order", 2, 500, 10, -1, 0, true},
+    {"nothing announced", 0, 0, 200, -1, 0, true},
+    {"older weights where nothing is announced", 0, 0, 10, 0, 0, false},
+    {"older weights until the order", 2, 1000, 10, 0, 0, true},
+    {"an announcement of a sidecar that has died", 2, 2000, 10, 0, 1100, false},
+    {"older weights right before the bound", 2, 1000, 10, 1, 0, false},
+};
+
 class PlacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(AvoidsAnEndpointThatReadsALongPrompt);
   CPPUNIT_TEST(StopsAtTheSlots);
+  CPPUNIT_TEST(EmptiesAnEngineBeforeItsSwap);
   CPPUNIT_TEST(PacesPromptsOfAnEmptyEngine);
   CPPUNIT_TEST(AvoidsAnEndpointBehindASlowLink);
   CPPUNIT_TEST(DividesTheEndpointsWithDueWeights);
@@ -330,6 +354,36 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(failed) + " of 400", failed < 40);
   }
 
+  // Pattern: engines change their weights one after the other under load. Until its order each goes
+  // on with what ends in time; a long answer begun just before would leave the engine working for
+  // one caller.
+  void EmptiesAnEngineBeforeItsSwap() {
+    for (const SwapRow& row : kSwapRows) {
+      Placement placement(Settings(), 1);
+      placement.Sync(Engines(1), EngineConfig());
+      const TimePoint now = At(seconds(10));
+      EndpointReading reading{"10.0.0.0:80", 1, 1, 0, 0, false, 1};
+      reading.next_weights = row.next_weights;
+      reading.swap_in = milliseconds(row.swap_in_ms);
+      placement.OnReading(reading, now);
+      auto query = Query();
+      query.answer_tokens = row.answer_tokens;
+      // The first margins have passed, and with the last row the last one as well.
+      query.least_weights = row.overdue_ms >= 0 ? 2 : 0;
+      query.least_weights_if_busy = query.least_weights;
+      query.least_weights_if_planned = row.overdue_ms > 0 ? 2 : 0;
+      const TimePoint then = now + milliseconds(row.age_ms);
+      const auto placed = placement.Choose(query, then);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.taken, placed.has_value());
+      if (!placed) continue;
+      CPPUNIT_ASSERT_MESSAGE(row.guards,
+                             placement.MayAnswer(*placed, query, milliseconds(300), then));
+      // The sidecar has died meanwhile: nothing cuts the engine off any more.
+      const bool may = placement.MayAnswer(*placed, query, milliseconds(3), then + seconds(2));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.overdue_ms < 0, may);
+    }
+  }
+
   void ForgetsWeightsOfARestartedEndpoint() {
     Placement placement(Settings(), 1);
     auto table = Engines(1);
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -423,25 +423,38 @@
 class SwapPlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SwapPlanTest);
   CPPUNIT_TEST(SpreadsTheSwapsOverTheWindow);
+  CPPUNIT_TEST(SwapsAtOnceWhereNothingIsLeftToSpread);
   CPPUNIT_TEST_SUITE_END();
 
  public:
-  // Guards against all endpoints swapping at once, and against one that swaps after the window.
+  // Guards against endpoints that swap at the same time while others wait, and against one that
+  // swaps after the last moment.
   void SpreadsTheSwapsOverTheWindow() {
+    constexpr int kCount = 20;
     std::vector<std::string> endpoints;
-    for (int i = 0; i < 20; ++i) endpoints.push_back("10.0.0." + std::to_string(i) + ":80");
-    const SwapSettings settings;
-    std::map<Duration, int> at_once;
+    for (int i = 0; i < kCount; ++i) endpoints.push_back("10.0.0." + std::to_string(i) + ":80");
+    const TimePoint ready{std::chrono::seconds(3)};
+    const TimePoint latest{std::chrono::seconds(7)};
+    std::set<TimePoint> times;
     for (const auto& it : endpoints) {
       const auto rank = SwapRank(it, endpoints);
       CPPUNIT_ASSERT(rank < endpoints.size());
-      const auto offset = SwapOffset(rank, endpoints.size(), settings);
-      CPPUNIT_ASSERT(offset >= settings.spread && offset <= settings.window);
-      ++at_once[offset];
+      times.insert(SwapTime(rank, endpoints.size(), ready, latest));
     }
-    CPPUNIT_ASSERT_EQUAL(settings.groups, at_once.size());
-    for (const auto& [offset, n] : at_once) CPPUNIT_ASSERT(n <= 4);
-    CPPUNIT_ASSERT(SwapOffset(0, 1, settings) == settings.spread);
+    CPPUNIT_ASSERT(*times.begin() == ready && *times.rbegin() == latest);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kCount}, times.size());
+    TimePoint last = ready;
+    for (const TimePoint it : times) {
+      CPPUNIT_ASSERT(it - last <= (latest - ready) / (kCount - 1) + std::chrono::microseconds(1));
+      last = it;
+    }
+  }
+
+  void SwapsAtOnceWhereNothingIsLeftToSpread() {
+    const TimePoint ready{std::chrono::seconds(8)};
+    const TimePoint latest{std::chrono::seconds(7)};
+    CPPUNIT_ASSERT(SwapTime(3, 20, ready, latest) == ready);
+    CPPUNIT_ASSERT(SwapTime(0, 1, latest, ready) == latest);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SwapPlanTest);
