Tell the load of an engine when it changes

Before it 85% of an engine's requests came from one of 18 ingress processes, then 27% to 44%: processes whose own engines swap fall back on engines of others that were idle up to 400 ms ago, all on the same ones, whose owners fall back in turn (engines with 24 requests in two seconds and 750 ms to the first event beside engines with 8 and 120 ms). Change: a sidecar sends its reading at the next look (120 ms) when the load has changed by two or more.

--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -1,5 +1,6 @@
 // Links to the control processes, and the readings that are sent there.
 #include <algorithm>
+#include <cstdlib>
 
 #include "gen/mesh_types.h"
 #include "sidecar_node.h"
@@ -17,14 +18,20 @@
 using process::MonotonicNow;
 
 constexpr Duration kReadingPeriod = std::chrono::milliseconds(400);
+// A load that has changed by more than this is told at once: ingress processes that fall back on
+// engines of others would all choose the one that was idle 400 ms ago.
+constexpr int kLoadStep = 1;
 constexpr Duration kLinkPatience = std::chrono::milliseconds(1000);
 constexpr std::size_t kHomes = 2;
 
-/// Whether two readings differ in load only, which ingress processes mostly know themselves. The
-/// time of a planned swap moves a little with the fleet.
-bool SameWeights(const serving::EndpointReading& a, const serving::EndpointReading& b) {
+/// Whether nothing has changed that cannot wait. The time of a planned swap moves a little with the
+/// fleet.
+bool NearlyTheSame(const serving::EndpointReading& a, const serving::EndpointReading& b) {
+  const auto load = [](const serving::EndpointReading& reading) {
+    return static_cast<int>(reading.running + reading.waiting);
+  };
   return a.started_ms == b.started_ms && a.weights == b.weights && a.swapping == b.swapping &&
-         a.next_weights == b.next_weights;
+         a.next_weights == b.next_weights && std::abs(load(a) - load(b)) <= kLoadStep;
 }
 
 }  // namespace
@@ -111,7 +118,7 @@
     reading.next_weights = current_->version;
     reading.swap_in = std::max(*swap_at - now, Duration::zero());
   }
-  if (SameWeights(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
+  if (NearlyTheSame(reading, sent_reading_) && now - reading_sent_at_ < kReadingPeriod) return;
   wire::MeshMessage message;
   message.__isset.readings = true;
   message.readings.push_back(mesh::ToWire(reading));
