Keep the chunks of a version that is overtaken or whose holders leave

Two causes: sidecars that leave ended within a millisecond and were dropped from the spread, with chunks that only they held; and sidecars that had less than a third of version 2 turned to version 3 and dropped what they had, some of it the only copy (their neighbours met 404). Change: a stopping sidecar hands out chunks until nobody has asked for 1.2 s, at most until 0.4 s before it is killed, and stays a member of spreads that had begun before it left. An overtaken version is finished until 1 s before its bound, whatever part of it has arrived, and given up then; the part of a third, kFinishPart, goes.

--- a/include/wagtailslip/serving/stop_plan.h
+++ b/include/wagtailslip/serving/stop_plan.h
@@ -15,4 +15,18 @@
 /// @param grace time from the signal until the process is killed
 StopPlan MakeStopPlan(Duration grace);
 
+/// A process that hands out chunks and is about to end.
+struct StoppingSource {
+  /// When it was told to stop, and when it handed out a chunk last; not before the former.
+  TimePoint stopped{};
+  TimePoint last_upload{};
+  bool uploading = false;
+  /// Time from the signal until it is killed.
+  Duration grace{};
+};
+
+/// Whether it may end. It may be the only holder of a chunk, which then takes the way from the
+/// origin again, if there is one.
+bool SourceMayEnd(const StoppingSource& source, TimePoint now);
+
 }  // namespace wagtailslip::serving
--- a/src/serving/stop_plan.cc
+++ b/src/serving/stop_plan.cc
@@ -13,6 +13,10 @@
 // Part of a short grace period in which callers are taken.
 constexpr double kTakingPart = 0.37;
 
+// Neighbours ask for bitmaps every 0.12 s and come back to a busy source within a second, so one
+// that nobody has asked for this time holds nothing that others lack.
+constexpr Duration kQuietSource = std::chrono::milliseconds(1200);
+
 }  // namespace
 
 StopPlan MakeStopPlan(Duration grace) {
@@ -23,4 +27,9 @@
   return plan;
 }
 
+bool SourceMayEnd(const StoppingSource& source, TimePoint now) {
+  if (now - source.stopped >= MakeStopPlan(source.grace).ends) return true;
+  return !source.uploading && now - source.last_upload >= kQuietSource;
+}
+
 }  // namespace wagtailslip::serving
--- a/src/serving/swap_plan.cc
+++ b/src/serving/swap_plan.cc
@@ -5,6 +5,13 @@
 #include "wagtailslip/base/digest.h"
 
 namespace wagtailslip::serving {
+namespace {
+
+// The last order precedes the bound of the weights by this time, in which the engine begins what it
+// has accepted.
+constexpr Duration kLastOrderMargin = std::chrono::milliseconds(1000);
+
+}  // namespace
 
 std::size_t SwapRank(const std::string& self, std::vector<std::string> endpoints) {
   std::sort(endpoints.begin(), endpoints.end(), [](const std::string& a, const std::string& b) {
@@ -20,4 +27,10 @@
   return ready + (latest - ready) * static_cast<int>(rank) / static_cast<int>(count - 1);
 }
 
+Duration LastOrderMargin() { return kLastOrderMargin; }
+
+bool WorthFinishing(TimePoint since, Duration bound, TimePoint now) {
+  return now < since + bound - kLastOrderMargin;
+}
+
 }  // namespace wagtailslip::serving
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -4,10 +4,16 @@
 #include <csignal>
 
 #include "sidecar_node.h"
+#include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
 
 namespace wagtailslip::sidecar {
+namespace {
+
+constexpr Duration kStopCheck = std::chrono::milliseconds(50);
+
+}  // namespace
 
 using process::Event;
 using process::LogEvent;
@@ -16,11 +22,16 @@
   net::asio::io_context context(1);
   SidecarNode node(context, settings, process::UtcNow().time_since_epoch().count());
   net::asio::signal_set signals(context, SIGTERM, SIGINT);
+  net::PeriodicTimer stop_checks(context, kStopCheck, [&] {
+    if (!node.Finished(process::MonotonicNow())) return;
+    node.Stop();
+    context.stop();
+  });
   signals.async_wait([&](net::error_code ec, int) {
     if (ec) return;
     LogEvent(Event::kProcessStopping, {{"node", settings.name}});
-    node.Stop();
-    context.stop();
+    node.BeginStop(process::MonotonicNow());
+    stop_checks.Start();
   });
   node.Start();
   LogEvent(Event::kProcessStarted, {{"node", settings.name},
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -18,9 +18,6 @@
 // The same while the engine serves nobody and waits for an order.
 constexpr Duration kEmptyEnginePeriod = std::chrono::milliseconds(30);
 constexpr Duration kShortestPause = std::chrono::milliseconds(5);
-// The last order precedes the bound of the weights by this time, in which the engine begins what it
-// has accepted.
-constexpr Duration kLastOrderMargin = std::chrono::milliseconds(1000);
 // Staged bytes are read back this long before the order, which takes about half of it.
 constexpr Duration kCheckAhead = std::chrono::milliseconds(250);
 // Staged bytes may go bad; an order that follows the last check later than this checks again.
@@ -76,7 +73,8 @@
     serving.push_back(settings_.engine_address);
   }
   const std::size_t rank = serving::SwapRank(settings_.engine_address, serving);
-  const TimePoint latest = *since + settings_.bounds.weights_propagation - kLastOrderMargin;
+  const TimePoint latest =
+      *since + settings_.bounds.weights_propagation - serving::LastOrderMargin();
   return serving::SwapTime(rank, serving.size(), whole_at_, latest);
 }
 
@@ -151,8 +149,11 @@
   }
   staged_version_ = weights->version;
   staged_at_ = MonotonicNow();
+  const auto swap_at = SwapAt();
+  const Duration swap_in = std::max(swap_at.value_or(staged_at_) - staged_at_, Duration::zero());
   LogEvent(Event::kWeightsStaged, {{"version", weights->version},
                                    {"written", written},
+                                   {"swap_in_ms", ToMilliseconds(swap_in)},
                                    {"ms", ToMilliseconds(staged_at_ - begun)}});
   co_return true;
 }
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -17,8 +17,6 @@
 // Part of the link that chunks may take. They enter it one after the other, so that an event of the
 // engine's streams waits for one chunk at most.
 constexpr double kUploadPart = 0.95;
-// A version is finished although a newer one was named if one chunk in this many has arrived.
-constexpr std::size_t kFinishPart = 3;
 
 }  // namespace
 
@@ -54,6 +52,17 @@
   ticks_.Start();
 }
 
+void SidecarNode::BeginStop(TimePoint now) {
+  stop_at_ = now;
+  uploaded_at_ = now;
+  stopping_ = true;
+}
+
+bool SidecarNode::Finished(TimePoint now) const {
+  return serving::SourceMayEnd({stop_at_, uploaded_at_, uploads_ > 0, settings_.bounds.stop_grace},
+                               now);
+}
+
 void SidecarNode::Stop() {
   stopping_ = true;
   ticks_.Stop();
@@ -69,22 +78,22 @@
   const std::int64_t under_way =
       std::max(current_ ? current_->version : 0, incoming_ ? incoming_->version : 0);
   const bool have_target = under_way != 0 && under_way >= intended;
-  if (source_ && !have_target && !NearlyThere() && !finding_digests_ && now >= digests_at_) {
+  if (source_ && !have_target && !WorthFinishing(now) && !finding_digests_ && now >= digests_at_) {
     finding_digests_ = true;
     asio::co_spawn(context_, FindDigests(intended), asio::detached);
   }
   if (incoming_ && table_.revision() != members_revision_) {
     members_revision_ = table_.revision();
-    incoming_->session->OnMembers(SpreadMembers(), now);
+    incoming_->session->OnMembers(SpreadMembersSince(incoming_->begun, now), now);
     session_next_ = now;
   }
   if (now >= session_next_) TickSession(now);
 }
 
-bool SidecarNode::NearlyThere() const {
-  // A version that was overtaken on its way still has a bound of its own. Given up late, it would
-  // leave the engines without any version that may answer until the next one is everywhere.
-  return incoming_ && incoming_->session->present() * kFinishPart >= incoming_->chunks.size();
+bool SidecarNode::WorthFinishing(TimePoint now) const {
+  if (!incoming_ || incoming_->session->present() == 0) return false;
+  const auto since = targets_.OldestUnmet(incoming_->model, incoming_->version - 1);
+  return !since || serving::WorthFinishing(*since, settings_.bounds.weights_propagation, now);
 }
 
 }  // namespace wagtailslip::sidecar
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -17,8 +17,10 @@
 #include "wagtailslip/process/rate_gate.h"
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/placement.h"
+#include "wagtailslip/serving/stop_plan.h"
 #include "wagtailslip/serving/swap_plan.h"
 #include "wagtailslip/serving/weights_targets.h"
+#include "wagtailslip/spread/members.h"
 #include "weights.h"
 
 namespace wagtailslip::sidecar {
@@ -30,6 +32,10 @@
               std::int64_t incarnation);
 
   void Start();
+  /// The process is about to end. Chunks are handed out until Finished.
+  void BeginStop(TimePoint now);
+  /// Whether a stopping process is no longer needed.
+  bool Finished(TimePoint now) const;
   void Stop();
 
  private:
@@ -47,6 +53,9 @@
   // Spread.
   std::int64_t IntendedVersion() const;
   std::shared_ptr<const spread::Members> SpreadMembers() const;
+  /// The same for a version whose spread has begun: with those that have left since, which hand out
+  /// what they hold until they end.
+  std::shared_ptr<const spread::Members> SpreadMembersSince(TimePoint begun, TimePoint now);
   net::Task<void> FindDigests(std::int64_t version);
   /// The sidecars that take the digests of a version from the origin; the same for all processes.
   std::vector<std::string> DigestSources(std::int64_t version) const;
@@ -56,7 +65,8 @@
   /// Takes over chunks of this version that are staged beside the engine.
   net::Task<void> TakeStaged(std::shared_ptr<Weights> weights);
   void TickSession(TimePoint now);
-  bool NearlyThere() const;
+  /// Whether the version that is being fetched is finished although a newer one is intended.
+  bool WorthFinishing(TimePoint now) const;
   void TakeOverIfComplete(const std::shared_ptr<Weights>& weights);
   net::Task<void> Fetch(std::shared_ptr<Weights> weights, spread::Fetch fetch);
   net::Task<void> Poll(std::shared_ptr<Weights> weights, spread::Poll poll);
@@ -95,12 +105,21 @@
   net::HttpPool peers_;
   process::RateGate upload_;
   std::size_t uploads_ = 0;
+  TimePoint uploaded_at_{};
+  TimePoint stop_at_{};
 
   mesh::KnownControls known_;
   std::map<std::string, TimePoint> home_since_;
 
   serving::InstanceTable table_;
   std::uint64_t members_revision_ = 0;
+  /// Time for which each member of a spread was known.
+  struct KnownMember {
+    spread::Member member;
+    TimePoint first{};
+    TimePoint last{};
+  };
+  std::map<std::string, KnownMember> known_members_;
   std::optional<Source> source_;
   serving::WeightsTargets targets_;
   std::int64_t newest_at_origin_ = 0;
--- a/src/sidecar/sidecar_server.cc
+++ b/src/sidecar/sidecar_server.cc
@@ -66,6 +66,7 @@
     problem = std::current_exception();
   }
   --uploads_;
+  uploaded_at_ = MonotonicNow();
   if (problem) std::rethrow_exception(problem);
 }
 
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -88,6 +88,26 @@
   return std::make_shared<const spread::Members>(std::move(list));
 }
 
+std::shared_ptr<const spread::Members> SidecarNode::SpreadMembersSince(TimePoint begun,
+                                                                       TimePoint now) {
+  const auto present = SpreadMembers();
+  for (spread::MemberIndex i = 0; i < present->size(); ++i) {
+    const auto& member = (*present)[i];
+    auto [it, added] = known_members_.try_emplace(member.address, KnownMember{member, now, now});
+    it->second.last = now;
+  }
+  std::erase_if(known_members_, [&](const auto& row) {
+    return now - row.second.last > settings_.bounds.stop_grace;
+  });
+  std::vector<spread::Member> list;
+  list.reserve(known_members_.size());
+  for (const auto& [address, known] : known_members_) {
+    // One that left before this spread began is no source of it.
+    if (known.last == now || known.first <= begun) list.push_back(known.member);
+  }
+  return std::make_shared<const spread::Members>(std::move(list));
+}
+
 std::vector<std::string> SidecarNode::DigestSources(std::int64_t version) const {
   const auto members = SpreadMembers();
   const auto key = static_cast<std::uint64_t>(version);
@@ -176,7 +196,10 @@
         (!incoming_ || weights->version > incoming_->version)) {
       members_revision_ = table_.revision();
       session_next_ = {};
-      weights->session->Start(MonotonicNow());
+      weights->begun = MonotonicNow();
+      // Notes who takes part from the beginning.
+      SpreadMembersSince(weights->begun, weights->begun);
+      weights->session->Start(weights->begun);
       incoming_ = weights;
       TakeOverIfComplete(weights);
     }
--- a/src/sidecar/weights.h
+++ b/src/sidecar/weights.h
@@ -14,6 +14,8 @@
 struct Weights {
   std::string model;
   std::int64_t version = 0;
+  /// When this process began to fetch it.
+  TimePoint begun{};
   std::shared_ptr<const spread::Manifest> manifest;
   /// Bytes by chunk; empty while a chunk is missing.
   std::vector<std::string> chunks;
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -424,6 +424,7 @@
   CPPUNIT_TEST_SUITE(SwapPlanTest);
   CPPUNIT_TEST(SpreadsTheSwapsOverTheWindow);
   CPPUNIT_TEST(SwapsAtOnceWhereNothingIsLeftToSpread);
+  CPPUNIT_TEST(FinishesAnOvertakenVersionUntilItsBound);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -450,6 +451,15 @@
     }
   }
 
+  // Pattern: a second version is named two seconds after the first, and the origin goes down before
+  // it has handed out the second.
+  void FinishesAnOvertakenVersionUntilItsBound() {
+    CPPUNIT_ASSERT(WorthFinishing(At(seconds(18)), seconds(8), At(seconds(20))));
+    CPPUNIT_ASSERT(!WorthFinishing(At(seconds(18)), seconds(8), At(seconds(26))));
+    CPPUNIT_ASSERT(
+        !WorthFinishing(At(seconds(18)), seconds(8), At(seconds(26)) - LastOrderMargin()));
+  }
+
   void SwapsAtOnceWhereNothingIsLeftToSpread() {
     const TimePoint ready{std::chrono::seconds(8)};
     const TimePoint latest{std::chrono::seconds(7)};
@@ -459,9 +469,25 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SwapPlanTest);
 
+struct SourceRow {
+  const char* guards;
+  int last_upload_ms;
+  bool uploading;
+  int now_ms;
+  bool ends;
+};
+constexpr SourceRow kSourceRows[] = {
+    {"the only holder of a chunk ends at once", 0, false, 10, false},
+    {"a source that is asked again and again ends", 3000, false, 3500, false},
+    {"an upload is cut", 0, true, 3000, false},
+    {"a source that nobody asks stays", 0, false, 1300, true},
+    {"a source is killed in an upload", 7500, true, 7700, true},
+};
+
 class StopPlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StopPlanTest);
   CPPUNIT_TEST(TakesNoCallerTooLate);
+  CPPUNIT_TEST(HandsOutChunksBeforeItEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -475,6 +501,18 @@
     }
     CPPUNIT_ASSERT(MakeStopPlan(Duration::zero()).ends == Duration::zero());
   }
+
+  // Pattern: machines are taken away while a version spreads and the origin is down; what only they
+  // hold is gone for six seconds.
+  void HandsOutChunksBeforeItEnds() {
+    for (const SourceRow& row : kSourceRows) {
+      const TimePoint stop = At(seconds(20));
+      const StoppingSource source{stop, stop + milliseconds(row.last_upload_ms), row.uploading,
+                                  seconds(8)};
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards, row.ends,
+                                   SourceMayEnd(source, stop + milliseconds(row.now_ms)));
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StopPlanTest);
 
