Send nothing to an engine that begins no answer

Change: an engine at which a request of this process has waited 0.7 s for its first event gets nothing more until it begins one. The test of pauses now ends the request that was answered with the pause, as exchanges do: a request that never ends keeps its engine from further ones, which is not what that test is about.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -63,6 +64,10 @@
   Duration swap_overrun = std::chrono::milliseconds(300);
   /// Time of a token of an answer, as a multiple of the engine's step: it reads prompts in between.
   double token_steps = 1.5;
+  /// An engine at which a request of this process has waited so long for its first event gets no
+  /// further one: it is overloaded, or behind a link on which connections are quick and requests
+  /// stand. Most objectives have passed by then.
+  Duration stalled = std::chrono::milliseconds(700);
   /// Range of the random part, which keeps processes with the same reports from choosing the same
   /// endpoint.
   Duration noise = std::chrono::milliseconds(10);
@@ -184,6 +189,9 @@
     double pace = 1;
     std::int64_t weights = 0;
     std::uint32_t own = 0;
+    /// When own requests were chosen whose answers have not begun, oldest first. Answers begin
+    /// nearly in the order of the requests.
+    std::deque<TimePoint> pending;
     /// Tokens of own prompts whose answers have not begun, and tokens read per millisecond.
     double pending_tokens = 0;
     double tokens_per_ms = 0;
@@ -209,6 +217,7 @@
   /// Expected time in milliseconds until the answer of one more request begins.
   double Cost(const Endpoint& endpoint, double load, TimePoint now) const;
   bool SlowPath(const Endpoint& endpoint, TimePoint now) const;
+  bool Stalled(const Endpoint& endpoint, TimePoint now) const;
   double Capacity(const Endpoint& endpoint, bool late) const;
   /// Whether the prompts ahead of a request leave it time to begin.
   bool ReadsInTime(const Endpoint& endpoint, bool late) const;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -54,10 +54,12 @@
     const bool restarted = endpoint.record.started_ms != record.started_ms;
     if (restarted) {
       const std::uint32_t own = endpoint.own;
-      const double pending = endpoint.pending_tokens;
+      const double pending_tokens = endpoint.pending_tokens;
+      std::deque<TimePoint> pending = std::move(endpoint.pending);
       endpoint = Endpoint{};
       endpoint.own = own;
-      endpoint.pending_tokens = pending;
+      endpoint.pending = std::move(pending);
+      endpoint.pending_tokens = pending_tokens;
       ejector_.Remove(id);
       ejector_.Add(id, record.service);
     }
@@ -164,6 +166,11 @@
   return endpoint.slow_at != TimePoint{} && now - endpoint.slow_at < settings_.path_life;
 }
 
+bool Placement::Stalled(const Endpoint& endpoint, TimePoint now) const {
+  return endpoint.engine && !endpoint.pending.empty() &&
+         now - endpoint.pending.front() > settings_.stalled;
+}
+
 double Placement::Cost(const Endpoint& endpoint, double load, TimePoint now) const {
   const double slots = std::max<std::uint32_t>(endpoint.record.slots, 1);
   double cost = load * ToMilliseconds(settings_.per_request);
@@ -257,7 +264,7 @@
         !healthy && query.repeatable && it->own == 0 && ejector_.WantsProbe(*health, now);
     any_healthy = any_healthy || healthy;
     if (!healthy && !probe) continue;
-    if (now < it->closed_until) continue;
+    if (now < it->closed_until || Stalled(*it, now)) continue;
     if (!it->in_subset && !sampled(random_)) continue;
     const double load = Load(*it, now);
     if (load >= Capacity(*it, query.late) || !ReadsInTime(*it, query.late)) continue;
@@ -284,6 +291,7 @@
   Placed placed{best->record.id, best->record.address, best->weights, Load(*best, now),
                 best->record.slots};
   ++best->own;
+  best->pending.push_back(now);
   best->pending_tokens += query.prompt_tokens;
   return placed;
 }
@@ -291,6 +299,7 @@
 void Placement::Begun(const std::string& id, double prompt_tokens) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
+  if (!it->second.pending.empty()) it->second.pending.pop_front();
   it->second.pending_tokens = std::max(0.0, it->second.pending_tokens - prompt_tokens);
 }
 
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -97,6 +97,7 @@
   CPPUNIT_TEST(EmptiesAnEngineBeforeItsSwap);
   CPPUNIT_TEST(PacesPromptsOfAnEmptyEngine);
   CPPUNIT_TEST(AvoidsAnEndpointBehindASlowLink);
+  CPPUNIT_TEST(AvoidsAnEndpointThatBeginsNothing);
   CPPUNIT_TEST(DividesTheEndpointsWithDueWeights);
   CPPUNIT_TEST(SendsNothingToALeavingEndpoint);
   CPPUNIT_TEST(KeepsThePauseOfAnEndpoint);
@@ -169,6 +170,21 @@
     CPPUNIT_ASSERT(placement.Choose(ending, now + seconds(4)));
   }
 
+  // Pattern: a machine's link is narrowed while it fetches chunks. Connections are quick, requests
+  // stand, and the engine looks idle until the first of them is given up after 1.8 s.
+  void AvoidsAnEndpointThatBeginsNothing() {
+    Placement placement(Settings(), 1);
+    placement.Sync(Engines(1), EngineConfig());
+    const TimePoint now = At(seconds(1));
+    CPPUNIT_ASSERT(placement.Choose(Query(100), now));
+    CPPUNIT_ASSERT(placement.Choose(Query(100), now + milliseconds(500)));
+    CPPUNIT_ASSERT(!placement.Choose(Query(100), now + milliseconds(800)));
+    // The first begins; the second has waited for 0.3 s.
+    placement.Begun("e0", 100);
+    CPPUNIT_ASSERT(placement.Choose(Query(100), now + milliseconds(800)));
+    CPPUNIT_ASSERT(!placement.Choose(Query(100), now + milliseconds(1300)));
+  }
+
   // Pattern: few endpoints have the weights that are due; all processes see them idle and send them
   // more than they can read.
   void DividesTheEndpointsWithDueWeights() {
@@ -260,6 +276,8 @@
       placement.Sync(Engines(1), EngineConfig());
       const TimePoint now = At(seconds(1));
       placement.Choose(Query(), now);
+      // The request that was answered with the pause is over.
+      placement.Begun("e0", 1000);
       placement.Pause("e0", seconds(3), now);
       // The shorter pause after a refusal does not end the longer one.
       placement.Refused("e0", now);
