--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -27,6 +27,16 @@
 constexpr int kServiceOffset = 40;
 constexpr int kOriginOffset = 60;
 constexpr Duration kPoll = 50ms;
+// Last parts of the loopback addresses of control processes, ingress processes and replicas.
+constexpr int kControlHost = 1;
+constexpr int kIngressHost = 20;
+constexpr int kReplicaHost = 200;
+constexpr int kCallerPort = 8000;
+constexpr int kReadinessPort = 8001;
+constexpr int kControlPort = 8002;
+constexpr int kLookupPort = 8003;
+constexpr int kReplicaPort = 8004;
+constexpr int kFirstMeshPort = 7700;
 
 bool Bindable(int port) {
   net::asio::io_context context;
@@ -182,6 +192,64 @@
              {"--model", name, "--role", "service", "--failure-domain", "d" + n});
 }
 
+std::string Cluster::HostOf(int index) const {
+  // One address range for each range of ports, which no other test program has.
+  const int range = (base_port_ - kFirstPort) / kPortsPerCluster;
+  return "127.64." + std::to_string(range) + "." + std::to_string(index);
+}
+
+std::string Cluster::ReplicaAddress(int number) const {
+  return HostOf(kReplicaHost + number) + ":" + std::to_string(kReplicaPort);
+}
+
+void Cluster::StartNode(const std::string& name, const std::string& kind, int index, Json listen) {
+  const std::string host = HostOf(index);
+  const Json settings{{"node-name", name},
+                      {"ip", host},
+                      {"zone", "za"},
+                      {"region", "ra"},
+                      {"zones", {{"za", "ra"}}},
+                      {"port-range", {kFirstMeshPort, kFirstMeshPort + 15}},
+                      {"seed-nodes", seeds_},
+                      {"bootstrap", true},
+                      {"data-dir", kind == "control" ? (folder_ / name).string() : ""},
+                      {"listen-addrs", std::move(listen)}};
+  const auto path = folder_ / (name + ".json");
+  std::ofstream(path) << settings.dump();
+  Start(name, {WTS_BINARY, kind, "--settings", path},
+        host + ":" + std::to_string(kind == "control" ? kControlPort : kCallerPort),
+        folder_ / name);
+}
+
+void Cluster::StartDeployment(int controls, int ingresses) {
+  for (int i = 0; i < controls; ++i) {
+    seeds_.push_back(HostOf(kControlHost + i) + ":" + std::to_string(kControlPort));
+  }
+  const auto at = [](const std::string& host, int port) {
+    return host + ":" + std::to_string(port);
+  };
+  for (int i = 0; i < controls; ++i) {
+    const std::string host = HostOf(kControlHost + i);
+    controls_.push_back("c" + std::to_string(i + 1));
+    StartNode(controls_.back(), "control", kControlHost + i,
+              {{"admin", at(host, kControlPort)}, {"registry", at(host, kLookupPort)}});
+  }
+  for (int i = 0; i < ingresses; ++i) {
+    const std::string host = HostOf(kIngressHost + i);
+    ingresses_.push_back("i" + std::to_string(i + 1));
+    StartNode(ingresses_.back(), "ingress", kIngressHost + i,
+              {{"frontend", at(host, kCallerPort)}, {"readiness", at(host, kReadinessPort)}});
+  }
+}
+
+std::string Cluster::ControlLeader() const {
+  for (const auto& name : controls_) {
+    const Json dump = Get(name, "/debug/state");
+    if (dump.is_object() && dump["role"] == "leader") return name;
+  }
+  return {};
+}
+
 void Cluster::Start(const std::string& name, std::vector<std::string> command,
                     const std::string& address, const std::filesystem::path& data) {
   Process& process = processes_[name];
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -55,6 +55,11 @@
   /// Starts engine "m<number>" with its agent "g<number>".
   void StartEngine(int number, const std::string& model, const std::string& version,
                    const std::vector<std::string>& more = {}, bool obeys_fencing = true);
+  /// Starts control processes c1, c2, ... and ingress processes i1, i2, ... as the deployment file
+  /// does, each at a loopback address of its own.
+  void StartDeployment(int controls, int ingresses);
+  /// Address of a stand-in of a replica beside the processes of StartDeployment.
+  std::string ReplicaAddress(int number) const;
   /// Starts service "s<number>" with its agent "a<number>".
   void StartService(int number, const std::string& name, const std::vector<std::string>& more = {});
 
@@ -76,11 +81,15 @@
   const std::string& Address(const std::string& name) const { return processes_.at(name).address; }
   bool Running(const std::string& name) const { return processes_.at(name).pid > 0; }
   const std::vector<std::string>& entries() const { return entries_; }
+  const std::vector<std::string>& controls() const { return controls_; }
+  const std::vector<std::string>& ingresses() const { return ingresses_; }
 
   /// GET of a JSON view; null if the process does not answer with status 200.
   Json Get(const std::string& name, const std::string& target) const;
   /// Entry process that leads and says so itself; empty if there is none.
   std::string Leader() const;
+  /// Control process that leads; empty if none says so.
+  std::string ControlLeader() const;
   /// Waits until a condition holds.
   /// @throws CppUnit::Exception naming the condition and the last log lines
   void WaitFor(const std::string& what, const std::function<bool()>& condition,
@@ -100,6 +109,9 @@
   };
 
   std::string Port(int offset) const { return "127.0.0.1:" + std::to_string(base_port_ + offset); }
+  /// Loopback address of a process of StartDeployment, without a port.
+  std::string HostOf(int index) const;
+  void StartNode(const std::string& name, const std::string& kind, int index, Json listen);
   void Start(const std::string& name, std::vector<std::string> command, const std::string& address,
              const std::filesystem::path& data = {});
   void StartAgent(const std::string& name, const std::string& endpoint, int offset,
@@ -112,6 +124,10 @@
   std::filesystem::path folder_;
   std::map<std::string, Process> processes_;
   std::vector<std::string> entries_;
+  std::vector<std::string> controls_;
+  std::vector<std::string> ingresses_;
+  /// Control addresses of the control processes.
+  std::vector<std::string> seeds_;
 };
 
 }  // namespace wagtailslip::system_test
