--- a/include/wagtailslip/mesh/codec.h
+++ b/include/wagtailslip/mesh/codec.h
@@ -3,12 +3,16 @@
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/mesh/member.h"
 #include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/permits.h"
 #include "wagtailslip/serving/placement.h"
 
 namespace wagtailslip::wire {
 class MeshMember;
 class InstanceRecord;
 class InstanceReading;
+class EndpointLimit;
+class MeshMessage;
+class Permits;
 }  // namespace wagtailslip::wire
 
 namespace wagtailslip::mesh {
@@ -25,4 +29,15 @@
 wire::InstanceReading ToWire(const serving::EngineStatus& reading);
 serving::EngineStatus FromWire(const wire::InstanceReading& reading);
 
+wire::EndpointLimit ToWire(const serving::LimitObservation& observation, TimePoint now);
+serving::LimitObservation FromWire(const wire::EndpointLimit& limit, TimePoint now);
+
+/// Encodes the rows and the limits of a request for permits.
+wire::MeshMessage ToWire(const serving::PermitRequest& request, TimePoint now);
+/// @param process process that sent the message
+serving::PermitRequest PermitRequestFromWire(const wire::MeshMessage& message,
+                                             const std::string& process, TimePoint now);
+wire::Permits ToWire(const serving::PermitGrant& grant);
+serving::PermitGrant PermitGrantFromWire(const wire::Permits& permits);
+
 }  // namespace wagtailslip::mesh
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -27,8 +27,14 @@
   kFetchedBytesOrigin,
   kServedChunkBytes,
   kChunksRejected,
+  kRefusedByLimit,
+  kPermitsGranted,
+  kPermitsTaken,
+  kPermitsReturned,
+  kPermitsExpired,
+  kPermitsOwnShare,
 };
-inline constexpr std::size_t kCounterCount = 14;
+inline constexpr std::size_t kCounterCount = 20;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -43,7 +49,13 @@
       {Counter::kFetchedBytesPeer, "fetched_bytes_peer_total"},
       {Counter::kFetchedBytesOrigin, "fetched_bytes_origin_total"},
       {Counter::kServedChunkBytes, "served_chunk_bytes_total"},
-      {Counter::kChunksRejected, "chunks_rejected_total"}}}};
+      {Counter::kChunksRejected, "chunks_rejected_total"},
+      {Counter::kRefusedByLimit, "requests_refused_by_limit_total"},
+      {Counter::kPermitsGranted, "permits_granted_total"},
+      {Counter::kPermitsTaken, "permits_taken_total"},
+      {Counter::kPermitsReturned, "permits_returned_total"},
+      {Counter::kPermitsExpired, "permits_expired_total"},
+      {Counter::kPermitsOwnShare, "permits_own_share_total"}}}};
 
 /// Latency histograms of a process in milliseconds.
 enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
--- a/include/wagtailslip/serving/admission.h
+++ b/include/wagtailslip/serving/admission.h
@@ -16,11 +16,12 @@
 namespace wagtailslip::serving {
 
 /// Why a request was refused before it was sent to an endpoint.
-enum class RefusalReason { kNoEndpoint, kQueueTooLong, kWaitedTooLong };
-inline constexpr EnumTable<RefusalReason, 3> kRefusalReasons{
+enum class RefusalReason { kNoEndpoint, kQueueTooLong, kWaitedTooLong, kRequestLimit };
+inline constexpr EnumTable<RefusalReason, 4> kRefusalReasons{
     {{{RefusalReason::kNoEndpoint, "no-endpoint"},
       {RefusalReason::kQueueTooLong, "queue-too-long"},
-      {RefusalReason::kWaitedTooLong, "waited-too-long"}}}};
+      {RefusalReason::kWaitedTooLong, "waited-too-long"},
+      {RefusalReason::kRequestLimit, "request-limit"}}}};
 
 /// The refusal of a request that is not worth queueing, or was queued for too long.
 struct Refusal {
@@ -96,6 +97,10 @@
     TimePoint since{};
   };
 
+  /// The refusal of a request that the limits of all usable endpoints hold back for longer than it
+  /// may wait; nothing if they do not.
+  std::optional<Refusal> RefuseByLimit(const AdmissionRequest& request,
+                                       const Placement::PoolStats& pool, TimePoint now);
   void RecordDispatch(const AdmissionRequest& request, TimePoint now);
   Duration ExpectedWait(const AdmissionRequest& request, TimePoint now) const;
   /// Multiplies the wait by a random factor.
--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -11,6 +11,7 @@
 
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/permit_pool.h"
 #include "wagtailslip/serving/service_config.h"
 #include "wagtailslip/traffic/ejector.h"
 
@@ -102,6 +103,8 @@
   bool repeatable = false;
   /// The request was refused before and has already missed its latency objective.
   bool late = false;
+  /// The request waits in the queue, so this is not its first query.
+  bool queued = false;
 };
 
 /// The endpoint chosen for a request.
@@ -112,6 +115,9 @@
   /// Estimated number of requests at the endpoint without this one, and its slots.
   double load = 0;
   std::uint32_t slots = 0;
+  /// When the permit for the request expires; nothing if the endpoint needs none, or if the permit
+  /// was used.
+  std::optional<TimePoint> permit_expires_at;
 };
 
 /// Status of an engine as polled by its sidecar.
@@ -172,6 +178,14 @@
   /// Whether an endpoint that was chosen may still be sent a request; for example after connecting
   /// to it, which takes time.
   bool Accepts(const std::string& id, TimePoint now) const;
+  /// Uses the permit of a request that is about to be sent, or takes one if the permit has expired
+  /// or the endpoint has named a limit since it was chosen.
+  /// @return false if the request must not be sent
+  bool UsePermit(PlacementResult& placed, TimePoint now);
+  /// Puts back the permit of a request that was not sent, if it has one.
+  void ReturnPermit(PlacementResult& placed, TimePoint now);
+  PermitPool& permits() { return permits_; }
+  const PermitPool& permits() const { return permits_; }
   /// Whether the weights version of a chosen endpoint may still answer the request.
   /// @param connect_time time that connecting to the endpoint took
   bool WeightsAllowed(const PlacementResult& placed, const PlacementQuery& query,
@@ -183,10 +197,15 @@
     std::size_t usable = 0;
     double capacity = 0;
     double load = 0;
+    /// Earliest time at which a limit that endpoints have named lets a request through: the time of
+    /// the call if a usable endpoint has named none, or may get a permit soon.
+    TimePoint next_permit_at = TimePoint::max();
+    /// When a request that is refused now should come back because of the limits.
+    TimePoint permit_queue_end = TimePoint::max();
   };
   /// Counts the endpoints of the query's service, and sums up the capacity and load of the usable
   /// ones.
-  PoolStats GetPoolStats(const PlacementQuery& query, TimePoint now) const;
+  PoolStats GetPoolStats(const PlacementQuery& query, TimePoint now);
 
  private:
   struct Endpoint {
@@ -248,6 +267,7 @@
   std::unordered_map<std::string, std::vector<Endpoint*>> pools_;
   std::unordered_map<std::string, Endpoint*> by_address_;
   traffic::Ejector ejector_;
+  PermitPool permits_;
   std::minstd_rand random_;
   std::map<std::string, std::string> processes_;
   std::string self_;
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -1318,6 +1318,504 @@
 }
 
 
+EndpointLimit::~EndpointLimit() noexcept {
+}
+
+
+void EndpointLimit::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointLimit::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void EndpointLimit::__set_per_second(const double val) {
+  this->per_second = val;
+__isset.per_second = true;
+}
+
+void EndpointLimit::__set_sent_age_ms(const int32_t val) {
+  this->sent_age_ms = val;
+}
+
+void EndpointLimit::__set_answered_age_ms(const int32_t val) {
+  this->answered_age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointLimit& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointLimit::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->per_second);
+          this->__isset.per_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->sent_age_ms);
+          this->__isset.sent_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->answered_age_ms);
+          this->__isset.answered_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointLimit::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointLimit");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.per_second) {
+    xfer += oprot->writeFieldBegin("per_second", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->per_second);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("sent_age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->sent_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answered_age_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->answered_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointLimit &a, EndpointLimit &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.started_ms, b.started_ms);
+  swap(a.per_second, b.per_second);
+  swap(a.sent_age_ms, b.sent_age_ms);
+  swap(a.answered_age_ms, b.answered_age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointLimit::EndpointLimit(const EndpointLimit& other14) {
+  endpoint = other14.endpoint;
+  started_ms = other14.started_ms;
+  per_second = other14.per_second;
+  sent_age_ms = other14.sent_age_ms;
+  answered_age_ms = other14.answered_age_ms;
+  __isset = other14.__isset;
+}
+EndpointLimit& EndpointLimit::operator=(const EndpointLimit& other15) {
+  endpoint = other15.endpoint;
+  started_ms = other15.started_ms;
+  per_second = other15.per_second;
+  sent_age_ms = other15.sent_age_ms;
+  answered_age_ms = other15.answered_age_ms;
+  __isset = other15.__isset;
+  return *this;
+}
+void EndpointLimit::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointLimit(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "per_second="; (__isset.per_second ? (out << to_string(per_second)) : (out << "<null>"));
+  out << ", " << "sent_age_ms=" << to_string(sent_age_ms);
+  out << ", " << "answered_age_ms=" << to_string(answered_age_ms);
+  out << ")";
+}
+
+
+PermitRow::~PermitRow() noexcept {
+}
+
+
+void PermitRow::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void PermitRow::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void PermitRow::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void PermitRow::__set_next_ms(const int32_t val) {
+  this->next_ms = val;
+}
+
+void PermitRow::__set_queue_ms(const int32_t val) {
+  this->queue_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PermitRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PermitRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->next_ms);
+          this->__isset.next_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->queue_ms);
+          this->__isset.queue_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PermitRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PermitRow");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->next_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queue_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->queue_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PermitRow &a, PermitRow &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.wanted, b.wanted);
+  swap(a.granted, b.granted);
+  swap(a.next_ms, b.next_ms);
+  swap(a.queue_ms, b.queue_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PermitRow::PermitRow(const PermitRow& other16) {
+  endpoint = other16.endpoint;
+  wanted = other16.wanted;
+  granted = other16.granted;
+  next_ms = other16.next_ms;
+  queue_ms = other16.queue_ms;
+  __isset = other16.__isset;
+}
+PermitRow& PermitRow::operator=(const PermitRow& other17) {
+  endpoint = other17.endpoint;
+  wanted = other17.wanted;
+  granted = other17.granted;
+  next_ms = other17.next_ms;
+  queue_ms = other17.queue_ms;
+  __isset = other17.__isset;
+  return *this;
+}
+void PermitRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PermitRow(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "next_ms=" << to_string(next_ms);
+  out << ", " << "queue_ms=" << to_string(queue_ms);
+  out << ")";
+}
+
+
+Permits::~Permits() noexcept {
+}
+
+
+void Permits::__set_grant(const bool val) {
+  this->grant = val;
+}
+
+void Permits::__set_asked_at_ns(const int64_t val) {
+  this->asked_at_ns = val;
+}
+
+void Permits::__set_rows(const std::vector<PermitRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const Permits& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Permits::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asked_at_ns);
+          this->__isset.asked_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->rows.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->rows[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Permits::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Permits");
+
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->grant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked_at_ns", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->asked_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<PermitRow> ::const_iterator _iter23;
+    for (_iter23 = this->rows.begin(); _iter23 != this->rows.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Permits &a, Permits &b) {
+  using ::std::swap;
+  swap(a.grant, b.grant);
+  swap(a.asked_at_ns, b.asked_at_ns);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+Permits::Permits(const Permits& other24) {
+  grant = other24.grant;
+  asked_at_ns = other24.asked_at_ns;
+  rows = other24.rows;
+  __isset = other24.__isset;
+}
+Permits& Permits::operator=(const Permits& other25) {
+  grant = other25.grant;
+  asked_at_ns = other25.asked_at_ns;
+  rows = other25.rows;
+  __isset = other25.__isset;
+  return *this;
+}
+void Permits::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Permits(";
+  out << "grant=" << to_string(grant);
+  out << ", " << "asked_at_ns=" << to_string(asked_at_ns);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 MeshMessage::~MeshMessage() noexcept {
 }
 
@@ -1371,6 +1869,16 @@
   this->expected = val;
 __isset.expected = true;
 }
+
+void MeshMessage::__set_permits(const Permits& val) {
+  this->permits = val;
+__isset.permits = true;
+}
+
+void MeshMessage::__set_limits(const std::vector<EndpointLimit> & val) {
+  this->limits = val;
+__isset.limits = true;
+}
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj)
 {
   obj.printTo(out);
@@ -1411,14 +1919,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->members.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->members.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->members[_i18].read(iprot);
+              xfer += this->members[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1431,14 +1939,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->instances.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->instances.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->instances[_i23].read(iprot);
+              xfer += this->instances[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1451,14 +1959,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->readings.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->readings.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->readings[_i28].read(iprot);
+              xfer += this->readings[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1479,14 +1987,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->targets.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->targets.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->targets[_i33].read(iprot);
+              xfer += this->targets[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1499,14 +2007,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->sources.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->sources.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->sources[_i38].read(iprot);
+              xfer += this->sources[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1535,14 +2043,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->expected.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->expected.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->expected[_i43].read(iprot);
+              xfer += this->expected[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1551,6 +2059,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->permits.read(iprot);
+          this->__isset.permits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->limits.clear();
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->limits.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
+            {
+              xfer += this->limits[_i60].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.limits = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1577,10 +2113,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter44;
-      for (_iter44 = this->members.begin(); _iter44 != this->members.end(); ++_iter44)
+      std::vector<MeshMember> ::const_iterator _iter61;
+      for (_iter61 = this->members.begin(); _iter61 != this->members.end(); ++_iter61)
       {
-        xfer += (*_iter44).write(oprot);
+        xfer += (*_iter61).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1590,10 +2126,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter45;
-      for (_iter45 = this->instances.begin(); _iter45 != this->instances.end(); ++_iter45)
+      std::vector<InstanceRecord> ::const_iterator _iter62;
+      for (_iter62 = this->instances.begin(); _iter62 != this->instances.end(); ++_iter62)
       {
-        xfer += (*_iter45).write(oprot);
+        xfer += (*_iter62).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1603,10 +2139,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter46;
-      for (_iter46 = this->readings.begin(); _iter46 != this->readings.end(); ++_iter46)
+      std::vector<InstanceReading> ::const_iterator _iter63;
+      for (_iter63 = this->readings.begin(); _iter63 != this->readings.end(); ++_iter63)
       {
-        xfer += (*_iter46).write(oprot);
+        xfer += (*_iter63).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1621,10 +2157,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter47;
-      for (_iter47 = this->targets.begin(); _iter47 != this->targets.end(); ++_iter47)
+      std::vector<WeightsTarget> ::const_iterator _iter64;
+      for (_iter64 = this->targets.begin(); _iter64 != this->targets.end(); ++_iter64)
       {
-        xfer += (*_iter47).write(oprot);
+        xfer += (*_iter64).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1634,10 +2170,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter48;
-      for (_iter48 = this->sources.begin(); _iter48 != this->sources.end(); ++_iter48)
+      std::vector<ModelSource> ::const_iterator _iter65;
+      for (_iter65 = this->sources.begin(); _iter65 != this->sources.end(); ++_iter65)
       {
-        xfer += (*_iter48).write(oprot);
+        xfer += (*_iter65).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1657,10 +2193,28 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter49;
-      for (_iter49 = this->expected.begin(); _iter49 != this->expected.end(); ++_iter49)
+      std::vector<WeightsTarget> ::const_iterator _iter66;
+      for (_iter66 = this->expected.begin(); _iter66 != this->expected.end(); ++_iter66)
+      {
+        xfer += (*_iter66).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.permits) {
+    xfer += oprot->writeFieldBegin("permits", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += this->permits.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limits) {
+    xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
+      std::vector<EndpointLimit> ::const_iterator _iter67;
+      for (_iter67 = this->limits.begin(); _iter67 != this->limits.end(); ++_iter67)
       {
-        xfer += (*_iter49).write(oprot);
+        xfer += (*_iter67).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1683,34 +2237,40 @@
   swap(a.agreement, b.agreement);
   swap(a.join, b.join);
   swap(a.expected, b.expected);
+  swap(a.permits, b.permits);
+  swap(a.limits, b.limits);
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other50) {
-  hello = other50.hello;
-  members = other50.members;
-  instances = other50.instances;
-  readings = other50.readings;
-  service_config = other50.service_config;
-  targets = other50.targets;
-  sources = other50.sources;
-  agreement = other50.agreement;
-  join = other50.join;
-  expected = other50.expected;
-  __isset = other50.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other51) {
-  hello = other51.hello;
-  members = other51.members;
-  instances = other51.instances;
-  readings = other51.readings;
-  service_config = other51.service_config;
-  targets = other51.targets;
-  sources = other51.sources;
-  agreement = other51.agreement;
-  join = other51.join;
-  expected = other51.expected;
-  __isset = other51.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other68) {
+  hello = other68.hello;
+  members = other68.members;
+  instances = other68.instances;
+  readings = other68.readings;
+  service_config = other68.service_config;
+  targets = other68.targets;
+  sources = other68.sources;
+  agreement = other68.agreement;
+  join = other68.join;
+  expected = other68.expected;
+  permits = other68.permits;
+  limits = other68.limits;
+  __isset = other68.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other69) {
+  hello = other69.hello;
+  members = other69.members;
+  instances = other69.instances;
+  readings = other69.readings;
+  service_config = other69.service_config;
+  targets = other69.targets;
+  sources = other69.sources;
+  agreement = other69.agreement;
+  join = other69.join;
+  expected = other69.expected;
+  permits = other69.permits;
+  limits = other69.limits;
+  __isset = other69.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -1726,6 +2286,8 @@
   out << ", " << "agreement="; (__isset.agreement ? (out << to_string(agreement)) : (out << "<null>"));
   out << ", " << "join="; (__isset.join ? (out << to_string(join)) : (out << "<null>"));
   out << ", " << "expected="; (__isset.expected ? (out << to_string(expected)) : (out << "<null>"));
+  out << ", " << "permits="; (__isset.permits ? (out << to_string(permits)) : (out << "<null>"));
+  out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1826,15 +2388,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other52) {
-  service_config = other52.service_config;
-  target = other52.target;
-  __isset = other52.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other70) {
+  service_config = other70.service_config;
+  target = other70.target;
+  __isset = other70.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other53) {
-  service_config = other53.service_config;
-  target = other53.target;
-  __isset = other53.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other71) {
+  service_config = other71.service_config;
+  target = other71.target;
+  __isset = other71.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -1898,14 +2460,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->targets.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->targets.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->targets[_i58].read(iprot);
+              xfer += this->targets[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1939,10 +2501,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter59;
-    for (_iter59 = this->targets.begin(); _iter59 != this->targets.end(); ++_iter59)
+    std::vector<WeightsTarget> ::const_iterator _iter77;
+    for (_iter77 = this->targets.begin(); _iter77 != this->targets.end(); ++_iter77)
     {
-      xfer += (*_iter59).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1960,15 +2522,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other60) {
-  service_config = other60.service_config;
-  targets = other60.targets;
-  __isset = other60.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other78) {
+  service_config = other78.service_config;
+  targets = other78.targets;
+  __isset = other78.__isset;
 }
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other61) {
-  service_config = other61.service_config;
-  targets = other61.targets;
-  __isset = other61.__isset;
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other79) {
+  service_config = other79.service_config;
+  targets = other79.targets;
+  __isset = other79.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -36,6 +36,12 @@
 
 class JoinLog;
 
+class EndpointLimit;
+
+class PermitRow;
+
+class Permits;
+
 class MeshMessage;
 
 class ControlCommand;
@@ -573,8 +579,208 @@
 
 std::ostream& operator<<(std::ostream& out, const JoinLog& obj);
 
+typedef struct _EndpointLimit__isset {
+  _EndpointLimit__isset() : endpoint(false), started_ms(false), per_second(false), sent_age_ms(false), answered_age_ms(false) {}
+  bool endpoint :1;
+  bool started_ms :1;
+  bool per_second :1;
+  bool sent_age_ms :1;
+  bool answered_age_ms :1;
+} _EndpointLimit__isset;
+
+class EndpointLimit : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointLimit(const EndpointLimit&);
+  EndpointLimit& operator=(const EndpointLimit&);
+  EndpointLimit() noexcept
+                : endpoint(),
+                  started_ms(0),
+                  per_second(0),
+                  sent_age_ms(0),
+                  answered_age_ms(0) {
+  }
+
+  virtual ~EndpointLimit() noexcept;
+  std::string endpoint;
+  int64_t started_ms;
+  double per_second;
+  int32_t sent_age_ms;
+  int32_t answered_age_ms;
+
+  _EndpointLimit__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_per_second(const double val);
+
+  void __set_sent_age_ms(const int32_t val);
+
+  void __set_answered_age_ms(const int32_t val);
+
+  bool operator == (const EndpointLimit & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (__isset.per_second != rhs.__isset.per_second)
+      return false;
+    else if (__isset.per_second && !(per_second == rhs.per_second))
+      return false;
+    if (!(sent_age_ms == rhs.sent_age_ms))
+      return false;
+    if (!(answered_age_ms == rhs.answered_age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointLimit &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointLimit & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointLimit &a, EndpointLimit &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointLimit& obj);
+
+typedef struct _PermitRow__isset {
+  _PermitRow__isset() : endpoint(false), wanted(false), granted(false), next_ms(false), queue_ms(false) {}
+  bool endpoint :1;
+  bool wanted :1;
+  bool granted :1;
+  bool next_ms :1;
+  bool queue_ms :1;
+} _PermitRow__isset;
+
+class PermitRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  PermitRow(const PermitRow&);
+  PermitRow& operator=(const PermitRow&);
+  PermitRow() noexcept
+            : endpoint(),
+              wanted(0),
+              granted(0),
+              next_ms(0),
+              queue_ms(0) {
+  }
+
+  virtual ~PermitRow() noexcept;
+  std::string endpoint;
+  int32_t wanted;
+  int32_t granted;
+  int32_t next_ms;
+  int32_t queue_ms;
+
+  _PermitRow__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_next_ms(const int32_t val);
+
+  void __set_queue_ms(const int32_t val);
+
+  bool operator == (const PermitRow & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(next_ms == rhs.next_ms))
+      return false;
+    if (!(queue_ms == rhs.queue_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PermitRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PermitRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PermitRow &a, PermitRow &b);
+
+std::ostream& operator<<(std::ostream& out, const PermitRow& obj);
+
+typedef struct _Permits__isset {
+  _Permits__isset() : grant(false), asked_at_ns(false), rows(false) {}
+  bool grant :1;
+  bool asked_at_ns :1;
+  bool rows :1;
+} _Permits__isset;
+
+class Permits : public virtual ::apache::thrift::TBase {
+ public:
+
+  Permits(const Permits&);
+  Permits& operator=(const Permits&);
+  Permits() noexcept
+          : grant(0),
+            asked_at_ns(0) {
+  }
+
+  virtual ~Permits() noexcept;
+  bool grant;
+  int64_t asked_at_ns;
+  std::vector<PermitRow>  rows;
+
+  _Permits__isset __isset;
+
+  void __set_grant(const bool val);
+
+  void __set_asked_at_ns(const int64_t val);
+
+  void __set_rows(const std::vector<PermitRow> & val);
+
+  bool operator == (const Permits & rhs) const
+  {
+    if (!(grant == rhs.grant))
+      return false;
+    if (!(asked_at_ns == rhs.asked_at_ns))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const Permits &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Permits & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Permits &a, Permits &b);
+
+std::ostream& operator<<(std::ostream& out, const Permits& obj);
+
 typedef struct _MeshMessage__isset {
-  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false) {}
+  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false) {}
   bool hello :1;
   bool members :1;
   bool instances :1;
@@ -585,6 +791,8 @@
   bool agreement :1;
   bool join :1;
   bool expected :1;
+  bool permits :1;
+  bool limits :1;
 } _MeshMessage__isset;
 
 class MeshMessage : public virtual ::apache::thrift::TBase {
@@ -606,6 +814,8 @@
    ::wagtailslip::wire::AgreementMessage agreement;
   JoinLog join;
   std::vector<WeightsTarget>  expected;
+  Permits permits;
+  std::vector<EndpointLimit>  limits;
 
   _MeshMessage__isset __isset;
 
@@ -629,6 +839,10 @@
 
   void __set_expected(const std::vector<WeightsTarget> & val);
 
+  void __set_permits(const Permits& val);
+
+  void __set_limits(const std::vector<EndpointLimit> & val);
+
   bool operator == (const MeshMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -671,6 +885,14 @@
       return false;
     else if (__isset.expected && !(expected == rhs.expected))
       return false;
+    if (__isset.permits != rhs.__isset.permits)
+      return false;
+    else if (__isset.permits && !(permits == rhs.permits))
+      return false;
+    if (__isset.limits != rhs.__isset.limits)
+      return false;
+    else if (__isset.limits && !(limits == rhs.limits))
+      return false;
     return true;
   }
   bool operator != (const MeshMessage &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -68,6 +68,35 @@
   1: wagtailslip.ReplicaId id
 }
 
+// Limit on the requests per second of all ingress processes that an endpoint named in a response.
+// Times are ages, as the clocks of two machines are not comparable.
+struct EndpointLimit {
+  1: string endpoint
+  2: i64 started_ms
+  // Not set: the endpoint names no limit.
+  3: optional double per_second
+  // When the request was sent and when the response arrived.
+  4: i32 sent_age_ms
+  5: i32 answered_age_ms
+}
+
+struct PermitRow {
+  1: string endpoint
+  2: i32 wanted
+  3: i32 granted
+  // Grants only: time until the next permit, and until all that wait could have been served.
+  4: i32 next_ms
+  5: i32 queue_ms
+}
+
+// Request for permits, or the reply with the same rows.
+struct Permits {
+  1: bool grant
+  // Clock of the process that asks; returned in the reply.
+  2: i64 asked_at_ns
+  3: list<PermitRow> rows
+}
+
 struct MeshMessage {
   1: optional MeshMember hello
   2: optional list<MeshMember> members
@@ -80,6 +109,8 @@
   9: optional JoinLog join
   // Versions that are being agreed on: fetched, and not loaded before they are named.
   10: optional list<WeightsTarget> expected
+  11: optional Permits permits
+  12: optional list<EndpointLimit> limits
 }
 
 // An entry of the control log.
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -238,6 +238,11 @@
   for (const auto& [id, role] : replica.membership().members()) {
     members[id.Text()] = agreement::kMemberRoles.Name(role);
   }
+  const auto& permits = node_.permit_allocator();
+  nlohmann::json limits = nlohmann::json::object();
+  for (const auto& [id, it] : permits.limits().observations()) {
+    if (it.per_second) limits[id] = *it.per_second;
+  }
   const nlohmann::json dump{{"process", settings_.mesh_address()},
                             {"role", agreement::kRoles.Name(replica.role())},
                             {"term", replica.term()},
@@ -246,7 +251,12 @@
                             {"members", members},
                             {"current", node_.log().CanServeReads(now)},
                             {"config_version", node_.log().state().config_version},
-                            {"ingress", node_.IngressAddresses()}};
+                            {"ingress", node_.IngressAddresses()},
+                            {"limits", limits},
+                            {"permits",
+                             {{"requests", permits.counters().requests},
+                              {"granted", permits.counters().granted},
+                              {"denied", permits.counters().denied}}}};
   const std::string body = dump.dump();
   co_await exchange.Respond(200, body);
 }
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -32,6 +32,12 @@
 // them at once would delay commands.
 constexpr std::size_t kMaxConfigReceivers = 4;
 constexpr Duration kConfigResendDelay = std::chrono::milliseconds(700);
+// Changed limits go to the ingress processes at most this often, and at most one message per
+// millisecond to all of them together.
+constexpr Duration kMinLimitPeriod = std::chrono::milliseconds(20);
+constexpr Duration kLimitPeriodPerProcess = std::chrono::milliseconds(1);
+// An observation of an endpoint that is not known here may arrive before its announcement.
+constexpr Duration kUnknownEndpointLimitTtl = std::chrono::seconds(30);
 constexpr Duration kSourcePeriod = std::chrono::milliseconds(500);
 constexpr Duration kJoinPeriod = std::chrono::milliseconds(300);
 constexpr Duration kExpirePeriod = std::chrono::seconds(1);
@@ -97,6 +103,7 @@
   log_->Tick(now);
   if (now >= next_relay_at_) FlushRelay(now);
   SendConfig(now);
+  SendLimits(now);
   RefreshSources(now);
   if (now >= next_join_at_) {
     next_join_at_ = now + kJoinPeriod;
@@ -115,6 +122,7 @@
          table_.Expire(serving::kEndpointTtl, serving::kServiceActiveWindow, now)) {
       LogEvent(Event::kServiceEndpointGone, {{"endpoint", id}, {"reason", "no announcement"}});
     }
+    PruneLimits(now);
   }
 }
 
@@ -194,6 +202,12 @@
     for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
   }
   if (member.kind == MemberKind::kSidecar) message.__set_sources(sources_);
+  if (member.kind == MemberKind::kIngress) {
+    message.__isset.limits = true;
+    for (const auto& [id, it] : permit_allocator_.limits().observations()) {
+      message.limits.push_back(mesh::ToWire(it, now));
+    }
+  }
   mesh_->Send(member.process, message);
 }
 
@@ -226,6 +240,11 @@
       mesh_->SendTo(LinkedProcesses({MemberKind::kIngress}), relayed);
     }
   }
+  if (message.__isset.permits && !message.permits.grant) {
+    OnPermitRequest(from, message, now);
+  } else if (message.__isset.limits) {
+    for (const auto& it : message.limits) permit_allocator_.Record(mesh::FromWire(it, now));
+  }
   if (message.__isset.service_config) {
     // An ingress process reports the version that it has in force.
     config_syncs_[from.process].config_version = message.service_config.version;
@@ -247,6 +266,56 @@
   mesh_->SendTo(LinkedProcesses({MemberKind::kIngress, MemberKind::kSidecar}), relayed);
 }
 
+void ControlNode::OnPermitRequest(const mesh::Member& from, const wire::MeshMessage& message,
+                                  TimePoint now) {
+  const auto request = mesh::PermitRequestFromWire(message, from.process, now);
+  for (const auto& it : request.limits) {
+    if (!permit_allocator_.Record(it)) continue;
+    changed_limits_.insert(it.endpoint);
+    nlohmann::json fields{{"endpoint", it.endpoint},
+                          {"from", from.process},
+                          {"age_ms", ToMilliseconds(now - it.answered_at)}};
+    if (it.per_second) fields["limit"] = *it.per_second;
+    LogEvent(Event::kEndpointLimitChanged, fields);
+  }
+  if (!log_->HasLeaderLease(now)) return;
+  // Another process may have granted permits since the last term in which this one did.
+  const std::uint64_t term = log_->replica().term();
+  if (term != permit_term_) permit_allocator_.Reset();
+  permit_term_ = term;
+  wire::MeshMessage reply;
+  reply.__set_permits(mesh::ToWire(permit_allocator_.Grant(request, now)));
+  mesh_->Send(from.process, reply);
+}
+
+void ControlNode::SendLimits(TimePoint now) {
+  if (changed_limits_.empty() || now < next_limits_at_) return;
+  const auto receivers = LinkedProcesses({MemberKind::kIngress});
+  next_limits_at_ =
+      now + std::max(kMinLimitPeriod, kLimitPeriodPerProcess * static_cast<int>(receivers.size()));
+  wire::MeshMessage message;
+  message.__isset.limits = true;
+  for (const auto& id : changed_limits_) {
+    const auto* observation = permit_allocator_.limits().Observation(id);
+    if (observation != nullptr) message.limits.push_back(mesh::ToWire(*observation, now));
+  }
+  changed_limits_.clear();
+  // The other control processes pass the limits on to processes that link to them, and know them if
+  // they lead next.
+  if (!log_->HasLeaderLease(now)) return;
+  mesh_->SendTo(receivers, message);
+  mesh_->SendTo(LinkedProcesses({MemberKind::kControl}), message);
+}
+
+void ControlNode::PruneLimits(TimePoint now) {
+  std::vector<std::string> gone;
+  for (const auto& [id, it] : permit_allocator_.limits().observations()) {
+    const bool known = table_.Find(id) != nullptr;
+    if (!known && now - it.answered_at >= kUnknownEndpointLimitTtl) gone.push_back(id);
+  }
+  for (const auto& id : gone) permit_allocator_.Remove(id);
+}
+
 void ControlNode::Announce(serving::EndpointRecord record, TimePoint now) {
   record.announced_at = now;
   const auto result = table_.Apply(record, now);
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -14,6 +14,7 @@
 #include "wagtailslip/net/asio.h"
 #include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/permit_allocator.h"
 #include "wagtailslip/serving/service_config.h"
 
 namespace wagtailslip::control {
@@ -47,6 +48,7 @@
   void PrefetchWeights(const std::string& model, std::int64_t version);
   /// Sorted addresses of the linked ingress processes that accept callers.
   std::vector<std::string> IngressAddresses() const;
+  const serving::PermitAllocator& permit_allocator() const { return permit_allocator_; }
 
  private:
   /// Progress of sending the service configuration to a linked process.
@@ -62,6 +64,12 @@
   void OnMemberUpdated(const mesh::Member& member) override;
   void OnMemberLost(const mesh::Member& member) override;
   void OnMessage(const mesh::Member& from, const wire::MeshMessage& message) override;
+  /// Records the limits that an ingress process reports, and grants permits if this process leads.
+  void OnPermitRequest(const mesh::Member& from, const wire::MeshMessage& message, TimePoint now);
+  /// Sends changed limits to the ingress processes.
+  void SendLimits(TimePoint now);
+  /// Discards the limits of endpoints that are gone.
+  void PruneLimits(TimePoint now);
   void OnRecords(const std::vector<wire::InstanceRecord>& records, TimePoint now);
   void OnStateChange(TimePoint now);
   void Tick();
@@ -92,6 +100,12 @@
   TimePoint next_relay_at_{};
   std::vector<wire::InstanceReading> pending_readings_;
   TimePoint next_readings_at_{};
+  serving::PermitAllocator permit_allocator_;
+  /// Term of the leadership in which this process granted permits last.
+  std::uint64_t permit_term_ = 0;
+  /// Endpoints whose limit has changed since the last SendLimits.
+  std::set<std::string> changed_limits_;
+  TimePoint next_limits_at_{};
   std::vector<wire::ModelSource> sources_;
   std::int64_t sources_version_ = 0;
   TimePoint next_sources_at_{};
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -162,7 +162,8 @@
   node_.Withdraw(applicant.id);
   metrics_.Record(process::Latency::kQueue, MonotonicNow() - now);
   if (caller_state_->disconnected) {
-    if (const auto* placed = std::get_if<serving::PlacementResult>(&pending->verdict)) {
+    if (auto* placed = std::get_if<serving::PlacementResult>(&pending->verdict)) {
+      node_.ReturnPermit(*placed, MonotonicNow());
       node_.OnResponseStarted(placed->id, applicant.query.prompt_tokens);
       node_.OnFinishedWithoutResult(placed->id);
     }
@@ -279,6 +280,9 @@
     }
     if (const auto* refusal = std::get_if<serving::Refusal>(&verdict)) {
       const auto reason = serving::kRefusalReasons.Name(refusal->reason);
+      if (refusal->reason == serving::RefusalReason::kRequestLimit) {
+        metrics_.Add(Counter::kRefusedByLimit);
+      }
       if (history_.sends == 0 || (!history_.may_have_run && !history_.response_started)) {
         co_await Refuse(reason, refusal->retry_after);
       } else {
@@ -289,7 +293,7 @@
       }
       co_return;
     }
-    const auto placed = std::get<serving::PlacementResult>(verdict);
+    auto placed = std::get<serving::PlacementResult>(verdict);
     const TimePoint attempt_started = MonotonicNow();
     response_pending_ = true;
     last_request_limit_.reset();
@@ -305,6 +309,7 @@
       // the caller's connection.
       caller_state_->upstream = nullptr;
     }
+    node_.ReturnPermit(placed, MonotonicNow());
     ReportOutcome(placed, outcome);
     // The endpoint stays eligible after a failed connection that is not the first one of this
     // request, so that it can be tried once more, and after a withheld request, because it may be
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -49,9 +49,13 @@
   /// Submits the request for admission and waits for the verdict.
   /// @return nothing if the caller disconnected meanwhile
   net::Task<serving::AdmissionDecision> WaitForEndpoint();
-  net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult placed);
+  /// @param placed its permit is used if the request is sent
+  net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult& placed);
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
+  /// Records the limit that a response names, or that it names none any more.
+  void RecordRequestLimit(const std::string& endpoint, const platform::EndpointResponse& response,
+                          TimePoint sent_at);
   net::Task<ReadResult> ReadBodyPart(net::HttpConnection& upstream);
   net::Task<serving::AttemptOutcome> ReadFullResponse(net::HttpConnection& upstream,
                                                       const net::HttpResponse& response,
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -57,7 +57,7 @@
   return timed_out ? AttemptOutcome::kResponseTimeout : AttemptOutcome::kNoValidResponse;
 }
 
-Task<AttemptOutcome> Exchange::Attempt(serving::PlacementResult placed) {
+Task<AttemptOutcome> Exchange::Attempt(serving::PlacementResult& placed) {
   net::HttpConnection upstream(co_await asio::this_coro::executor);
   caller_state_->upstream = &upstream;
   bool connected = true;
@@ -103,6 +103,7 @@
   net::HttpResponse response;
   bool failed = false;
   bool timed_out = false;
+  const TimePoint sent_at = MonotonicNow();
   try {
     response = co_await upstream.Start(std::move(forwarded), ReadTimeout());
   } catch (const net::TimeoutError&) {
@@ -119,6 +120,7 @@
   if (decoded.load) {
     node_.OnLoad(placed.id, decoded.load->running, decoded.load->waiting, MonotonicNow());
   }
+  RecordRequestLimit(placed.id, decoded, sent_at);
   if (decoded.not_run) co_return AttemptOutcome::kNotRun;
   // Reject a response to another request, and one without an id, which the endpoint may have sent
   // before it read the request.
@@ -136,6 +138,17 @@
   co_return co_await ReadFullResponse(upstream, response, decoded);
 }
 
+void Exchange::RecordRequestLimit(const std::string& endpoint,
+                                  const platform::EndpointResponse& response, TimePoint sent_at) {
+  if (response.request_limit_unreadable) return node_.OnUnreadableRequestLimit(endpoint);
+  const bool own = response.has_signature && response.attempt_id == request_.attempt_id;
+  // A late response to an earlier request, or a damaged one, may lower the limit, but neither raise
+  // nor withdraw it: it is not known when the request was sent.
+  if (!own && !response.request_limit) return;
+  node_.OnRequestLimit(endpoint, response.request_limit, own ? sent_at : TimePoint{},
+                       MonotonicNow());
+}
+
 Task<Exchange::ReadResult> Exchange::ReadBodyPart(net::HttpConnection& upstream) {
   ReadResult read;
   try {
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -80,6 +80,7 @@
       co_return co_await exchange.Respond(node_.Ready() ? 200 : 503, body, headers, "text/plain");
     }
     if (exchange.path() == "/metrics") {
+      AddPermitCounts();
       body = metrics_.Text();
       co_return co_await exchange.Respond(200, body, headers, "text/plain; version=0.0.4");
     }
@@ -91,12 +92,34 @@
     co_await exchange.Respond(404, body, headers, "text/plain");
   }
 
+  /// Adds to the metrics what the permit pool has counted since the last call.
+  void AddPermitCounts() {
+    using Counters = serving::PermitPool::Counters;
+    struct Row {
+      process::Counter counter;
+      std::uint64_t Counters::*value;
+    };
+    constexpr Row kRows[] = {{process::Counter::kPermitsGranted, &Counters::granted},
+                             {process::Counter::kPermitsTaken, &Counters::taken},
+                             {process::Counter::kPermitsReturned, &Counters::returned},
+                             {process::Counter::kPermitsExpired, &Counters::expired},
+                             {process::Counter::kPermitsOwnShare, &Counters::own_share}};
+    const Counters counts = node_.placement().permits().counters();
+    for (const auto& [counter, value] : kRows) {
+      metrics_.Add(counter, counts.*value - permit_counts_.*value);
+    }
+    permit_counts_ = counts;
+  }
+
   std::string DumpState() const {
     nlohmann::json endpoints = nlohmann::json::object();
     for (const auto& [id, record] : node_.table().endpoints()) {
       endpoints[id] = {{"service", record.service},
                        {"state", serving::kEndpointStates.Name(record.state)},
                        {"weights", record.weights}};
+      if (const auto limit = node_.placement().permits().limits().Find(id)) {
+        endpoints[id]["limit"] = *limit;
+      }
     }
     return nlohmann::json{{"name", settings_.name},
                           {"ready", node_.Ready()},
@@ -133,6 +156,8 @@
   process::Metrics metrics_;
   std::unique_ptr<net::HttpServer> caller_server_;
   std::vector<std::unique_ptr<net::HttpServer>> operator_servers_;
+  /// Counts of the permit pool that are already in the metrics.
+  serving::PermitPool::Counters permit_counts_;
   std::int64_t limits_config_version_ = 0;
   net::asio::steady_timer stop_timer_;
   TimePoint stop_at_{};
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -86,6 +86,12 @@
   const TimePoint now = MonotonicNow();
   SyncPlacement();
   if (admission_.waiting() > 0) DeliverVerdicts(now);
+  AskForPermits(now);
+  if (placement_.permits().uses_own_share(now) && !permit_allocator_lost_) {
+    permit_allocator_lost_ = true;
+    LogEvent(Event::kPermitAllocatorLost,
+             {{"allocator", permit_allocator_}, {"processes", ingress_count_}});
+  }
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpirePeriod;
   for (const auto& id : table_.Expire(serving::kEndpointTtl, serving::kServiceActiveWindow, now)) {
@@ -147,6 +153,8 @@
                {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
     }
   }
+  if (message.__isset.limits) OnRelayedLimits(message.limits, now);
+  if (message.__isset.permits && message.permits.grant) OnPermitGrant(from, message.permits, now);
   if (message.__isset.service_config) ApplyConfig(message.service_config);
 }
 
@@ -159,6 +167,9 @@
     ingress_count_ = processes.size();
     ingress_count_updated_at_ = now;
   }
+  const auto rank = static_cast<std::size_t>(
+      std::distance(processes.begin(), processes.find(settings_.mesh_address())));
+  placement_.permits().SetProcesses(rank, ingress_count_);
   if (processes == ingress_domains_) return;
   ingress_domains_ = std::move(processes);
   placement_.SetProcesses(settings_.mesh_address(), ingress_domains_);
@@ -236,6 +247,7 @@
 serving::AdmissionDecision IngressNode::Offer(const serving::AdmissionRequest& applicant,
                                               VerdictCallback callback, TimePoint now) {
   auto verdict = admission_.Offer(applicant, now);
+  AskForPermits(now);
   if (std::holds_alternative<std::monostate>(verdict))
     verdict_callbacks_[applicant.id] = std::move(callback);
   return verdict;
@@ -310,13 +322,70 @@
            {{"endpoint", endpoint}, {"pause_s", ToSeconds(retry_after)}, {"from", "its answer"}});
 }
 
-bool IngressNode::MaySend(const serving::PlacementResult& placed, const std::string& model,
-                          Duration connect_time, TimePoint now) const {
+void IngressNode::AskForPermits(TimePoint now) {
+  if (!placement_.permits().any_limited()) return;
+  const auto request = placement_.permits().NextRequest(now);
+  if (!request) return;
+  const auto message = mesh::ToWire(*request, now);
+  // Only the control process that leads replies.
+  if (placement_.permits().allocator_known(now) && mesh_->Linked(permit_allocator_)) {
+    mesh_->Send(permit_allocator_, message);
+  } else {
+    mesh_->SendTo(ControlProcesses(), message);
+  }
+}
+
+void IngressNode::OnPermitGrant(const mesh::Member& from, const wire::Permits& permits,
+                                TimePoint now) {
+  permit_allocator_ = from.process;
+  placement_.permits().OnGrant(mesh::PermitGrantFromWire(permits), now);
+  if (permit_allocator_lost_) {
+    permit_allocator_lost_ = false;
+    LogEvent(Event::kPermitAllocatorRegained, {{"allocator", permit_allocator_}});
+  }
+  ScheduleVerdictDelivery();
+}
+
+void IngressNode::RecordLimit(const serving::LimitObservation& observation, std::string_view source,
+                              TimePoint now) {
+  if (!placement_.permits().Record(observation)) return;
+  nlohmann::json fields{{"endpoint", observation.endpoint},
+                        {"from", source},
+                        {"age_ms", ToMilliseconds(now - observation.answered_at)}};
+  if (observation.per_second) fields["limit"] = *observation.per_second;
+  LogEvent(Event::kEndpointLimitChanged, fields);
+  ScheduleVerdictDelivery();
+}
+
+void IngressNode::OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now) {
+  for (const auto& it : limits) {
+    const auto observation = mesh::FromWire(it, now);
+    if (table_.Find(observation.endpoint) == nullptr) continue;
+    RecordLimit(observation, "control process", now);
+  }
+}
+
+void IngressNode::OnRequestLimit(const std::string& endpoint, std::optional<double> per_second,
+                                 TimePoint sent_at, TimePoint now) {
+  const auto* known = table_.Find(endpoint);
+  if (known == nullptr) return;
+  RecordLimit({endpoint, known->started_ms, per_second, sent_at, now}, "its answer", now);
+  AskForPermits(now);
+}
+
+void IngressNode::OnUnreadableRequestLimit(const std::string& endpoint) {
+  LogEvent(Event::kEndpointLimitUnreadable, {{"endpoint", endpoint}});
+}
+
+bool IngressNode::MaySend(serving::PlacementResult& placed, const std::string& model,
+                          Duration connect_time, TimePoint now) {
   if (!placement_.Accepts(placed.id, now)) return false;
-  if (model.empty()) return true;
-  serving::PlacementQuery query;
-  SetMinWeightsVersions(model, query, now);
-  return placement_.WeightsAllowed(placed, query, connect_time, now);
+  if (!model.empty()) {
+    serving::PlacementQuery query;
+    SetMinWeightsVersions(model, query, now);
+    if (!placement_.WeightsAllowed(placed, query, connect_time, now)) return false;
+  }
+  return placement_.UsePermit(placed, now);
 }
 
 }  // namespace wagtailslip::ingress
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -22,8 +22,10 @@
 #include "wagtailslip/serving/weights_targets.h"
 
 namespace wagtailslip::wire {
+class EndpointLimit;
+class Permits;
 class ServiceConfigBody;
-}
+}  // namespace wagtailslip::wire
 
 namespace wagtailslip::ingress {
 
@@ -104,11 +106,23 @@
   void OnEndpointDraining(const std::string& endpoint, TimePoint now);
   /// A response of the endpoint asked for no further requests until `retry_after` has passed.
   void OnRetryAfter(const std::string& endpoint, Duration retry_after, TimePoint now);
-  /// Whether a request may still be sent on a connection that was just opened.
+  /// A response of the endpoint named a limit on the requests per second of all ingress processes.
+  /// @param per_second the limit; nothing if the response named none
+  /// @param sent_at when the request was sent
+  void OnRequestLimit(const std::string& endpoint, std::optional<double> per_second,
+                      TimePoint sent_at, TimePoint now);
+  /// A response of the endpoint named a limit that cannot be read. The previous one stays in force.
+  void OnUnreadableRequestLimit(const std::string& endpoint);
+  /// Whether a request may still be sent on a connection that was just opened. Uses the request's
+  /// permit if so.
   /// @param model model of the endpoint's engine; empty for a service without engines
   /// @param connect_time time that opening the connection took
-  bool MaySend(const serving::PlacementResult& placed, const std::string& model,
-               Duration connect_time, TimePoint now) const;
+  bool MaySend(serving::PlacementResult& placed, const std::string& model, Duration connect_time,
+               TimePoint now);
+  /// Puts back the permit of a request that was not sent.
+  void ReturnPermit(serving::PlacementResult& placed, TimePoint now) {
+    placement_.ReturnPermit(placed, now);
+  }
   /// Time to send as Retry-After when a request of the service is refused.
   Duration RetryAfter(const std::string& service, TimePoint now) {
     return admission_.RetryAfter(service, now);
@@ -135,6 +149,13 @@
   void SyncPlacement();
   void UpdateLinks();
   void Tick();
+  /// Sends a request for permits if one is due.
+  void AskForPermits(TimePoint now);
+  void OnPermitGrant(const mesh::Member& from, const wire::Permits& permits, TimePoint now);
+  /// Records the limits that the allocator relays.
+  void OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now);
+  void RecordLimit(const serving::LimitObservation& observation, std::string_view source,
+                   TimePoint now);
   /// Calls back the waiting requests that have a verdict now.
   void DeliverVerdicts(TimePoint now);
   /// Runs DeliverVerdicts from the event loop, once for all calls before it runs.
@@ -161,6 +182,10 @@
   std::map<std::string, std::string> ingress_domains_;
   /// Time when the number was last set.
   TimePoint ingress_count_updated_at_{};
+  /// Control process that granted permits last; empty before the first one.
+  std::string permit_allocator_;
+  /// No control process has granted permits for long, which was logged.
+  bool permit_allocator_lost_ = false;
   std::uint64_t last_id_ = 0;
   bool draining_ = false;
   bool delivery_scheduled_ = false;
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -97,4 +97,77 @@
           std::chrono::milliseconds(w.swap_in_ms)};
 }
 
+wire::EndpointLimit ToWire(const serving::LimitObservation& observation, TimePoint now) {
+  wire::EndpointLimit w;
+  w.endpoint = observation.endpoint;
+  w.started_ms = observation.started_ms;
+  if (observation.per_second) w.__set_per_second(*observation.per_second);
+  w.sent_age_ms = ClampedMilliseconds(now - observation.sent_at);
+  w.answered_age_ms = ClampedMilliseconds(now - observation.answered_at);
+  return w;
+}
+
+serving::LimitObservation FromWire(const wire::EndpointLimit& w, TimePoint now) {
+  serving::LimitObservation observation;
+  observation.endpoint = w.endpoint;
+  observation.started_ms = w.started_ms;
+  if (w.__isset.per_second && w.per_second >= 0) observation.per_second = w.per_second;
+  observation.sent_at = now - std::chrono::milliseconds(w.sent_age_ms);
+  observation.answered_at = now - std::chrono::milliseconds(w.answered_age_ms);
+  return observation;
+}
+
+wire::MeshMessage ToWire(const serving::PermitRequest& request, TimePoint now) {
+  wire::MeshMessage message;
+  message.__isset.permits = true;
+  message.permits.asked_at_ns = request.sent_at.time_since_epoch().count();
+  for (const auto& it : request.rows) {
+    wire::PermitRow row;
+    row.endpoint = it.endpoint;
+    row.wanted = static_cast<std::int32_t>(it.wanted);
+    message.permits.rows.push_back(row);
+  }
+  message.__isset.limits = true;
+  for (const auto& it : request.limits) message.limits.push_back(ToWire(it, now));
+  return message;
+}
+
+serving::PermitRequest PermitRequestFromWire(const wire::MeshMessage& message,
+                                             const std::string& process, TimePoint now) {
+  serving::PermitRequest request;
+  request.process = process;
+  request.sent_at = TimePoint(Duration(message.permits.asked_at_ns));
+  for (const auto& it : message.permits.rows) {
+    request.rows.push_back({it.endpoint, static_cast<std::uint32_t>(std::max(it.wanted, 0))});
+  }
+  for (const auto& it : message.limits) request.limits.push_back(FromWire(it, now));
+  return request;
+}
+
+wire::Permits ToWire(const serving::PermitGrant& grant) {
+  wire::Permits w;
+  w.grant = true;
+  w.asked_at_ns = grant.request_sent_at.time_since_epoch().count();
+  for (const auto& it : grant.rows) {
+    wire::PermitRow row;
+    row.endpoint = it.endpoint;
+    row.granted = static_cast<std::int32_t>(it.granted);
+    row.next_ms = ClampedMilliseconds(it.next);
+    row.queue_ms = ClampedMilliseconds(it.queue_delay);
+    w.rows.push_back(row);
+  }
+  return w;
+}
+
+serving::PermitGrant PermitGrantFromWire(const wire::Permits& w) {
+  serving::PermitGrant grant;
+  grant.request_sent_at = TimePoint(Duration(w.asked_at_ns));
+  for (const auto& it : w.rows) {
+    grant.rows.push_back({it.endpoint, static_cast<std::uint32_t>(std::max(it.granted, 0)),
+                          std::chrono::milliseconds(std::max(it.next_ms, 0)),
+                          std::chrono::milliseconds(std::max(it.queue_ms, 0))});
+  }
+  return grant;
+}
+
 }  // namespace wagtailslip::mesh
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -1,7 +1,6 @@
 #include "wagtailslip/serving/admission.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace wagtailslip::serving {
@@ -20,6 +19,8 @@
 // distributing the configuration and loading weights take about a second; an earlier retry would be
 // refused again.
 constexpr Duration kRetryAfterNoConfig = std::chrono::milliseconds(1500);
+// An endpoint that takes one request in several seconds.
+constexpr Duration kMaxRetryAfterLimit = std::chrono::seconds(10);
 constexpr std::size_t kMaxWaiting = 2000;
 // Fraction of the latency objective that a request may wait for an endpoint. Under sustained
 // overload every admitted request waits that long, and an engine with a full batch needs the rest
@@ -116,6 +117,14 @@
   return FromSeconds(ToSeconds(wait) * factor(random_));
 }
 
+std::optional<Refusal> Admission::RefuseByLimit(const AdmissionRequest& request,
+                                                const Placement::PoolStats& pool, TimePoint now) {
+  if (pool.usable == 0 || pool.next_permit_at < request.latest_start) return std::nullopt;
+  const TimePoint free_at = std::max(pool.next_permit_at, pool.permit_queue_end);
+  const Duration wait = std::clamp(free_at - now, kMinRetryAfter, kMaxRetryAfterLimit);
+  return Refusal{RefusalReason::kRequestLimit, AddJitter(wait)};
+}
+
 AdmissionDecision Admission::Offer(const AdmissionRequest& request, TimePoint now) {
   const bool others_wait =
       std::any_of(waiting_.begin(), waiting_.end(), [&](const AdmissionRequest& other) {
@@ -133,12 +142,14 @@
   if (pool.usable == 0 && pool.endpoints == 0) {
     return Refusal{RefusalReason::kNoEndpoint, kRetryAfterNoEndpoint};
   }
+  if (const auto refusal = RefuseByLimit(request, pool, now)) return *refusal;
   if (waiting_.size() >= kMaxWaiting || now + ExpectedWait(request, now) >= request.latest_start) {
     const Duration retry_after = pool.usable == 0 ? AddJitter(kRetryAfterNoUsableEndpoint)
                                                   : RetryAfter(request.query.service, now);
     return Refusal{RefusalReason::kQueueTooLong, retry_after};
   }
   waiting_.push_back(request);
+  waiting_.back().query.queued = true;
   return std::monostate{};
 }
 
@@ -159,21 +170,32 @@
     return std::tuple(a->priority, a->query.late, DispatchedWork(*a)) <
            std::tuple(b->priority, b->query.late, DispatchedWork(*b));
   });
-  std::set<std::tuple<std::string, std::int64_t, bool, int>> exhausted;
+  // By key: the state of the pool when a request could not be placed.
+  std::map<std::tuple<std::string, std::int64_t, bool, int>, Placement::PoolStats> exhausted;
   for (const auto& it : order) {
     // If a request without excluded endpoints cannot be placed, no other request with the same key
     // can be placed either. Only retries exclude endpoints.
     const std::tuple key(it->query.service, it->query.min_weights_version, it->query.late,
                          AnswerLengthClass(*it));
-    if (it->query.excluded.empty() && exhausted.contains(key)) continue;
-    auto placed = placement_.Choose(it->query, now);
-    if (!placed) {
-      if (it->query.excluded.empty()) exhausted.insert(key);
-      continue;
+    const bool is_retry = !it->query.excluded.empty();
+    auto known = is_retry ? exhausted.end() : exhausted.find(key);
+    Placement::PoolStats pool;
+    if (known != exhausted.end()) {
+      pool = known->second;
+    } else {
+      if (const auto placed = placement_.Choose(it->query, now)) {
+        RecordDispatch(*it, now);
+        decisions.emplace_back(it->id, *placed);
+        waiting_.erase(it);
+        continue;
+      }
+      if (placement_.permits().any_limited()) pool = placement_.GetPoolStats(it->query, now);
+      if (!is_retry) exhausted.emplace(key, pool);
+    }
+    if (const auto refusal = RefuseByLimit(*it, pool, now)) {
+      decisions.emplace_back(it->id, *refusal);
+      waiting_.erase(it);
     }
-    RecordDispatch(*it, now);
-    decisions.emplace_back(it->id, *placed);
-    waiting_.erase(it);
   }
   return decisions;
 }
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -43,6 +43,7 @@
     const auto* known = table.Find(it->first);
     if (known == nullptr) {
       ejector_.Remove(it->first);
+      permits_.Remove(it->first);
       it = endpoints_.erase(it);
     } else {
       ++it;
@@ -275,6 +276,10 @@
   double best_score = 0;
   bool best_is_probe = false;
   bool any_healthy = false;
+  // The best of the endpoints that lack only a permit.
+  Endpoint* without_permit = nullptr;
+  double without_permit_score = 0;
+  bool without_permit_denied = false;
   for (Endpoint* it : pool->second) {
     if (!IsUsable(*it, query, now)) continue;
     const auto* health = ejector_.Find(it->record.id);
@@ -288,6 +293,16 @@
     const double load = EstimateLoad(*it, now);
     if (load >= Capacity(*it, query.late) || !HasPrefillCapacity(*it, query.late)) continue;
     const double score = Cost(*it, load, now) + jitter(random_);
+    if (!permits_.Available(it->record.id, now)) {
+      const bool denied = permits_.IsDenied(it->record.id, now);
+      if (without_permit == nullptr ||
+          std::pair(denied, score) < std::pair(without_permit_denied, without_permit_score)) {
+        without_permit = it;
+        without_permit_score = score;
+        without_permit_denied = denied;
+      }
+      continue;
+    }
     if (best == nullptr || probe || (score < best_score && !best_is_probe)) {
       best = it;
       best_score = score;
@@ -298,6 +313,10 @@
     // All usable endpoints are ejected: use the least loaded one rather than none.
     for (Endpoint* it : pool->second) {
       if (!IsUsable(*it, query, now) || now < it->paused_until) continue;
+      if (!permits_.Available(it->record.id, now)) {
+        without_permit = it;
+        continue;
+      }
       const double load = EstimateLoad(*it, now);
       if (load < Capacity(*it, query.late) && (best == nullptr || load < best_score)) {
         best = it;
@@ -305,10 +324,16 @@
       }
     }
   }
+  // A permit is asked for at the endpoint that would have been chosen, and at one endpoint only:
+  // permits that other endpoints grant for the same request would expire.
+  if (without_permit != nullptr && (best == nullptr || without_permit_score < best_score)) {
+    permits_.OnMissed(without_permit->record.id, query.queued, now);
+  }
   if (best == nullptr) return std::nullopt;
   if (best_is_probe) ejector_.StartProbe(best->record.id, now);
-  PlacementResult placed{best->record.id, best->record.address, best->weights_version,
-                         EstimateLoad(*best, now), best->record.slots};
+  PlacementResult placed{best->record.id,       best->record.address,
+                         best->weights_version, EstimateLoad(*best, now),
+                         best->record.slots,    permits_.Take(best->record.id, now)};
   ++best->own_requests;
   best->pending_since.push_back(now);
   best->pending_prompt_tokens += query.prompt_tokens;
@@ -362,6 +387,22 @@
          !it->second.leaving && now >= it->second.paused_until;
 }
 
+bool Placement::UsePermit(PlacementResult& placed, TimePoint now) {
+  if (!permits_.IsLimited(placed.id)) return true;
+  const bool valid = placed.permit_expires_at && now < *placed.permit_expires_at;
+  placed.permit_expires_at.reset();
+  if (valid) return true;
+  if (!permits_.Available(placed.id, now)) return false;
+  permits_.Take(placed.id, now);
+  return true;
+}
+
+void Placement::ReturnPermit(PlacementResult& placed, TimePoint now) {
+  if (!placed.permit_expires_at) return;
+  permits_.GiveBack(placed.id, *placed.permit_expires_at, now);
+  placed.permit_expires_at.reset();
+}
+
 bool Placement::WeightsAllowed(const PlacementResult& placed, const PlacementQuery& query,
                                Duration connect_time, TimePoint now) const {
   const auto it = endpoints_.find(placed.id);
@@ -374,7 +415,7 @@
          placed.weights_version >= query.min_weights_version_if_busy;
 }
 
-Placement::PoolStats Placement::GetPoolStats(const PlacementQuery& query, TimePoint now) const {
+Placement::PoolStats Placement::GetPoolStats(const PlacementQuery& query, TimePoint now) {
   PoolStats result;
   const auto pool = pools_.find(query.service);
   if (pool == pools_.end()) return result;
@@ -384,6 +425,9 @@
     ++result.usable;
     result.capacity += Capacity(*it, query.late);
     result.load += EstimateLoad(*it, now);
+    const std::string& id = it->record.id;
+    result.next_permit_at = std::min(result.next_permit_at, permits_.EarliestPermit(id, now));
+    result.permit_queue_end = std::min(result.permit_queue_end, permits_.QueueEnd(id, now));
   }
   return result;
 }
--- /dev/null
+++ b/tests/permit_test.cc
@@ -0,0 +1,385 @@
+// Limits that endpoints name for all ingress processes together: which limit is in force, how
+// permits are granted, and that the sum over all processes stays below the limit.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+
+#include "permit_model.h"
+#include "wagtailslip/serving/admission.h"
+#include "wagtailslip/serving/endpoint_limits.h"
+#include "wagtailslip/serving/permit_allocator.h"
+#include "wagtailslip/serving/permit_pool.h"
+
+namespace wagtailslip::serving {
+namespace {
+
+using benchmark::LimitAt;
+using benchmark::PermitFault;
+using benchmark::PermitResult;
+using benchmark::PermitScenario;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The stated rule: from kContact after an endpoint first named a limit, it gets in kWindow at most
+/// kFactor times what the limit allows, and kExtra requests more. News takes kNewsDelay.
+constexpr Duration kContact = seconds(3);
+constexpr Duration kWindow = seconds(4);
+constexpr Duration kNewsDelay = milliseconds(500);
+constexpr double kFactor = 1.5;
+constexpr double kExtra = 5;
+/// The project's own target: while more is asked for than the limits allow, at least this part of
+/// them is used, unless faults keep processes from the allocator.
+constexpr double kMinUse = 0.7;
+
+TimePoint At(Duration time) { return TimePoint(seconds(1000) + time); }
+
+/// Requests that an endpoint may get from `begin` to `begin` + kWindow; nothing without a limit. A
+/// lower limit counts from kNewsDelay after it was named.
+std::optional<double> Allowance(const std::vector<benchmark::LimitChange>& changes,
+                                Duration begin) {
+  constexpr Duration kStep = milliseconds(10);
+  double total = 0;
+  for (Duration time = begin; time < begin + kWindow; time += kStep) {
+    const auto limit = LimitAt(changes, time);
+    const auto before = LimitAt(changes, time - kNewsDelay);
+    if (!limit || !before) return std::nullopt;
+    total += std::max(*limit, *before) * ToSeconds(kStep);
+  }
+  return kFactor * total + kExtra;
+}
+
+/// The first window in which an endpoint got too many requests; empty if there is none.
+std::string FirstExcess(const PermitScenario& scenario, const PermitResult& result) {
+  for (std::size_t i = 0; i < scenario.endpoints.size(); ++i) {
+    const auto& changes = scenario.endpoints[i];
+    const auto& arrivals = result.arrivals[i];
+    const Duration from = changes.front().at + kContact;
+    for (std::size_t first = 0, last = 0; first < arrivals.size(); ++first) {
+      while (last < arrivals.size() && arrivals[last] < arrivals[first] + kWindow) ++last;
+      if (arrivals[first] < from) continue;
+      const auto allowance = Allowance(changes, arrivals[first]);
+      if (!allowance || static_cast<double>(last - first) <= *allowance) continue;
+      return "endpoint " + std::to_string(i) + " got " + std::to_string(last - first) +
+             " requests in 4 s from " + std::to_string(ToSeconds(arrivals[first])) +
+             " s, allowed " + std::to_string(*allowance);
+    }
+  }
+  return {};
+}
+
+/// Part of the limits that was used after kContact.
+double UsedFraction(const PermitScenario& scenario, const PermitResult& result) {
+  double used = 0;
+  double allowed = 0;
+  for (std::size_t i = 0; i < scenario.endpoints.size(); ++i) {
+    const auto& changes = scenario.endpoints[i];
+    const Duration from = changes.front().at + kContact;
+    for (Duration time = from; time < scenario.length; time += milliseconds(10)) {
+      const auto limit = LimitAt(changes, time);
+      if (limit) allowed += *limit * 0.01;
+    }
+    used += static_cast<double>(
+        std::count_if(result.arrivals[i].begin(), result.arrivals[i].end(),
+                      [&](Duration it) { return it >= from && LimitAt(changes, it).has_value(); }));
+  }
+  return used / allowed;
+}
+
+PermitScenario Scenario(std::size_t processes,
+                        std::vector<std::vector<benchmark::LimitChange>> endpoints, double demand,
+                        std::vector<benchmark::PermitFaultSpan> faults = {}) {
+  PermitScenario scenario;
+  scenario.processes = processes;
+  scenario.endpoints = std::move(endpoints);
+  scenario.demand = demand;
+  scenario.faults = std::move(faults);
+  return scenario;
+}
+
+struct ObservationRow {
+  const char* name;
+  std::optional<double> per_second;
+  int sent_ms;
+  int answered_ms;
+  std::optional<double> in_force;
+};
+// Observations after a limit of 4 that was named between 1000 ms and 1100 ms.
+const ObservationRow kObservationRows[] = {
+    {"a lower limit", 2, 1200, 1300, 2},
+    {"a lower limit that may be newer", 2, 900, 1050, 2},
+    {"a lower limit that is older", 2, 800, 950, 4},
+    {"a higher limit", 8, 1200, 1300, 8},
+    {"a higher limit that may be older", 8, 1050, 1300, 4},
+    {"no limit any more", std::nullopt, 1100, 1300, std::nullopt},
+    {"no limit in a response that may be older", std::nullopt, 1050, 1300, 4},
+};
+
+class PermitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PermitTest);
+  CPPUNIT_TEST(UsesNewestLimit);
+  CPPUNIT_TEST(GrantsNoMoreThanTheLimit);
+  CPPUNIT_TEST(GrantExpiresByTheTimeOfAsking);
+  CPPUNIT_TEST(RejectsAtOnceWithTimeToComeBack);
+  CPPUNIT_TEST(SendsWithValidPermitOnly);
+  CPPUNIT_TEST(SumStaysBelowLimits);
+  CPPUNIT_TEST(SumStaysBelowLimitsUnderFaults);
+  CPPUNIT_TEST(ServesEverythingBelowTheLimits);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a limit that is raised or withdrawn by a response from before it was named, and
+  // against one that is not lowered at once.
+  void UsesNewestLimit() {
+    for (const auto& row : kObservationRows) {
+      EndpointLimits limits;
+      limits.Record({"e", 1, 4, At(milliseconds(1000)), At(milliseconds(1100))});
+      limits.Record({"e", 1, row.per_second, At(milliseconds(row.sent_ms)),
+                     At(milliseconds(row.answered_ms))});
+      CPPUNIT_ASSERT_MESSAGE(row.name, limits.Find("e") == row.in_force);
+    }
+    EndpointLimits limits;
+    limits.Record({"e", 1, 4, At(seconds(1)), At(seconds(1))});
+    CPPUNIT_ASSERT(limits.Record({"e", 2, std::nullopt, At(seconds(2)), At(seconds(2))}));
+    CPPUNIT_ASSERT_MESSAGE("limit of the previous incarnation", !limits.Find("e"));
+    limits.Record({"e", 1, 4, At(seconds(3)), At(seconds(3))});
+    CPPUNIT_ASSERT_MESSAGE("late response of the previous incarnation", !limits.Find("e"));
+  }
+
+  // Guards against grants to each process by itself: the number of permits depends on the limit
+  // only, not on the number of processes that ask, and a bucket starts empty after a takeover.
+  void GrantsNoMoreThanTheLimit() {
+    for (const double limit : {0.5, 1.0, 20.0}) {
+      for (const int processes : {1, 59, 360}) {
+        PermitAllocator allocator;
+        allocator.Record({"e", 1, limit, At({}), At({})});
+        std::size_t granted = 0;
+        const auto ask = [&](Duration time) {
+          for (int i = 0; i < processes; ++i) {
+            PermitRequest request;
+            request.process = "p" + std::to_string(i);
+            request.rows = {{"e", 3}};
+            for (const auto& row : allocator.Grant(request, At(time)).rows) granted += row.granted;
+          }
+        };
+        ask({});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("an empty bucket", std::size_t{0}, granted);
+        for (Duration time{}; time <= seconds(10); time += milliseconds(100)) ask(time);
+        CPPUNIT_ASSERT(static_cast<double>(granted) <= 10 * limit);
+        CPPUNIT_ASSERT(static_cast<double>(granted) >= std::floor(10 * limit) - 1);
+        const std::size_t before = granted;
+        allocator.Reset();
+        ask(seconds(20));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE("after a takeover", before, granted);
+      }
+    }
+  }
+
+  // Guards against a grant that is used long after it was made, because it was on its way for long
+  // or the process stood still: by then the allocator has granted the next permits.
+  void GrantExpiresByTheTimeOfAsking() {
+    for (const int delay_ms : {0, 300, 699, 700, 5000}) {
+      PermitPool pool;
+      pool.SetProcesses(0, 4);
+      pool.Record({"e", 1, 10, At({}), At({})});
+      pool.OnMissed("e", false, At(seconds(1)));
+      const auto request = pool.NextRequest(At(seconds(1)));
+      CPPUNIT_ASSERT(request.has_value());
+      const TimePoint arrival = request->sent_at + milliseconds(delay_ms);
+      pool.OnGrant({request->sent_at, {{"e", 1, {}, {}}}}, arrival);
+      CPPUNIT_ASSERT_EQUAL(delay_ms < 700, pool.Available("e", arrival));
+      CPPUNIT_ASSERT(!pool.Available("e", request->sent_at + kPermitTtl));
+      // A repeated grant adds nothing.
+      if (delay_ms >= 700) continue;
+      pool.Take("e", arrival);
+      pool.OnGrant({request->sent_at, {{"e", 1, {}, {}}}}, arrival);
+      CPPUNIT_ASSERT(!pool.Available("e", arrival));
+    }
+  }
+
+  // Guards against requests that wait for permits until their time is over, although the allocator
+  // has said that there are none.
+  void RejectsAtOnceWithTimeToComeBack() {
+    PlacementSettings settings;
+    settings.failure_domain = "a";
+    Placement placement(settings, 1);
+    ServiceConfig config;
+    config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
+    InstanceTable table;
+    EndpointRecord record;
+    record.id = "e";
+    record.started_ms = 1;
+    record.sequence = 1;
+    record.service = "bookings";
+    record.address = "10.0.0.1:80";
+    record.slots = 8;
+    table.Apply(record, At({}));
+    placement.Sync(table, config);
+    placement.permits().SetProcesses(0, 4);
+    placement.permits().Record({"e", 1, 1, At({}), At({})});
+    Admission admission(placement, 1);
+    AdmissionRequest request;
+    request.id = 1;
+    request.query.service = "bookings";
+    request.latest_start = At(seconds(1) + milliseconds(60));
+    CPPUNIT_ASSERT_MESSAGE(
+        "waits while the allocator has not replied",
+        std::holds_alternative<std::monostate>(admission.Offer(request, At(seconds(1)))));
+    const auto asked = placement.permits().NextRequest(At(seconds(1)));
+    CPPUNIT_ASSERT(asked.has_value());
+    placement.permits().OnGrant({asked->sent_at, {{"e", 0, milliseconds(800), seconds(2)}}},
+                                At(seconds(1) + milliseconds(5)));
+    const auto decisions = admission.ProcessWaiting(At(seconds(1) + milliseconds(5)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, decisions.size());
+    request.id = 2;
+    const auto second = admission.Offer(request, At(seconds(1) + milliseconds(6)));
+    for (const auto& decision : {decisions.front().second, second}) {
+      const auto* refusal = std::get_if<Refusal>(&decision);
+      CPPUNIT_ASSERT(refusal != nullptr && refusal->reason == RefusalReason::kRequestLimit);
+      CPPUNIT_ASSERT(refusal->retry_after >= milliseconds(800));
+    }
+  }
+
+  // Guards against requests without a permit to an endpoint that named its limit while they were on
+  // their way to it, and against permits that are lost with requests that were not sent.
+  void SendsWithValidPermitOnly() {
+    PlacementSettings settings;
+    Placement placement(settings, 1);
+    ServiceConfig config;
+    config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
+    InstanceTable table;
+    EndpointRecord record;
+    record.id = "e";
+    record.started_ms = 1;
+    record.sequence = 1;
+    record.service = "bookings";
+    record.address = "10.0.0.1:80";
+    record.slots = 8;
+    table.Apply(record, At({}));
+    placement.Sync(table, config);
+    PlacementQuery query;
+    query.service = "bookings";
+    auto early = placement.Choose(query, At(seconds(1)));
+    CPPUNIT_ASSERT(early && !early->permit_expires_at);
+    placement.permits().Record({"e", 1, 1, At({}), At(seconds(1))});
+    CPPUNIT_ASSERT(!placement.UsePermit(*early, At(seconds(1))));
+    CPPUNIT_ASSERT(!placement.Choose(query, At(seconds(1))));
+    const auto request = placement.permits().NextRequest(At(seconds(1)));
+    placement.permits().OnGrant({request->sent_at, {{"e", 1, {}, {}}}}, At(seconds(1)));
+    auto placed = placement.Choose(query, At(seconds(1)));
+    CPPUNIT_ASSERT(placed && placed->permit_expires_at);
+    placement.ReturnPermit(*placed, At(seconds(1)));
+    placed = placement.Choose(query, At(seconds(1)));
+    CPPUNIT_ASSERT_MESSAGE("a permit that was put back", placed.has_value());
+    CPPUNIT_ASSERT(!placement.UsePermit(*placed, At(seconds(2))));
+  }
+
+  // Guards against limits that hold for each process but not for their sum, which shows most at
+  // limits below the number of processes.
+  void SumStaysBelowLimits() {
+    const std::vector<std::vector<benchmark::LimitChange>> changing = {
+        {{seconds(1), 1.0}},
+        {{seconds(1), 0.5}},
+        {{seconds(1), 40.0}, {seconds(12), 2.0}},
+        {{seconds(1), 2.0}, {seconds(12), 40.0}},
+        {{seconds(1), 1.0}, {seconds(12), std::nullopt}}};
+    struct Case {
+      const char* name;
+      PermitScenario scenario;
+      bool saturated;
+    };
+    const Case cases[] = {
+        {"59 processes, limit 1", Scenario(59, {{{seconds(1), 1.0}}}, 60), true},
+        {"59 processes, limit 0.25", Scenario(59, {{{seconds(1), 0.25}}}, 60), true},
+        {"59 processes, limit 100", Scenario(59, {{{seconds(1), 100.0}}}, 300), true},
+        {"4 processes, limit 1", Scenario(4, {{{seconds(1), 1.0}}}, 60), true},
+        {"4 processes, limit 100", Scenario(4, {{{seconds(1), 100.0}}}, 300), true},
+        {"360 processes, limit 5", Scenario(360, {{{seconds(1), 5.0}}}, 360), true},
+        {"59 processes, changing limits", Scenario(59, changing, 200), false},
+        {"4 processes, changing limits", Scenario(4, changing, 200), false},
+    };
+    for (const auto& [name, base, saturated] : cases) {
+      for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+        PermitScenario scenario = base;
+        scenario.seed = seed;
+        const auto result = RunPermits(scenario);
+        const double use = UsedFraction(scenario, result);
+        std::cout << name << ", seed " << seed << ": " << use << " of the limits used, "
+                  << result.expired << " permits expired, " << result.messages << " messages\n";
+        const std::string excess = FirstExcess(scenario, result);
+        CPPUNIT_ASSERT_MESSAGE(name + (": " + excess), excess.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused_without_time);
+        if (saturated) CPPUNIT_ASSERT_MESSAGE(name, use >= kMinUse);
+      }
+    }
+  }
+
+  // Guards against a sum that holds only while all processes run and all messages arrive in time.
+  // Processes that fail count, although the rule would excuse most of them; see PermitResult for
+  // the only exception.
+  void SumStaysBelowLimitsUnderFaults() {
+    struct Case {
+      const char* name;
+      std::vector<benchmark::PermitFaultSpan> faults;
+    };
+    const Case cases[] = {
+        {"half of the processes cut off", {{PermitFault::kCutOff, seconds(8), seconds(20), 0.5}}},
+        {"all processes cut off", {{PermitFault::kCutOff, seconds(8), seconds(20), 1}}},
+        {"news never comes", {{PermitFault::kCutOff, milliseconds(500), seconds(30), 0.3}}},
+        {"late messages", {{PermitFault::kLateMessages, {}, seconds(30), 1}}},
+        {"no allocator", {{PermitFault::kNoAllocator, seconds(8), seconds(20), 0}}},
+        {"no allocator at any time", {{PermitFault::kNoAllocator, {}, seconds(30), 0}}},
+        {"a new allocator, again and again",
+         {{PermitFault::kNoAllocator, seconds(8), seconds(9), 0},
+          {PermitFault::kNoAllocator, seconds(10), seconds(11), 0},
+          {PermitFault::kNoAllocator, seconds(12), seconds(13), 0}}},
+        {"frozen processes",
+         {{PermitFault::kFrozen, seconds(8), seconds(10), 0.5},
+          {PermitFault::kFrozen, seconds(12), seconds(12) + milliseconds(500), 1}}},
+        {"restarted processes",
+         {{PermitFault::kRestarted, seconds(8), seconds(8) + milliseconds(300), 0.5},
+          {PermitFault::kRestarted, seconds(10), seconds(10) + milliseconds(300), 1},
+          {PermitFault::kRestarted, seconds(12), seconds(12) + milliseconds(300), 0.8}}},
+        {"processes that join", {{PermitFault::kStopped, {}, seconds(10), 0.5}}},
+        {"processes that stop", {{PermitFault::kStopped, seconds(10), seconds(30), 0.5}}},
+        {"a restart behind a cut",
+         {{PermitFault::kCutOff, seconds(8), seconds(20), 0.5},
+          {PermitFault::kRestarted, seconds(12), seconds(12) + milliseconds(300), 0.5}}},
+    };
+    const std::vector<std::vector<benchmark::LimitChange>> limits = {
+        {{seconds(1), 1.0}}, {{seconds(1), 12.0}}, {{seconds(1), 100.0}, {seconds(15), 10.0}}};
+    for (const auto& [name, faults] : cases) {
+      for (const std::size_t processes : {4, 59}) {
+        for (std::uint64_t seed = 1; seed <= 2; ++seed) {
+          PermitScenario scenario = Scenario(processes, limits, 300, faults);
+          scenario.seed = seed;
+          const auto result = RunPermits(scenario);
+          const std::string text = std::string(name) + ", " + std::to_string(processes) +
+                                   " processes, seed " + std::to_string(seed);
+          std::cout << text << ": " << UsedFraction(scenario, result) << " of the limits used, "
+                    << result.untold << " requests untold\n";
+          const std::string excess = FirstExcess(scenario, result);
+          CPPUNIT_ASSERT_MESSAGE(text + ": " + excess, excess.empty());
+          CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused_without_time);
+        }
+      }
+    }
+  }
+
+  // Guards against limits that refuse requests although there are fewer than the limits allow.
+  void ServesEverythingBelowTheLimits() {
+    for (const std::size_t processes : {4, 59}) {
+      const auto scenario = Scenario(processes, {{{seconds(1), 100.0}}}, 50);
+      const auto result = RunPermits(scenario);
+      std::cout << processes << " processes, half of the limit: " << result.refused << " of "
+                << result.requests << " refused\n";
+      CPPUNIT_ASSERT(static_cast<double>(result.refused) <=
+                     0.05 * static_cast<double>(result.requests));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PermitTest);
+
+}  // namespace
+}  // namespace wagtailslip::serving
