Repeat lost limit reports, and forget limits of earlier incarnations

Change: reports without a reply are repeated, the allocator grants what is wanted where no limit is in force and returns its newer observation, and the limit goes with its incarnation. Retry-After is never before the next permit. The rule that both tests check stands in one header.

--- a/include/wagtailslip/serving/permit_pool.h
+++ b/include/wagtailslip/serving/permit_pool.h
@@ -41,6 +41,8 @@
   bool Record(const LimitObservation& observation);
   /// Discards everything about an endpoint that is gone.
   void Remove(const std::string& endpoint);
+  /// Discards everything about the incarnations of an endpoint before the given one.
+  void RemoveBefore(const std::string& endpoint, std::int64_t started_ms);
   bool IsLimited(const std::string& endpoint) const { return limits_.Find(endpoint).has_value(); }
   /// Whether any endpoint has named a limit.
   bool any_limited() const { return !limits_.observations().empty(); }
@@ -94,6 +96,8 @@
   struct Pending {
     TimePoint sent_at{};
     std::vector<PermitRequest::Row> rows;
+    /// Endpoints whose limit was reported.
+    std::vector<std::string> reported;
     /// The reply is overdue, and the permits are asked for again.
     bool overdue = false;
   };
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -285,6 +285,12 @@
   permit_term_ = term;
   wire::MeshMessage reply;
   reply.__set_permits(mesh::ToWire(permit_allocator_.Grant(request, now)));
+  for (const auto& it : request.limits) {
+    const auto* newest = permit_allocator_.limits().Observation(it.endpoint);
+    if (newest == nullptr || newest->per_second == it.per_second) continue;
+    reply.__isset.limits = true;
+    reply.limits.push_back(mesh::ToWire(*newest, now));
+  }
   mesh_->Send(from.process, reply);
 }
 
@@ -310,8 +316,10 @@
 void ControlNode::PruneLimits(TimePoint now) {
   std::vector<std::string> gone;
   for (const auto& [id, it] : permit_allocator_.limits().observations()) {
-    const bool known = table_.Find(id) != nullptr;
-    if (!known && now - it.answered_at >= kUnknownEndpointLimitTtl) gone.push_back(id);
+    const auto* record = table_.Find(id);
+    const bool forgotten = record == nullptr && now - it.answered_at >= kUnknownEndpointLimitTtl;
+    const bool restarted = record != nullptr && record->started_ms > it.started_ms;
+    if (forgotten || restarted) gone.push_back(id);
   }
   for (const auto& id : gone) permit_allocator_.Remove(id);
 }
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -360,7 +360,8 @@
 void IngressNode::OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now) {
   for (const auto& it : limits) {
     const auto observation = mesh::FromWire(it, now);
-    if (table_.Find(observation.endpoint) == nullptr) continue;
+    const auto* known = table_.Find(observation.endpoint);
+    if (known == nullptr || observation.started_ms < known->started_ms) continue;
     RecordLimit(observation, "control process", now);
   }
 }
--- a/src/serving/admission.cc
+++ b/src/serving/admission.cc
@@ -122,7 +122,9 @@
   if (pool.usable == 0 || pool.next_permit_at < request.latest_start) return std::nullopt;
   const TimePoint free_at = std::max(pool.next_permit_at, pool.permit_queue_end);
   const Duration wait = std::clamp(free_at - now, kMinRetryAfter, kMaxRetryAfterLimit);
-  return Refusal{RefusalReason::kRequestLimit, AddJitter(wait)};
+  // Never before the next permit, when a retry would only be refused again.
+  const Duration next_permit = std::min(pool.next_permit_at - now, kMaxRetryAfterLimit);
+  return Refusal{RefusalReason::kRequestLimit, std::max(next_permit, AddJitter(wait))};
 }
 
 AdmissionDecision Admission::Offer(const AdmissionRequest& request, TimePoint now) {
--- a/src/serving/permit_allocator.cc
+++ b/src/serving/permit_allocator.cc
@@ -52,8 +52,11 @@
                                            const std::string& process, TimePoint now) {
   PermitGrant::Row reply{row.endpoint, 0, {}, {}};
   const auto limit = limits_.Find(row.endpoint);
-  // Without a limit no permits are needed, which the process has not learned yet.
-  if (!limit) return reply;
+  // The limit was withdrawn, which the process does not know. It learns it from the responses.
+  if (!limit) {
+    reply.granted = row.wanted;
+    return reply;
+  }
   const double rate = std::max(*limit, kMinPermitsPerSecond);
   Bucket& bucket = Refill(row.endpoint, rate, now);
   const auto available = static_cast<std::uint32_t>(std::floor(bucket.tokens));
--- a/src/serving/permit_pool.cc
+++ b/src/serving/permit_pool.cc
@@ -64,6 +64,11 @@
   changed_.erase(endpoint);
 }
 
+void PermitPool::RemoveBefore(const std::string& endpoint, std::int64_t started_ms) {
+  const auto* known = limits_.Observation(endpoint);
+  if (known != nullptr && known->started_ms < started_ms) Remove(endpoint);
+}
+
 void PermitPool::AddDemand(Endpoint& endpoint, double requests, TimePoint now) {
   const double elapsed_s = ToSeconds(now - endpoint.demand_at);
   endpoint.demand *= endpoint.demand_at == TimePoint{} ? 0 : std::exp(-elapsed_s / kDemandSeconds);
@@ -89,7 +94,7 @@
 Duration PermitPool::OwnSlotInterval(double limit) const {
   const double share =
       kOwnShareFraction * std::max(limit, kMinLimit) / static_cast<double>(processes_);
-  return FromSeconds(1 / share);
+  return std::max(FromSeconds(1 / share), Duration(1));
 }
 
 bool PermitPool::OwnSlotOpen(const std::string& id, Endpoint& endpoint, TimePoint now) {
@@ -105,7 +110,8 @@
         now + interval / static_cast<int>(processes_) * static_cast<int>(rank_ + 1);
   }
   // A slot that passed without a request is lost, so that saved slots are not used all at once.
-  while (endpoint.next_own_slot + kPermitTtl <= now) endpoint.next_own_slot += interval;
+  const Duration late = now - endpoint.next_own_slot - kPermitTtl;
+  if (late >= Duration::zero()) endpoint.next_own_slot += (late / interval + 1) * interval;
   return endpoint.next_own_slot <= now;
 }
 
@@ -196,7 +202,10 @@
 
 void PermitPool::CheckPending(TimePoint now) {
   for (auto& it : pending_) {
-    if (now - it.sent_at >= kReplyTimeout) EndWait(it);
+    if (it.overdue || now - it.sent_at < kReplyTimeout) continue;
+    EndWait(it);
+    // The allocator may not have received the limits.
+    changed_.insert(it.reported.begin(), it.reported.end());
   }
   while (!pending_.empty() && now - pending_.front().sent_at >= kPermitTtl) pending_.pop_front();
 }
@@ -229,7 +238,10 @@
   // After a time without requests nothing is known of the allocator.
   if (!unanswered_since_ || now - last_asked_at_ >= kOwnShareAfter) unanswered_since_ = now;
   last_asked_at_ = now;
-  pending_.push_back({now, request.rows});
+  Pending& pending = pending_.emplace_back();
+  pending.sent_at = now;
+  pending.rows = request.rows;
+  for (const auto& it : request.limits) pending.reported.push_back(it.endpoint);
   return request;
 }
 
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -64,6 +64,7 @@
       endpoint.pending_prompt_tokens = pending_prompt_tokens;
       ejector_.Remove(id);
       ejector_.Add(id, record.service);
+      permits_.RemoveBefore(id, record.started_ms);
     }
     if (restarted || record.sequence > endpoint.record.sequence) {
       // Announcements are seconds apart, so an engine status received since is more recent. Only a
--- a/tests/permit_test.cc
+++ b/tests/permit_test.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "permit_model.h"
+#include "request_limit_rule.h"
 #include "wagtailslip/serving/admission.h"
 #include "wagtailslip/serving/endpoint_limits.h"
 #include "wagtailslip/serving/permit_allocator.h"
@@ -19,52 +20,24 @@
 using benchmark::PermitFault;
 using benchmark::PermitResult;
 using benchmark::PermitScenario;
+using request_limit_rule::kContact;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// The stated rule: from kContact after an endpoint first named a limit, it gets in kWindow at most
-/// kFactor times what the limit allows, and kExtra requests more. News takes kNewsDelay.
-constexpr Duration kContact = seconds(3);
-constexpr Duration kWindow = seconds(4);
-constexpr Duration kNewsDelay = milliseconds(500);
-constexpr double kFactor = 1.5;
-constexpr double kExtra = 5;
 /// The project's own target: while more is asked for than the limits allow, at least this part of
 /// them is used, unless faults keep processes from the allocator.
 constexpr double kMinUse = 0.7;
 
 TimePoint At(Duration time) { return TimePoint(seconds(1000) + time); }
 
-/// Requests that an endpoint may get from `begin` to `begin` + kWindow; nothing without a limit. A
-/// lower limit counts from kNewsDelay after it was named.
-std::optional<double> Allowance(const std::vector<benchmark::LimitChange>& changes,
-                                Duration begin) {
-  constexpr Duration kStep = milliseconds(10);
-  double total = 0;
-  for (Duration time = begin; time < begin + kWindow; time += kStep) {
-    const auto limit = LimitAt(changes, time);
-    const auto before = LimitAt(changes, time - kNewsDelay);
-    if (!limit || !before) return std::nullopt;
-    total += std::max(*limit, *before) * ToSeconds(kStep);
-  }
-  return kFactor * total + kExtra;
-}
-
-/// The first window in which an endpoint got too many requests; empty if there is none.
+/// The first excess over the rule at any endpoint; empty if there is none.
 std::string FirstExcess(const PermitScenario& scenario, const PermitResult& result) {
   for (std::size_t i = 0; i < scenario.endpoints.size(); ++i) {
     const auto& changes = scenario.endpoints[i];
-    const auto& arrivals = result.arrivals[i];
-    const Duration from = changes.front().at + kContact;
-    for (std::size_t first = 0, last = 0; first < arrivals.size(); ++first) {
-      while (last < arrivals.size() && arrivals[last] < arrivals[first] + kWindow) ++last;
-      if (arrivals[first] < from) continue;
-      const auto allowance = Allowance(changes, arrivals[first]);
-      if (!allowance || static_cast<double>(last - first) <= *allowance) continue;
-      return "endpoint " + std::to_string(i) + " got " + std::to_string(last - first) +
-             " requests in 4 s from " + std::to_string(ToSeconds(arrivals[first])) +
-             " s, allowed " + std::to_string(*allowance);
-    }
+    const std::string excess = request_limit_rule::FirstExcess(
+        result.arrivals[i], [&](Duration time) { return LimitAt(changes, time); },
+        changes.front().at);
+    if (!excess.empty()) return "endpoint " + std::to_string(i) + " " + excess;
   }
   return {};
 }
@@ -98,6 +71,26 @@
   return scenario;
 }
 
+/// A service with one endpoint "e".
+ServiceConfig BookingsConfig() {
+  ServiceConfig config;
+  config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
+  return config;
+}
+
+InstanceTable BookingsTable(std::int64_t started_ms = 1) {
+  EndpointRecord record;
+  record.id = "e";
+  record.started_ms = started_ms;
+  record.sequence = 1;
+  record.service = "bookings";
+  record.address = "10.0.0.1:80";
+  record.slots = 8;
+  InstanceTable table;
+  table.Apply(record, At({}));
+  return table;
+}
+
 struct ObservationRow {
   const char* name;
   std::optional<double> per_second;
@@ -121,6 +114,9 @@
   CPPUNIT_TEST(UsesNewestLimit);
   CPPUNIT_TEST(GrantsNoMoreThanTheLimit);
   CPPUNIT_TEST(GrantExpiresByTheTimeOfAsking);
+  CPPUNIT_TEST(GrantsEverythingAfterAWithdrawal);
+  CPPUNIT_TEST(RepeatsReportsWithoutReply);
+  CPPUNIT_TEST(ForgetsLimitOfRestartedEndpoint);
   CPPUNIT_TEST(RejectsAtOnceWithTimeToComeBack);
   CPPUNIT_TEST(SendsWithValidPermitOnly);
   CPPUNIT_TEST(SumStaysBelowLimits);
@@ -198,24 +194,52 @@
     }
   }
 
+  // Guards against a process that has missed that a limit was withdrawn, and waits forever for
+  // permits that the allocator sees no need for.
+  void GrantsEverythingAfterAWithdrawal() {
+    PermitAllocator allocator;
+    allocator.Record({"e", 1, 1, At(seconds(1)), At(seconds(1))});
+    allocator.Record({"e", 1, std::nullopt, At(seconds(2)), At(seconds(2))});
+    PermitRequest request;
+    request.process = "p";
+    request.rows = {{"e", 7}};
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{7},
+                         allocator.Grant(request, At(seconds(3))).rows.front().granted);
+  }
+
+  // Guards against a changed limit that only its first, lost report named.
+  void RepeatsReportsWithoutReply() {
+    PermitPool pool;
+    pool.SetProcesses(0, 4);
+    pool.Record({"e", 1, 10, At({}), At({})});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pool.NextRequest(At(seconds(1)))->limits.size());
+    CPPUNIT_ASSERT(!pool.NextRequest(At(seconds(1) + milliseconds(100))));
+    const auto repeated = pool.NextRequest(At(seconds(1) + milliseconds(300)));
+    CPPUNIT_ASSERT(repeated && repeated->limits.size() == 1);
+    pool.OnGrant({repeated->sent_at, {}}, At(seconds(1) + milliseconds(310)));
+    CPPUNIT_ASSERT(!pool.NextRequest(At(seconds(2))));
+  }
+
+  // Guards against a limit that outlives the incarnation that named it.
+  void ForgetsLimitOfRestartedEndpoint() {
+    PlacementSettings settings;
+    Placement placement(settings, 1);
+    for (const std::int64_t started_ms : {1, 2}) {
+      placement.Sync(BookingsTable(started_ms), BookingsConfig());
+      CPPUNIT_ASSERT(!placement.permits().IsLimited("e"));
+      placement.permits().Record({"e", started_ms, 1, At({}), At({})});
+      placement.Sync(BookingsTable(started_ms), BookingsConfig());
+      CPPUNIT_ASSERT(placement.permits().IsLimited("e"));
+    }
+  }
+
   // Guards against requests that wait for permits until their time is over, although the allocator
   // has said that there are none.
   void RejectsAtOnceWithTimeToComeBack() {
     PlacementSettings settings;
     settings.failure_domain = "a";
     Placement placement(settings, 1);
-    ServiceConfig config;
-    config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
-    InstanceTable table;
-    EndpointRecord record;
-    record.id = "e";
-    record.started_ms = 1;
-    record.sequence = 1;
-    record.service = "bookings";
-    record.address = "10.0.0.1:80";
-    record.slots = 8;
-    table.Apply(record, At({}));
-    placement.Sync(table, config);
+    placement.Sync(BookingsTable(), BookingsConfig());
     placement.permits().SetProcesses(0, 4);
     placement.permits().Record({"e", 1, 1, At({}), At({})});
     Admission admission(placement, 1);
@@ -246,18 +270,7 @@
   void SendsWithValidPermitOnly() {
     PlacementSettings settings;
     Placement placement(settings, 1);
-    ServiceConfig config;
-    config.services.push_back({"bookings", "/healthz", 100, std::nullopt, ""});
-    InstanceTable table;
-    EndpointRecord record;
-    record.id = "e";
-    record.started_ms = 1;
-    record.sequence = 1;
-    record.service = "bookings";
-    record.address = "10.0.0.1:80";
-    record.slots = 8;
-    table.Apply(record, At({}));
-    placement.Sync(table, config);
+    placement.Sync(BookingsTable(), BookingsConfig());
     PlacementQuery query;
     query.service = "bookings";
     auto early = placement.Choose(query, At(seconds(1)));
--- a/tests/system/request_limit_test.cc
+++ b/tests/system/request_limit_test.cc
@@ -8,17 +8,14 @@
 
 #include "cluster.h"
 #include "limited_replicas.h"
+#include "request_limit_rule.h"
 
 namespace wagtailslip::system_test {
 namespace {
 
-/// The stated rule: from kContact after a replica first named a limit, it gets in kWindow at most
-/// kFactor times what the limit allows, and kExtra requests more. News takes kNewsDelay.
-constexpr Duration kContact = 3s;
-constexpr Duration kWindow = 4s;
-constexpr double kFactor = 1.5;
-constexpr double kExtra = 5;
-constexpr Duration kNewsDelay = 500ms;
+using request_limit_rule::kExtra;
+using request_limit_rule::kFactor;
+
 constexpr int kControls = 3;
 constexpr int kIngresses = 8;
 
@@ -86,41 +83,19 @@
   std::vector<std::thread> threads_;
 };
 
-/// Requests that a replica may get from `begin` to `begin` + kWindow. A lower limit counts from
-/// kNewsDelay after it was named.
-std::optional<double> Allowance(const ReplicaPlan& plan, Duration begin) {
-  constexpr Duration kStep = 10ms;
-  double total = 0;
-  for (Duration t = begin; t < begin + kWindow; t += kStep) {
-    const auto now = plan.LimitAt(t);
-    const auto before = plan.LimitAt(t - kNewsDelay);
-    if (!now || !before) return std::nullopt;
-    total += std::max(*now, *before) * ToSeconds(kStep);
-  }
-  return kFactor * total + kExtra;
-}
-
 std::size_t CountIn(const std::vector<Duration>& arrivals, Duration begin, Duration end) {
   return static_cast<std::size_t>(std::count_if(
       arrivals.begin(), arrivals.end(), [&](Duration it) { return it >= begin && it < end; }));
 }
 
-/// Every window in which a replica got more requests than it may get.
+/// The first excess over the rule at each replica that has one.
 std::vector<std::string> Excesses(const LimitedReplicas& replicas) {
   std::vector<std::string> excesses;
   for (const auto& plan : replicas.plans()) {
-    const auto arrivals = replicas.Arrivals(plan.id);
-    const Duration from = plan.steps.front().at + kContact;
-    for (const Duration begin : arrivals) {
-      if (begin < from) continue;
-      const auto allowance = Allowance(plan, begin);
-      const auto n = CountIn(arrivals, begin, begin + kWindow);
-      if (!allowance || static_cast<double>(n) <= *allowance) continue;
-      excesses.push_back(plan.id + " got " + std::to_string(n) + " requests in 4 s from " +
-                         std::to_string(ToSeconds(begin)) + " s, allowed " +
-                         std::to_string(*allowance));
-      break;
-    }
+    const std::string excess = request_limit_rule::FirstExcess(
+        replicas.Arrivals(plan.id), [&](Duration time) { return plan.LimitAt(time); },
+        plan.steps.front().at);
+    if (!excess.empty()) excesses.push_back(plan.id + " " + excess);
   }
   return excesses;
 }
