Spread named limits without a leader, and test the sum in random runs

Change: processes ask all control processes while none leads; those reply with newer limits that they know and relay changed ones. Using the own share asks as well. A limit in a mesh message that is no number of at least 0 closes the link. A control process that links gets the limits, too.

--- a/benchmark/permit_model.h
+++ b/benchmark/permit_model.h
@@ -51,9 +51,9 @@
 };
 
 struct PermitResult {
-  /// Times after the start at which each endpoint got requests. Without those of processes that are
-  /// cut off and have not passed on a response with the limit in force for kToldDelay: nothing can
-  /// tell these of the limit but the response.
+  /// Times after the start at which each endpoint got requests. Without those of processes that
+  /// have not passed on a response with the limit in force for kToldDelay and could not learn of it
+  /// otherwise, because they are cut off or no process has passed on such a response for that time.
   std::vector<std::vector<Duration>> arrivals;
   /// Requests that are left out there.
   std::size_t untold = 0;
--- a/include/wagtailslip/mesh/codec.h
+++ b/include/wagtailslip/mesh/codec.h
@@ -30,11 +30,13 @@
 serving::EngineStatus FromWire(const wire::InstanceReading& reading);
 
 wire::EndpointLimit ToWire(const serving::LimitObservation& observation, TimePoint now);
+/// @throws MeshError if the limit is not a number of at least 0
 serving::LimitObservation FromWire(const wire::EndpointLimit& limit, TimePoint now);
 
 /// Encodes the rows and the limits of a request for permits.
 wire::MeshMessage ToWire(const serving::PermitRequest& request, TimePoint now);
 /// @param process process that sent the message
+/// @throws MeshError if a limit is not a number of at least 0
 serving::PermitRequest PermitRequestFromWire(const wire::MeshMessage& message,
                                              const std::string& process, TimePoint now);
 wire::Permits ToWire(const serving::PermitGrant& grant);
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -201,8 +201,9 @@
   for (const auto& [model, targets] : log_->state().targets) {
     for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
   }
-  if (member.kind == MemberKind::kSidecar) message.__set_sources(sources_);
-  if (member.kind == MemberKind::kIngress) {
+  if (member.kind == MemberKind::kSidecar) {
+    message.__set_sources(sources_);
+  } else {
     message.__isset.limits = true;
     for (const auto& [id, it] : permit_allocator_.limits().observations()) {
       message.limits.push_back(mesh::ToWire(it, now));
@@ -278,20 +279,22 @@
     if (it.per_second) fields["limit"] = *it.per_second;
     LogEvent(Event::kEndpointLimitChanged, fields);
   }
-  if (!log_->HasLeaderLease(now)) return;
-  // Another process may have granted permits since the last term in which this one did.
-  const std::uint64_t term = log_->replica().term();
-  if (term != permit_term_) permit_allocator_.Reset();
-  permit_term_ = term;
   wire::MeshMessage reply;
-  reply.__set_permits(mesh::ToWire(permit_allocator_.Grant(request, now)));
+  if (log_->HasLeaderLease(now)) {
+    // Another process may have granted permits since the last term in which this one did.
+    const std::uint64_t term = log_->replica().term();
+    if (term != permit_term_) permit_allocator_.Reset();
+    permit_term_ = term;
+    reply.__set_permits(mesh::ToWire(permit_allocator_.Grant(request, now)));
+  }
+  // Sent by followers as well, because without a leader nothing else tells of a lower limit.
   for (const auto& it : request.limits) {
     const auto* newest = permit_allocator_.limits().Observation(it.endpoint);
     if (newest == nullptr || newest->per_second == it.per_second) continue;
     reply.__isset.limits = true;
     reply.limits.push_back(mesh::ToWire(*newest, now));
   }
-  mesh_->Send(from.process, reply);
+  if (reply.__isset.permits || reply.__isset.limits) mesh_->Send(from.process, reply);
 }
 
 void ControlNode::SendLimits(TimePoint now) {
@@ -306,11 +309,11 @@
     if (observation != nullptr) message.limits.push_back(mesh::ToWire(*observation, now));
   }
   changed_limits_.clear();
+  // Followers hear of a change only while no leader replies, and then nothing else spreads it.
+  mesh_->SendTo(receivers, message);
   // The other control processes pass the limits on to processes that link to them, and know them if
   // they lead next.
-  if (!log_->HasLeaderLease(now)) return;
-  mesh_->SendTo(receivers, message);
-  mesh_->SendTo(LinkedProcesses({MemberKind::kControl}), message);
+  if (log_->HasLeaderLease(now)) mesh_->SendTo(LinkedProcesses({MemberKind::kControl}), message);
 }
 
 void ControlNode::PruneLimits(TimePoint now) {
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -111,7 +111,11 @@
   serving::LimitObservation observation;
   observation.endpoint = w.endpoint;
   observation.started_ms = w.started_ms;
-  if (w.__isset.per_second && w.per_second >= 0) observation.per_second = w.per_second;
+  if (w.__isset.per_second) {
+    // Also false for a value that is not a number.
+    if (!(w.per_second >= 0)) throw MeshError("invalid request limit in a mesh message");
+    observation.per_second = w.per_second;
+  }
   observation.sent_at = now - std::chrono::milliseconds(w.sent_age_ms);
   observation.answered_at = now - std::chrono::milliseconds(w.answered_age_ms);
   return observation;
--- a/src/serving/permit_pool.cc
+++ b/src/serving/permit_pool.cc
@@ -130,6 +130,8 @@
   ++counters_.taken;
   if (state.held.empty()) {
     ++counters_.own_share;
+    // Asks the control processes, of which one may lead now or know a lower limit.
+    state.missed = std::max(state.missed, 1U);
     const TimePoint expires_at = state.next_own_slot + kPermitTtl;
     state.next_own_slot += OwnSlotInterval(*limit);
     return expires_at;
--- /dev/null
+++ b/tests/mesh_test.cc
@@ -0,0 +1,101 @@
+// Messages between control and ingress processes.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <cmath>
+
+#include "gen/mesh_types.h"
+#include "wagtailslip/codec/compact.h"
+#include "wagtailslip/mesh/codec.h"
+
+namespace wagtailslip::mesh {
+namespace {
+
+using serving::LimitObservation;
+using serving::PermitGrant;
+using serving::PermitRequest;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Clocks of two machines that have nothing to do with each other.
+constexpr TimePoint kSenderNow{seconds(5000)};
+constexpr TimePoint kReceiverNow{seconds(70)};
+
+wire::MeshMessage Transmit(const wire::MeshMessage& message) {
+  return codec::DecodeCompact<wire::MeshMessage>(codec::EncodeCompact(message));
+}
+
+class MeshTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MeshTest);
+  CPPUNIT_TEST(PermitRequestKeepsAgesAndClock);
+  CPPUNIT_TEST(PermitGrantReturnsClock);
+  CPPUNIT_TEST(RejectsInvalidNumbers);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against observations that seem newer or older at the receiver, whose clock has another
+  // origin, and against a withdrawn limit that arrives as a limit of 0.
+  void PermitRequestKeepsAgesAndClock() {
+    const std::optional<double> limits[] = {12.5, 0.0, std::nullopt};
+    for (const auto& limit : limits) {
+      PermitRequest request;
+      request.sent_at = kSenderNow;
+      request.rows = {{"e", 3}};
+      request.limits = {
+          {"e", 42, limit, kSenderNow - milliseconds(700), kSenderNow - milliseconds(200)}};
+      const auto message = Transmit(ToWire(request, kSenderNow));
+      CPPUNIT_ASSERT(message.__isset.permits && !message.permits.grant);
+      const auto received = PermitRequestFromWire(message, "p", kReceiverNow);
+      CPPUNIT_ASSERT_EQUAL(std::string("p"), received.process);
+      CPPUNIT_ASSERT(received.sent_at == kSenderNow);
+      CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, received.rows.front().wanted);
+      const LimitObservation& observation = received.limits.front();
+      CPPUNIT_ASSERT_EQUAL(std::int64_t{42}, observation.started_ms);
+      CPPUNIT_ASSERT(observation.per_second == limit);
+      CPPUNIT_ASSERT(observation.sent_at == kReceiverNow - milliseconds(700));
+      CPPUNIT_ASSERT(observation.answered_at == kReceiverNow - milliseconds(200));
+    }
+  }
+
+  // Guards against permits whose lifetime counts from another clock than that of the process that
+  // asked.
+  void PermitGrantReturnsClock() {
+    PermitGrant grant;
+    grant.request_sent_at = kSenderNow;
+    grant.rows = {{"e", 2, milliseconds(300), seconds(2)}};
+    wire::MeshMessage message;
+    message.__set_permits(ToWire(grant));
+    const auto received = PermitGrantFromWire(Transmit(message).permits);
+    CPPUNIT_ASSERT(received.request_sent_at == kSenderNow);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, received.rows.front().granted);
+    CPPUNIT_ASSERT(received.rows.front().next == milliseconds(300));
+    CPPUNIT_ASSERT(received.rows.front().queue_delay == seconds(2));
+  }
+
+  // Guards against a message of a faulty process that grants billions of permits or withdraws a
+  // limit.
+  void RejectsInvalidNumbers() {
+    for (const double invalid : {-2.0, std::nan("")}) {
+      wire::EndpointLimit limit;
+      limit.__set_per_second(invalid);
+      CPPUNIT_ASSERT_THROW(FromWire(limit, kReceiverNow), MeshError);
+    }
+
+    wire::MeshMessage message;
+    message.__isset.permits = true;
+    message.permits.grant = true;
+    wire::PermitRow row;
+    row.endpoint = "e";
+    row.wanted = -1;
+    row.granted = -1;
+    row.next_ms = -1;
+    message.permits.rows.push_back(row);
+    const auto sent = Transmit(message);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, PermitGrantFromWire(sent.permits).rows.front().granted);
+    const auto request = PermitRequestFromWire(sent, "p", kReceiverNow);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, request.rows.front().wanted);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(MeshTest);
+
+}  // namespace
+}  // namespace wagtailslip::mesh
--- a/tests/permit_test.cc
+++ b/tests/permit_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iostream>
+#include <random>
 
 #include "permit_model.h"
 #include "request_limit_rule.h"
@@ -28,6 +29,8 @@
 /// them is used, unless faults keep processes from the allocator.
 constexpr double kMinUse = 0.7;
 
+constexpr std::uint64_t kRandomRuns = 30;
+
 TimePoint At(Duration time) { return TimePoint(seconds(1000) + time); }
 
 /// The first excess over the rule at any endpoint; empty if there is none.
@@ -91,6 +94,40 @@
   return table;
 }
 
+/// Random limits that change, and random faults that overlap.
+PermitScenario RandomScenario(std::uint64_t seed) {
+  std::minstd_rand random(static_cast<std::minstd_rand::result_type>(seed));
+  const auto draw = [&](double least, double most) {
+    return std::uniform_real_distribution<double>(least, most)(random);
+  };
+  const auto time = [&](double least_s, double most_s) {
+    return milliseconds(static_cast<int>(1000 * draw(least_s, most_s)));
+  };
+  constexpr std::size_t kProcesses[] = {4, 18, 59};
+  constexpr PermitFault kFaults[] = {PermitFault::kCutOff,  PermitFault::kLateMessages,
+                                     PermitFault::kFrozen,  PermitFault::kRestarted,
+                                     PermitFault::kStopped, PermitFault::kNoAllocator};
+  PermitScenario scenario;
+  scenario.seed = seed;
+  scenario.processes = kProcesses[random() % std::size(kProcesses)];
+  scenario.demand = draw(20, 400);
+  for (int i = static_cast<int>(draw(1, 5)); i > 0; --i) {
+    auto& changes = scenario.endpoints.emplace_back();
+    changes.push_back({time(0.5, 3), std::exp(draw(std::log(0.2), std::log(100)))});
+    while (draw(0, 1) < 0.5) {
+      const Duration at = changes.back().at + time(2, 10);
+      const double limit = std::exp(draw(std::log(0.2), std::log(100)));
+      changes.push_back({at, draw(0, 1) < 0.2 ? std::nullopt : std::optional(limit)});
+    }
+  }
+  for (int i = static_cast<int>(draw(1, 7)); i > 0; --i) {
+    const Duration from = time(0, 25);
+    scenario.faults.push_back(
+        {kFaults[random() % std::size(kFaults)], from, from + time(0.2, 8), draw(0, 1)});
+  }
+  return scenario;
+}
+
 struct ObservationRow {
   const char* name;
   std::optional<double> per_second;
@@ -121,6 +158,7 @@
   CPPUNIT_TEST(SendsWithValidPermitOnly);
   CPPUNIT_TEST(SumStaysBelowLimits);
   CPPUNIT_TEST(SumStaysBelowLimitsUnderFaults);
+  CPPUNIT_TEST(SumStaysBelowLimitsInRandomRuns);
   CPPUNIT_TEST(ServesEverythingBelowTheLimits);
   CPPUNIT_TEST_SUITE_END();
 
@@ -380,6 +418,17 @@
     }
   }
 
+  // Guards against combinations of faults and changing limits that no table lists.
+  void SumStaysBelowLimitsInRandomRuns() {
+    for (std::uint64_t seed = 1; seed <= kRandomRuns; ++seed) {
+      const auto scenario = RandomScenario(seed);
+      const auto result = RunPermits(scenario);
+      const std::string excess = FirstExcess(scenario, result);
+      CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed) + ": " + excess, excess.empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused_without_time);
+    }
+  }
+
   // Guards against limits that refuse requests although there are fewer than the limits allow.
   void ServesEverythingBelowTheLimits() {
     for (const std::size_t processes : {4, 59}) {
