--- a/include/wagtailslip/serving/permit_pool.h
+++ b/include/wagtailslip/serving/permit_pool.h
@@ -36,7 +36,7 @@
   /// @param processes number of ingress processes
   void SetProcesses(std::size_t rank, std::size_t processes);
 
-  /// Records what a response said of the limit, or what the allocator relayed.
+  /// Records what a response said of the limit, or what a control process relayed.
   /// @return whether the limit in force has changed
   bool Record(const LimitObservation& observation);
   /// Discards everything about an endpoint that is gone.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -309,7 +309,8 @@
     if (observation != nullptr) message.limits.push_back(mesh::ToWire(*observation, now));
   }
   changed_limits_.clear();
-  // Followers hear of a change only while no leader replies, and then nothing else spreads it.
+  // Followers hear of a change only from processes that no leader replies to. Nothing else spreads
+  // it then.
   mesh_->SendTo(receivers, message);
   // The other control processes pass the limits on to processes that link to them, and know them if
   // they lead next.
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -327,7 +327,7 @@
   const auto request = placement_.permits().NextRequest(now);
   if (!request) return;
   const auto message = mesh::ToWire(*request, now);
-  // Only the control process that leads replies.
+  // Only the control process that leads grants permits.
   if (placement_.permits().allocator_known(now) && mesh_->Linked(permit_allocator_)) {
     mesh_->Send(permit_allocator_, message);
   } else {
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -152,7 +152,7 @@
   /// Sends a request for permits if one is due.
   void AskForPermits(TimePoint now);
   void OnPermitGrant(const mesh::Member& from, const wire::Permits& permits, TimePoint now);
-  /// Records the limits that the allocator relays.
+  /// Records the limits that control processes relay.
   void OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now);
   void RecordLimit(const serving::LimitObservation& observation, std::string_view source,
                    TimePoint now);
