--- a/benchmark/permit_model.cc
+++ b/benchmark/permit_model.cc
@@ -86,8 +86,8 @@
     std::unique_ptr<serving::Placement> placement;
     std::unique_ptr<serving::Admission> admission;
     std::map<std::uint64_t, TimePoint> waiting_since;
-    /// By endpoint: the limit in the last response that was passed on, and since when it is named.
-    std::map<std::size_t, std::pair<std::optional<double>, TimePoint>> told;
+    /// By endpoint: the limit in the last response relayed to a caller, and since when it is named.
+    std::map<std::size_t, std::pair<std::optional<double>, TimePoint>> relayed_limits;
     bool frozen = false;
     bool stopped = false;
     /// The process has been linked to a control process since its start.
@@ -122,7 +122,7 @@
     process.placement->permits().SetProcesses(i, processes_.size());
     process.connected = false;
     process.waiting_since.clear();
-    process.told.clear();
+    process.relayed_limits.clear();
     process.delayed.clear();
   }
 
@@ -224,8 +224,8 @@
       named.answered_at = now_;
       serving::Placement& at = *processes_[i].placement;
       at.permits().Record(named);
-      auto& told = processes_[i].told[endpoint];
-      if (told.first != named.per_second) told = {named.per_second, now_};
+      auto& relayed = processes_[i].relayed_limits[endpoint];
+      if (relayed.first != named.per_second) relayed = {named.per_second, now_};
       auto& known = known_since_[endpoint];
       if (known.first != named.per_second) known = {named.per_second, now_};
       at.RemovePending(named.endpoint, 0);
@@ -237,12 +237,12 @@
 
   void RecordArrival(std::size_t i, std::size_t endpoint) {
     const auto limit = LimitAt(scenario_.endpoints[endpoint], now_ - start_);
-    const auto& [named, since] = processes_[i].told[endpoint];
-    const bool told = named == limit && now_ - since >= kToldDelay;
+    const auto& [named, since] = processes_[i].relayed_limits[endpoint];
+    const bool informed = named == limit && now_ - since >= kPropagationDelay;
     const auto& [known, known_since] = known_since_[endpoint];
-    const bool news = known == limit && now_ - known_since >= kToldDelay;
-    if (limit && !told && (!news || Active(PermitFault::kCutOff, i))) {
-      ++result_.untold;
+    const bool propagated = known == limit && now_ - known_since >= kPropagationDelay;
+    if (limit && !informed && (!propagated || Active(PermitFault::kCutOff, i))) {
+      ++result_.uninformed;
     } else {
       result_.arrivals[endpoint].push_back(now_ - start_);
     }
@@ -317,7 +317,7 @@
   serving::EndpointLimits known_limits_;
   std::vector<LimitObservation> relayed_;
   std::multimap<TimePoint, std::function<void()>> events_;
-  /// By endpoint: the limit that any process has passed on last, and since when.
+  /// By endpoint: the limit in the last response that any process has relayed, and since when.
   std::map<std::size_t, std::pair<std::optional<double>, TimePoint>> known_since_;
   std::uint64_t last_id_ = 0;
   PermitResult result_;
--- a/benchmark/permit_model.h
+++ b/benchmark/permit_model.h
@@ -28,7 +28,8 @@
   kNoAllocator,   ///< No process grants permits; afterwards another one does, without memory.
 };
 inline constexpr Duration kMaxLateness = std::chrono::milliseconds(600);
-inline constexpr Duration kToldDelay = std::chrono::milliseconds(500);
+/// Time that an update of a limit may take to reach all processes.
+inline constexpr Duration kPropagationDelay = std::chrono::milliseconds(500);
 
 struct PermitFaultSpan {
   PermitFault fault = PermitFault::kCutOff;
@@ -52,11 +53,12 @@
 
 struct PermitResult {
   /// Times after the start at which each endpoint got requests. Without those of processes that
-  /// have not passed on a response with the limit in force for kToldDelay and could not learn of it
-  /// otherwise, because they are cut off or no process has passed on such a response for that time.
+  /// have not relayed a response with the limit in force for kPropagationDelay and could not learn
+  /// of it otherwise, because they are cut off or no process has relayed such a response for that
+  /// time.
   std::vector<std::vector<Duration>> arrivals;
   /// Requests that are left out there.
-  std::size_t untold = 0;
+  std::size_t uninformed = 0;
   std::size_t requests = 0;
   std::size_t served = 0;
   std::size_t refused = 0;
--- a/tests/permit_test.cc
+++ b/tests/permit_test.cc
@@ -377,7 +377,7 @@
     const Case cases[] = {
         {"half of the processes cut off", {{PermitFault::kCutOff, seconds(8), seconds(20), 0.5}}},
         {"all processes cut off", {{PermitFault::kCutOff, seconds(8), seconds(20), 1}}},
-        {"news never comes", {{PermitFault::kCutOff, milliseconds(500), seconds(30), 0.3}}},
+        {"updates never arrive", {{PermitFault::kCutOff, milliseconds(500), seconds(30), 0.3}}},
         {"late messages", {{PermitFault::kLateMessages, {}, seconds(30), 1}}},
         {"no allocator", {{PermitFault::kNoAllocator, seconds(8), seconds(20), 0}}},
         {"no allocator at any time", {{PermitFault::kNoAllocator, {}, seconds(30), 0}}},
@@ -409,7 +409,7 @@
           const std::string text = std::string(name) + ", " + std::to_string(processes) +
                                    " processes, seed " + std::to_string(seed);
           std::cout << text << ": " << UsedFraction(scenario, result) << " of the limits used, "
-                    << result.untold << " requests untold\n";
+                    << result.uninformed << " requests of uninformed processes\n";
           const std::string excess = FirstExcess(scenario, result);
           CPPUNIT_ASSERT_MESSAGE(text + ": " + excess, excess.empty());
           CPPUNIT_ASSERT_EQUAL(std::size_t{0}, result.refused_without_time);
--- a/tests/request_limit_rule.h
+++ b/tests/request_limit_rule.h
@@ -11,10 +11,11 @@
 namespace wagtailslip::request_limit_rule {
 
 /// The stated rule: from kContact after an endpoint first named a limit, it gets in kWindow at most
-/// kFactor times what the limit allows, and kExtra requests more. News takes kNewsDelay.
+/// kFactor times what the limit allows, and kExtra requests more. An update takes
+/// kPropagationDelay to reach all processes.
 inline constexpr Duration kContact = std::chrono::seconds(3);
 inline constexpr Duration kWindow = std::chrono::seconds(4);
-inline constexpr Duration kNewsDelay = std::chrono::milliseconds(500);
+inline constexpr Duration kPropagationDelay = std::chrono::milliseconds(500);
 inline constexpr double kFactor = 1.5;
 inline constexpr double kExtra = 5;
 
@@ -22,13 +23,13 @@
 using LimitAt = std::function<std::optional<double>(Duration time)>;
 
 /// Requests that the endpoint may get from `begin` to `begin` + kWindow; nothing if it names no
-/// limit for a part of that time. A lower limit counts from kNewsDelay after it was named.
+/// limit for a part of that time. A lower limit counts from kPropagationDelay after it was named.
 inline std::optional<double> Allowance(const LimitAt& limit_at, Duration begin) {
   constexpr Duration kStep = std::chrono::milliseconds(10);
   double total = 0;
   for (Duration time = begin; time < begin + kWindow; time += kStep) {
     const auto limit = limit_at(time);
-    const auto before = limit_at(time - kNewsDelay);
+    const auto before = limit_at(time - kPropagationDelay);
     if (!limit || !before) return std::nullopt;
     total += std::max(*limit, *before) * ToSeconds(kStep);
   }
