Log the age of the read-back before a load command, and its duration

It now has verified_ms, ms and engine_started_ms; 3205 has engine_started_ms. No decision changes. events_test passes.

--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -123,10 +123,15 @@
                                     now - staged_verified_at_ >= kVerificationMaxAge);
     if (verify && !co_await StageAndVerify(weights)) co_return;
     if (!swap_at || MonotonicNow() < *swap_at) co_return;
+    const TimePoint sent_at = MonotonicNow();
+    const Duration verified_age = sent_at - staged_read_since_;
     const auto answer = co_await engine_.SendLoadCommand(weights->model, weights->version);
     LogEvent(Event::kSwapOrdered, {{"version", weights->version},
                                    {"held", state.weights.complete_version},
                                    {"running", state.running},
+                                   {"engine_started_ms", state.started_ms},
+                                   {"verified_ms", ToMilliseconds(verified_age)},
+                                   {"ms", ToMilliseconds(MonotonicNow() - sent_at)},
                                    {"answer", platform::kLoadResults.Name(answer)}});
     if (answer == platform::LoadResult::kBegun || answer == platform::LoadResult::kInEffect) {
       load_command_version_ = weights->version;
@@ -159,6 +164,7 @@
     }
   }
   staged_version_ = weights->version;
+  staged_read_since_ = started;
   staged_verified_at_ = MonotonicNow();
   const auto swap_at = ScheduledSwapTime();
   const Duration swap_in =
@@ -166,6 +172,7 @@
   LogEvent(Event::kWeightsStaged, {{"version", weights->version},
                                    {"written", written},
                                    {"swap_in_ms", ToMilliseconds(swap_in)},
+                                   {"engine_started_ms", engine_state_->started_ms},
                                    {"ms", ToMilliseconds(staged_verified_at_ - started)}});
   co_return true;
 }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -173,6 +173,8 @@
   /// Version of which all chunks are staged, and when they were last verified.
   std::int64_t staged_version_ = 0;
   TimePoint staged_verified_at_{};
+  /// When the reads of that verification began; no chunk was read earlier.
+  TimePoint staged_read_since_{};
   /// The last load command that the engine accepted: its version, 0 if no command is outstanding;
   /// its time; and the start time of the engine incarnation that accepted it.
   std::int64_t load_command_version_ = 0;
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -230,6 +230,7 @@
   std::string problem;
   try {
     const auto staged = co_await engine_.ListStagedChunks(weights->model);
+    const TimePoint read_since = MonotonicNow();
     std::size_t reused = 0;
     for (const std::uint32_t chunk : staged) {
       if (chunk >= weights->chunks.size()) continue;
@@ -243,6 +244,7 @@
       // All chunks were just read back and verified, so they need not be staged again. This is the
       // case after a restart of both the sidecar and the engine.
       staged_version_ = weights->version;
+      staged_read_since_ = read_since;
       staged_verified_at_ = MonotonicNow();
     }
   } catch (const Error& e) {
