--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -27,9 +27,11 @@
 constexpr int kServiceOffset = 40;
 constexpr int kOriginOffset = 60;
 constexpr Duration kPoll = 50ms;
-// Last parts of the loopback addresses of control processes, ingress processes and replicas.
+// Last parts of the loopback addresses of control processes, ingress processes, sidecars with their
+// engines, and replicas.
 constexpr int kControlHost = 1;
 constexpr int kIngressHost = 20;
+constexpr int kSidecarHost = 100;
 constexpr int kReplicaHost = 200;
 constexpr int kCallerPort = 8000;
 constexpr int kReadinessPort = 8001;
@@ -202,18 +204,31 @@
   return HostOf(kReplicaHost + number) + ":" + std::to_string(kReplicaPort);
 }
 
-void Cluster::StartNode(const std::string& name, const std::string& kind, int index, Json listen) {
+std::string Cluster::EngineAddress(int number) const {
+  return HostOf(kSidecarHost + number) + ":" + std::to_string(kReplicaPort);
+}
+
+void Cluster::StartSidecar(int number, const std::string& service, int propagation_ms) {
+  StartNode("w" + std::to_string(number), "sidecar", kSidecarHost + number, Json::object(),
+            {{"app", EngineAddress(number)},
+             {"backend", service},
+             {"timing-bounds", {{"version_ms", propagation_ms}}}});
+}
+
+void Cluster::StartNode(const std::string& name, const std::string& kind, int index, Json listen,
+                        const Json& more) {
   const std::string host = HostOf(index);
-  const Json settings{{"node-name", name},
-                      {"ip", host},
-                      {"zone", "za"},
-                      {"region", "ra"},
-                      {"zones", {{"za", "ra"}}},
-                      {"port-range", {kFirstMeshPort, kFirstMeshPort + 15}},
-                      {"seed-nodes", seeds_},
-                      {"bootstrap", true},
-                      {"data-dir", kind == "control" ? (folder_ / name).string() : ""},
-                      {"listen-addrs", std::move(listen)}};
+  Json settings{{"node-name", name},
+                {"ip", host},
+                {"zone", "za"},
+                {"region", "ra"},
+                {"zones", {{"za", "ra"}}},
+                {"port-range", {kFirstMeshPort, kFirstMeshPort + 15}},
+                {"seed-nodes", seeds_},
+                {"bootstrap", true},
+                {"data-dir", kind == "control" ? (folder_ / name).string() : ""},
+                {"listen-addrs", std::move(listen)}};
+  settings.update(more);
   const auto path = folder_ / (name + ".json");
   std::ofstream(path) << settings.dump();
   Start(name, {WTS_BINARY, kind, "--settings", path},
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -60,6 +60,10 @@
   void StartDeployment(int controls, int ingresses);
   /// Address of a stand-in of a replica beside the processes of StartDeployment.
   std::string ReplicaAddress(int number) const;
+  /// Starts sidecar "w<number>" for the stand-in of an engine at EngineAddress.
+  /// @param propagation_ms bound for the propagation of weights
+  void StartSidecar(int number, const std::string& service, int propagation_ms);
+  std::string EngineAddress(int number) const;
   /// Starts service "s<number>" with its agent "a<number>".
   void StartService(int number, const std::string& name, const std::vector<std::string>& more = {});
 
@@ -111,7 +115,8 @@
   std::string Port(int offset) const { return "127.0.0.1:" + std::to_string(base_port_ + offset); }
   /// Loopback address of a process of StartDeployment, without a port.
   std::string HostOf(int index) const;
-  void StartNode(const std::string& name, const std::string& kind, int index, Json listen);
+  void StartNode(const std::string& name, const std::string& kind, int index, Json listen,
+                 const Json& more = Json::object());
   void Start(const std::string& name, std::vector<std::string> command, const std::string& address,
              const std::filesystem::path& data = {});
   void StartAgent(const std::string& name, const std::string& endpoint, int offset,
