Use loaded weights only after the staged chunks were read back

Cause: the staged chunks were verified before the load command, and nothing looked at them again. Seconds can pass between the two: the engine waits for its running requests, the reads are slow, the sidecar or the engine stands still, or the command is carried out late or by the next incarnation. Class: what was checked is not what was used.

Change: serving::LoadGuard. From the load command on, the sidecar announces its engine as swapping until the load has ended and all staged chunks have been read back and match; what damages a chunk leaves it damaged until the sidecar writes it, so the load was intact then. While the engine waits for its requests the chunks are read back and repaired every second. If one did not match, the engine drops all layers but one and loads the others again. Loads that began without a command of this process are checked as well. The age of a verification counts from its first read. The load command is sent once, on a new connection, and names the number of commands that the engine has accepted, so that a late or repeated one is refused. Engines report their layers as one object, which was not decoded: a part of the layers counted as all of them.

--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -33,8 +33,9 @@
   kPermitsReturned,
   kPermitsExpired,
   kPermitsOwnShare,
+  kLoadsDamaged,
 };
-inline constexpr std::size_t kCounterCount = 20;
+inline constexpr std::size_t kCounterCount = 21;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -55,7 +56,8 @@
       {Counter::kPermitsTaken, "permits_taken_total"},
       {Counter::kPermitsReturned, "permits_returned_total"},
       {Counter::kPermitsExpired, "permits_expired_total"},
-      {Counter::kPermitsOwnShare, "permits_own_share_total"}}}};
+      {Counter::kPermitsOwnShare, "permits_own_share_total"},
+      {Counter::kLoadsDamaged, "weights_loads_damaged_total"}}}};
 
 /// Latency histograms of a process in milliseconds.
 enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
--- /dev/null
+++ b/src/serving/load_guard.cc
@@ -0,0 +1,89 @@
+#include "wagtailslip/serving/load_guard.h"
+
+#include <utility>
+
+namespace wagtailslip::serving {
+namespace {
+
+// While an engine finishes its requests before a load, its chunks are read back at this interval,
+// so that damage is repaired before the load takes them.
+constexpr Duration kReadBackInterval = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+void LoadGuard::BeginLoad(std::int64_t version) {
+  load_ = {LoadTrust::kUnchecked, version, {}};
+  read_back_at_ = {};
+}
+
+void LoadGuard::OnReport(const EngineLoadReport& report) {
+  const EngineLoadReport previous = report_;
+  report_ = report;
+  if (!reported_ || report.started_ms != previous.started_ms) {
+    const bool begun = report.busy || (reported_ && report.commands > 0);
+    // Nothing speaks against weights that were in use before this process started.
+    load_ = Load{};
+    if (begun) BeginLoad(0);
+    before_command_.reset();
+    reported_ = true;
+  } else if (report.commands != previous.commands || (report.busy && !previous.busy)) {
+    if (load_.trust != LoadTrust::kUnchecked) BeginLoad(0);
+    before_command_.reset();
+  } else if (!report.busy) {
+    // The command got lost. If it is accepted later, the number of commands will tell.
+    OnCommandRejected();
+  }
+  if (report.complete_version == 0 || report.busy) return;
+  const bool replaced = report.complete_version != previous.complete_version;
+  const bool unchecked = load_.trust == LoadTrust::kUnchecked;
+  // A late command may have loaded another version than the last one that was sent.
+  if (unchecked ? load_.version != report.complete_version
+                : replaced && previous.started_ms == report.started_ms) {
+    BeginLoad(report.complete_version);
+  }
+}
+
+void LoadGuard::OnCommandSent(std::int64_t version, LayerRange layers) {
+  if (!before_command_) before_command_ = load_;
+  const Load previous = load_;
+  BeginLoad(version);
+  if (version != previous.version) return;
+  // Layers of the same version that the engine holds already are not taken again.
+  for (const std::uint32_t it : previous.damaged) {
+    if (it >= layers.from && it < layers.to) load_.damaged.insert(it);
+  }
+}
+
+void LoadGuard::OnCommandAccepted() { before_command_.reset(); }
+
+void LoadGuard::OnCommandRejected() {
+  if (!before_command_) return;
+  load_ = *std::exchange(before_command_, std::nullopt);
+}
+
+bool LoadGuard::NeedsReadBack(TimePoint now) const {
+  if (load_.trust != LoadTrust::kUnchecked || load_.version == 0) return false;
+  if (report_.busy) return now - read_back_at_ >= kReadBackInterval;
+  return report_.complete_version == load_.version;
+}
+
+void LoadGuard::OnReadBack(std::int64_t version, const std::set<std::uint32_t>& damaged,
+                           TimePoint now) {
+  if (load_.trust != LoadTrust::kUnchecked || version != load_.version) return;
+  load_.damaged.insert(damaged.begin(), damaged.end());
+  read_back_at_ = now;
+  // A load that is going on may still take chunks.
+  if (report_.busy || before_command_ || report_.complete_version != version) return;
+  load_.trust = load_.damaged.empty() ? LoadTrust::kUsable : LoadTrust::kDamaged;
+}
+
+std::optional<LayerRange> LoadGuard::LayerToKeep(std::uint32_t layer_count) const {
+  if (load_.trust != LoadTrust::kDamaged || layer_count < 2) return std::nullopt;
+  // Never the first layer: a report of layers from the first on does not say whether more follow.
+  for (std::uint32_t i = layer_count - 1; i >= 1; --i) {
+    if (!load_.damaged.contains(i)) return LayerRange{i, i + 1};
+  }
+  return LayerRange{layer_count - 1, layer_count};
+}
+
+}  // namespace wagtailslip::serving
--- a/src/sidecar/local_engine_client.cc
+++ b/src/sidecar/local_engine_client.cc
@@ -70,9 +70,13 @@
   }
 }
 
-Task<platform::LoadResult> LocalEngineClient::SendLoadCommand(std::string model,
-                                                              std::int64_t version) {
-  const auto response = co_await Call(platform::MakeLoadRequest(model, version));
+Task<platform::LoadResult> LocalEngineClient::SendLoadCommand(platform::LoadCommand command) {
+  // A pooled connection may be stale, and a command whose response is missing must not be repeated:
+  // the engine may have accepted it, and may take the staged chunks again with each acceptance.
+  auto connection = co_await pool_.Acquire(address_, kConnectTimeout, true);
+  auto request = platform::MakeLoadRequest(command);
+  const auto response = co_await connection->Call(std::move(request), kCallTimeout);
+  pool_.Release(address_, std::move(connection));
   co_return platform::DecodeLoadResult(response.status);
 }
 
--- a/src/sidecar/local_engine_client.h
+++ b/src/sidecar/local_engine_client.h
@@ -9,7 +9,8 @@
 
 namespace wagtailslip::sidecar {
 
-/// HTTP client for the engine that this sidecar serves. All calls are idempotent.
+/// HTTP client for the engine that this sidecar serves. All calls but the load command are
+/// idempotent.
 class LocalEngineClient {
  public:
   LocalEngineClient(net::asio::any_io_executor executor, const net::tcp::endpoint& address)
@@ -26,9 +27,9 @@
   /// Stores one chunk in the staging area of the engine.
   /// @throws net::NetError, also if the engine refuses the chunk
   net::Task<void> StageChunk(std::string model, std::uint32_t chunk, std::string bytes);
-  /// Sends the engine the command to load the staged weights.
-  /// @throws net::NetError
-  net::Task<platform::LoadResult> SendLoadCommand(std::string model, std::int64_t version);
+  /// Sends the engine a command to load staged weights, once.
+  /// @throws net::NetError; the engine may carry out the command all the same
+  net::Task<platform::LoadResult> SendLoadCommand(platform::LoadCommand command);
 
  private:
   /// Sends a request on a pooled connection, and retries once on a new one if that fails.
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -1,5 +1,6 @@
-// Stages complete weights at the engine and sends the engine load commands.
+// Decides when the engine loads weights.
 #include <algorithm>
+#include <utility>
 
 #include "sidecar_node.h"
 #include "wagtailslip/process/async_result.h"
@@ -16,14 +17,15 @@
 
 // Interval between two reads of the engine state.
 constexpr Duration kEnginePollPeriod = std::chrono::milliseconds(120);
-// The same while the engine has no weights: it serves no requests and waits for a load command.
+// The same while the engine serves no requests: it waits for a load command, or for the check of
+// its load.
 constexpr Duration kUnloadedEnginePollPeriod = std::chrono::milliseconds(30);
 constexpr Duration kMinEnginePollDelay = std::chrono::milliseconds(5);
 // Staged chunks are read back and verified this long before the load command. The verification
 // takes about half of this time.
 constexpr Duration kVerificationLeadTime = std::chrono::milliseconds(250);
-// Staged chunks can become corrupted, so chunks that were verified longer ago than this are
-// verified again before the load command.
+// Staged chunks can become corrupted, so they are verified again before the load command if one of
+// them was read longer ago than this.
 constexpr Duration kVerificationMaxAge = std::chrono::milliseconds(700);
 // Time after which a load command that the engine accepted is repeated if the engine still does not
 // have the weights and has no command in progress.
@@ -37,10 +39,11 @@
 
 Task<void> SidecarNode::EngineLoop() {
   bool reachable = true;
-  while (!stopping_) {
+  // A process that stops does not leave a load unchecked: its successor would take it as usable.
+  while (!stopping_ || LoadPending()) {
     std::string problem;
     try {
-      engine_state_ = co_await engine_.ReadState();
+      co_await ReadEngineState();
     } catch (const Error& e) {
       problem = e.what();
     }
@@ -67,8 +70,11 @@
 }
 
 std::optional<TimePoint> SidecarNode::ScheduledSwapTime() const {
-  // An engine without weights serves no requests, so there is no reason to delay the load.
-  if (engine_state_->weights.complete_version == 0) return TimePoint{};
+  // An engine without usable weights serves no requests, so there is no reason to delay the load.
+  if (engine_state_->weights.complete_version == 0 ||
+      load_guard_.trust() == serving::LoadTrust::kDamaged) {
+    return TimePoint{};
+  }
   if (CurrentIsUncommitted()) return std::nullopt;
   const auto since =
       targets_.EarliestNewerTargetTime(current_->model, engine_state_->weights.complete_version);
@@ -86,6 +92,8 @@
   return serving::SwapTime(rank, serving.size(), current_complete_at_, latest);
 }
 
+bool SidecarNode::LoadPending() const { return load_guard_.trust() != serving::LoadTrust::kUsable; }
+
 bool SidecarNode::SwapPending() const {
   return engine_state_ && current_ && staged_version_ == current_->version &&
          current_->version > engine_state_->weights.complete_version &&
@@ -94,7 +102,9 @@
 
 Duration SidecarNode::EnginePollDelay(TimePoint now) const {
   if (!engine_state_) return kEnginePollPeriod;
-  if (engine_state_->weights.complete_version == 0) return kUnloadedEnginePollPeriod;
+  if (engine_state_->weights.complete_version == 0 || LoadPending()) {
+    return kUnloadedEnginePollPeriod;
+  }
   const auto swap_at = SwapPending() ? ScheduledSwapTime() : std::nullopt;
   if (!swap_at) return kEnginePollPeriod;
   return std::clamp(*swap_at - now, kMinEnginePollDelay, kEnginePollPeriod);
@@ -107,7 +117,8 @@
   // A restarted engine no longer has the load command.
   if (load_command_version_ != 0 && state.started_ms != load_command_incarnation_)
     load_command_version_ = 0;
-  if (!weights) co_return;
+  const bool may_load = co_await CheckLoad();
+  if (!weights || !may_load) co_return;
   if (state.weights.complete_version >= weights->version) co_return;
   const TimePoint now = MonotonicNow();
   if (load_command_version_ == weights->version && now - load_command_at_ < kLoadCommandTimeout)
@@ -120,24 +131,16 @@
     // Chunks are staged as soon as possible, so that only the verification remains before the
     // load command.
     const bool verify = !staged || (swap_at && now >= *swap_at - kVerificationLeadTime &&
-                                    now - staged_verified_at_ >= kVerificationMaxAge);
+                                    now - staged_read_since_ >= kVerificationMaxAge);
     if (verify && !co_await StageAndVerify(weights)) co_return;
     if (!swap_at || MonotonicNow() < *swap_at) co_return;
-    const TimePoint sent_at = MonotonicNow();
-    const Duration verified_age = sent_at - staged_read_since_;
-    const auto answer = co_await engine_.SendLoadCommand(weights->model, weights->version);
-    LogEvent(Event::kSwapOrdered, {{"version", weights->version},
-                                   {"held", state.weights.complete_version},
-                                   {"running", state.running},
-                                   {"engine_started_ms", state.started_ms},
-                                   {"verified_ms", ToMilliseconds(verified_age)},
-                                   {"ms", ToMilliseconds(MonotonicNow() - sent_at)},
-                                   {"answer", platform::kLoadResults.Name(answer)}});
-    if (answer == platform::LoadResult::kBegun || answer == platform::LoadResult::kInEffect) {
-      load_command_version_ = weights->version;
-      load_command_incarnation_ = state.started_ms;
-      load_command_at_ = MonotonicNow();
-    }
+    // The engine or this process stood still during the verification. If the second one takes as
+    // long, the engine is slow, and the check after the load has to suffice.
+    const bool slow = MonotonicNow() - staged_read_since_ >= kVerificationMaxAge;
+    if (slow && !std::exchange(verification_slow_, true)) co_return;
+    verification_slow_ = false;
+    platform::LoadCommand command{weights->model, weights->version, std::nullopt, state.commands};
+    co_await SendLoadCommand(std::move(command));
   } catch (const Error& e) {
     problem = e.what();
   }
@@ -146,35 +149,4 @@
   co_await process::Sleep(kLoadCommandRetryDelay);
 }
 
-Task<bool> SidecarNode::StageAndVerify(std::shared_ptr<Weights> weights) {
-  const TimePoint started = MonotonicNow();
-  std::size_t written = 0;
-  const bool staged_before = staged_version_ == weights->version;
-  for (std::uint32_t i = 0; i < weights->chunks.size(); ++i) {
-    std::string staged;
-    if (staged_before) staged = co_await engine_.ReadStagedChunk(weights->model, i);
-    if (staged_before && weights->manifest->Check(i, staged) == spread::ChunkResult::kOk) continue;
-    const std::string bytes = weights->chunks[i];
-    co_await engine_.StageChunk(weights->model, i, bytes);
-    ++written;
-    staged = co_await engine_.ReadStagedChunk(weights->model, i);
-    if (weights->manifest->Check(i, staged) != spread::ChunkResult::kOk) {
-      LogEvent(Event::kChunkRejected, {{"chunk", i}, {"source", "staged"}});
-      co_return false;
-    }
-  }
-  staged_version_ = weights->version;
-  staged_read_since_ = started;
-  staged_verified_at_ = MonotonicNow();
-  const auto swap_at = ScheduledSwapTime();
-  const Duration swap_in =
-      std::max(swap_at.value_or(staged_verified_at_) - staged_verified_at_, Duration::zero());
-  LogEvent(Event::kWeightsStaged, {{"version", weights->version},
-                                   {"written", written},
-                                   {"swap_in_ms", ToMilliseconds(swap_in)},
-                                   {"engine_started_ms", engine_state_->started_ms},
-                                   {"ms", ToMilliseconds(staged_verified_at_ - started)}});
-  co_return true;
-}
-
 }  // namespace wagtailslip::sidecar
--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -89,7 +89,9 @@
   }
   if (message.__isset.sources) {
     for (const auto& it : message.sources) {
-      if (it.service_name == settings_.engine_service) model_source_ = Source{it.model, it.origin};
+      if (it.service_name == settings_.engine_service) {
+        model_source_ = Source{it.model, it.origin, static_cast<std::uint32_t>(it.layers)};
+      }
     }
   }
   if (message.__isset.expected) {
@@ -117,8 +119,8 @@
   status.weights_version = engine_state_->weights.complete_version;
   status.running = engine_state_->running;
   status.waiting = engine_state_->waiting;
-  status.swapping =
-      load_command_version_ > status.weights_version || engine_state_->command_in_progress;
+  status.swapping = load_command_version_ > status.weights_version ||
+                    engine_state_->command_in_progress || LoadPending();
   status.slowdown = engine_state_->slowdown;
   const auto swap_at = SwapPending() ? ScheduledSwapTime() : std::nullopt;
   if (swap_at) {
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -59,8 +59,9 @@
 }
 
 bool SidecarNode::Finished(TimePoint now) const {
-  return serving::SourceMayExit(
-      {stop_requested_at_, last_upload_at_, active_uploads_ > 0, settings_.bounds.stop_grace}, now);
+  return serving::SourceMayExit({stop_requested_at_, last_upload_at_,
+                                 active_uploads_ > 0 || LoadPending(), settings_.bounds.stop_grace},
+                                now);
 }
 
 void SidecarNode::Stop() {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -16,6 +16,7 @@
 #include "wagtailslip/process/metrics.h"
 #include "wagtailslip/process/rate_gate.h"
 #include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/load_guard.h"
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/stop_plan.h"
 #include "wagtailslip/serving/swap_plan.h"
@@ -45,6 +46,7 @@
   struct Source {
     std::string model;
     std::string origin;
+    std::uint32_t layers = 0;
   };
 
   // Links to control processes.
@@ -98,14 +100,35 @@
   /// Returns when to send the engine a load command for current_, or nothing if it must not load it
   /// yet. A time in the past means at once.
   std::optional<TimePoint> ScheduledSwapTime() const;
+  /// Returns whether the engine carries out a load command, or its weights have to be checked or
+  /// loaded again.
+  bool LoadPending() const;
   /// Returns whether current_ is staged and the load command for it has not been accepted yet.
   bool SwapPending() const;
   /// Returns the time until the next read of the engine state.
   Duration EnginePollDelay(TimePoint now) const;
+  /// Reads the engine state, and reports it to load_guard_.
+  net::Task<void> ReadEngineState();
+  /// Reads back the chunks from which the engine has loaded its weights, or is loading them.
+  /// Damaged weights are loaded again.
+  /// @return whether the engine may be told to load other weights
+  net::Task<bool> CheckLoad();
+  /// Reads back the staged chunks of a load, and writes damaged ones again.
+  net::Task<void> ReadBackLoad(std::shared_ptr<Weights> weights);
+  /// Lets the engine drop all layers but one of a damaged load, so that they are loaded again.
+  net::Task<void> DropDamagedLayers();
+  /// Sends a load command and takes its result into account.
+  net::Task<void> SendLoadCommand(platform::LoadCommand command);
   /// Reads back all chunks that are staged already, and stages and reads back those that are
   /// missing or corrupt.
-  /// @return false if a chunk does not match its digest after it was staged
+  /// @return whether all chunks match their digests now
   net::Task<bool> StageAndVerify(std::shared_ptr<Weights> weights);
+  /// Reads back all chunks, and stages and reads back those that do not match.
+  /// @param read_first false if nothing of this version is staged
+  /// @return the chunks that did not match at first; nothing if one does not match after it was
+  ///     staged
+  net::Task<std::optional<std::vector<std::uint32_t>>> RepairStagedChunks(
+      std::shared_ptr<Weights> weights, bool read_first);
 
   // HTTP servers.
   net::Task<void> ServeWeights(net::HttpExchange& exchange);
@@ -170,11 +193,13 @@
   TimePoint next_session_tick_{};
 
   std::optional<platform::EngineState> engine_state_;
-  /// Version of which all chunks are staged, and when they were last verified.
+  serving::LoadGuard load_guard_;
+  /// Version of which all chunks are staged, and when the reads of their last verification began:
+  /// no chunk was read earlier.
   std::int64_t staged_version_ = 0;
-  TimePoint staged_verified_at_{};
-  /// When the reads of that verification began; no chunk was read earlier.
   TimePoint staged_read_since_{};
+  /// The last verification was too old when it ended.
+  bool verification_slow_ = false;
   /// The last load command that the engine accepted: its version, 0 if no command is outstanding;
   /// its time; and the start time of the engine incarnation that accepted it.
   std::int64_t load_command_version_ = 0;
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -245,7 +245,6 @@
       // case after a restart of both the sidecar and the engine.
       staged_version_ = weights->version;
       staged_read_since_ = read_since;
-      staged_verified_at_ = MonotonicNow();
     }
   } catch (const Error& e) {
     problem = e.what();
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(ParsesControlCalls);
   CPPUNIT_TEST(RejectsInvalidAnnouncements);
   CPPUNIT_TEST(DistinguishesCompleteFromPartialWeights);
+  CPPUNIT_TEST(EncodesLoadCommands);
   CPPUNIT_TEST(SetsAndStripsRequestHeaders);
   CPPUNIT_TEST(DecodesEndpointResponses);
   CPPUNIT_TEST(DecodesShutdownAndRetryAfter);
@@ -235,6 +236,9 @@
          {{{"source", 0}, {"to", 8}, {"version", 1}}, {{"source", 8}, {"to", 16}, {"version", 2}}},
          0},
         {"none", json::array(), 0},
+        {"one object", {{"source", 0}, {"to", 16}, {"version", 2}}, 2},
+        {"one object with the upper layers", {{"source", 8}, {"to", 16}, {"version", 2}}, 0},
+        {"not said", nullptr, 2},
     };
     for (const auto& it : cases) {
       const json report{{"model-list", {{{"name", "m1"}, {"version", 2}}}}, {"layers", it.layers}};
@@ -243,12 +247,26 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, DecodeLoadedWeights(json::object()).complete_version);
     const auto state = DecodeEngineState(
-        R"({"model-list":[],"busy":true,"active":3,"queued":1,"born":12,"pace":1.5})");
+        R"({"model-list":[],"busy":true,"active":3,"queued":1,"born":12,"pace":1.5,"sequence":7})");
     CPPUNIT_ASSERT(state.command_in_progress);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{7}, state.commands.value_or(0));
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, state.running);
     CPPUNIT_ASSERT_EQUAL(1.5, state.slowdown);
   }
 
+  // A load command that does not name the number of accepted commands could be carried out twice.
+  void EncodesLoadCommands() {
+    const auto all = json::parse(MakeLoadRequest({"m1", 2, std::nullopt, 7}).body());
+    CPPUNIT_ASSERT_EQUAL(std::string("start"), all["operation"].get<std::string>());
+    CPPUNIT_ASSERT_EQUAL(7, all["expected-revision"].get<int>());
+    CPPUNIT_ASSERT(!all.contains("source"));
+    const auto part =
+        json::parse(MakeLoadRequest({"m1", 2, serving::LayerRange{3, 4}, std::nullopt}).body());
+    CPPUNIT_ASSERT_EQUAL(3, part["source"].get<int>());
+    CPPUNIT_ASSERT_EQUAL(4, part["to"].get<int>());
+    CPPUNIT_ASSERT(!part.contains("expected-revision"));
+  }
+
   // The API key must not reach an endpoint, and a caller must not set the system's own fields.
   void SetsAndStripsRequestHeaders() {
     net::HttpRequest request(net::http::verb::post, "/a/x?y=1", 11);
