Accept digests from the origin only for the version that was asked for

What callers saw: nothing yet. What the system could do: answer with chunks of one version that were loaded as another (rule WHOLE), or never fetch a version.

Cause: a sidecar took the version of a list of digests from the origin's answer, which may be damaged, and not from its own request. With the digit of the version changed, the digests of version 1 became those of version 2. The chunks of version 1 that were staged matched them, so version 2 was complete, was verified, and was loaded from chunks of version 1. A number that no version has became the version to fetch for good. A chunk size of 0 made each chunk look corrupt.

Change: the answer must name the model and the version of the request, and make a valid manifest; otherwise the list is fetched again. Where no version is known and the newest is asked for, the number in the answer counts only once a request that names it is answered with the same one. The model is read once per fetch, since the service's model may change during the calls; that part is covered by reading only.

Evidence: sidecar_test runs a sidecar with stand-ins for a control process, the origin and the engine, and damages the first list.

Conclusion: what is staged and loaded under a version is what was asked for under it.

--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -133,14 +133,15 @@
 
 Task<std::shared_ptr<const spread::Manifest>> SidecarNode::FetchDigestsFromPeers(
     std::vector<std::string> peers, std::int64_t version) {
+  // model_source_ may change during the calls.
+  const std::string model = model_source_->model;
   const std::size_t offset = Hash64(settings_.ip) % std::max<std::size_t>(peers.size(), 1);
   for (std::size_t i = 0; i < peers.size(); ++i) {
     const std::string peer = peers[(offset + i) % peers.size()];
     if (peer == settings_.chunk_address()) continue;
     net::HttpResponse response;
     try {
-      auto request =
-          net::MakeRequest(net::http::verb::get, DigestsPath(model_source_->model, version));
+      auto request = net::MakeRequest(net::http::verb::get, DigestsPath(model, version));
       response =
           co_await net::CallOnce(net::ParseAddress(peer), std::move(request), kPeerDigestsTimeout);
     } catch (const net::NetError&) {
@@ -148,7 +149,7 @@
       continue;
     }
     if (response.status != 200) continue;
-    auto manifest = DecodeDigests(model_source_->model, version, response.body);
+    auto manifest = DecodeDigests(model, version, response.body);
     if (manifest) co_return manifest;
   }
   co_return nullptr;
@@ -159,19 +160,29 @@
   if (model_source_->origin.empty()) co_return nullptr;
   const std::string model = model_source_->model;
   std::string problem;
+  std::int64_t newest = 0;
   try {
     auto request = platform::MakeDigestsRequest(model, version);
     const auto response = co_await net::CallOnce(net::ParseAddress(model_source_->origin),
                                                  std::move(request), kOriginDigestsTimeout);
     if (response.status == 200) {
       const auto digests = platform::DecodeDigests(response.body);
-      newest_origin_version_ = std::max(newest_origin_version_, digests.version);
-      co_return MakeManifest(model, digests.version, digests.chunk_bytes, digests.digests);
+      if (version != 0) {
+        auto manifest = MakeManifest(model, version, digests);
+        newest_origin_version_ = std::max(newest_origin_version_, version);
+        co_return manifest;
+      }
+      newest = digests.version;
+    } else {
+      problem = "HTTP status " + std::to_string(response.status);
     }
-    problem = "HTTP status " + std::to_string(response.status);
   } catch (const Error& e) {
     problem = e.what();
   }
+  // The version in the answer to a request for the newest one may be damaged, so it counts only if
+  // a request that names it is answered with the same one.
+  if (newest > 0) co_return co_await FetchDigestsFromOrigin(newest);
+  if (problem.empty()) problem = "the newest version is " + std::to_string(newest);
   LogEvent(Event::kFetchFailed, {{"what", "digests"}, {"version", version}, {"error", problem}});
   co_return nullptr;
 }
@@ -191,7 +202,7 @@
   next_session_start_ = MonotonicNow() + kDigestsRetryDelay;
   if (manifest) {
     auto weights = std::make_shared<Weights>();
-    weights->model = model_source_->model;
+    weights->model = manifest->model;
     weights->version = std::stoll(manifest->version);
     weights->manifest = manifest;
     weights->chunks.resize(manifest->chunks.size());
@@ -199,7 +210,8 @@
         manifest, SpreadMembers(), settings_.chunk_address(), strategy_,
         config::SpreadPolicy::kTimeFirst, SpreadLimits(), Hash64(settings_.ip));
     co_await ReuseLocalChunks(weights);
-    if ((!current_ || weights->version > current_->version) &&
+    if (weights->model == model_source_->model &&
+        (!current_ || weights->version > current_->version) &&
         (!incoming_ || weights->version > incoming_->version)) {
       members_revision_ = table_.revision();
       next_session_tick_ = {};
--- a/src/sidecar/weights.h
+++ b/src/sidecar/weights.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "platform/engine_calls.h"
 #include "wagtailslip/spread/manifest.h"
 #include "wagtailslip/spread/session.h"
 
@@ -33,14 +34,14 @@
 std::string HavePath(const std::string& model, std::int64_t version);
 std::string DigestsPath(const std::string& model, std::int64_t version);
 
-/// Builds the manifest of a version from the digests of its chunks.
+/// Builds the manifest of a version from the answer of the origin.
+/// @throws spread::SpreadError if the answer is for another model or version, or is invalid
 std::shared_ptr<const spread::Manifest> MakeManifest(const std::string& model, std::int64_t version,
-                                                     std::uint64_t chunk_bytes,
-                                                     const std::vector<Digest>& digests);
+                                                     const platform::ChunkDigests& answer);
 /// Encodes the chunk size and the digests as text, one per line.
 std::string EncodeDigests(const spread::Manifest& manifest);
 /// Decodes the text form of EncodeDigests.
-/// @return the manifest, or null if the text is malformed
+/// @return the manifest, or null if the text is malformed or the manifest is invalid
 std::shared_ptr<const spread::Manifest> DecodeDigests(const std::string& model,
                                                       std::int64_t version,
                                                       const std::string& text);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -387,9 +387,13 @@
 
   void DecodesDigests() {
     const std::string hex(64, 'a');
-    const auto digests = DecodeDigests(
-        json{{"version", 2}, {"chunk-bytes", 32768}, {"chunk-digests", {hex, hex}}}.dump());
+    const auto digests = DecodeDigests(json{
+        {"model-name", "m1"},
+        {"version", 2},
+        {"chunk-bytes", 32768},
+        {"chunk-digests", {hex, hex}}}.dump());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, digests.digests.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("m1"), digests.model);
     CPPUNIT_ASSERT_THROW(
         DecodeDigests(
             json{{"version", 2}, {"chunk-bytes", 32768}, {"chunk-digests", {"aa"}}}.dump()),
--- /dev/null
+++ b/tests/sidecar_test.cc
@@ -0,0 +1,247 @@
+// Tests one sidecar process over loopback, with stand-ins for a control process, the origin of the
+// weights and the engine.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gen/mesh_types.h"
+#include "sidecar_node.h"
+#include "wagtailslip/base/digest.h"
+#include "wagtailslip/mesh/mesh_node.h"
+#include "wagtailslip/net/address.h"
+#include "wagtailslip/net/http_server.h"
+#include "wagtailslip/process/clock.h"
+
+namespace wagtailslip::sidecar {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kChunks = 6;
+constexpr std::size_t kChunkBytes = 1000;
+constexpr const char* kModel = "m";
+constexpr const char* kService = "assistant";
+// Addresses of the loopback network that no other test uses.
+constexpr const char* kControlIp = "127.91.0.1";
+constexpr const char* kOriginAddress = "127.91.0.2:7800";
+constexpr const char* kSidecarIp = "127.91.0.10";
+constexpr const char* kEngineAddress = "127.91.0.10:7900";
+constexpr std::uint16_t kFirstPort = 7700;
+/// Longer than the backoff and the repetitions after any single damaged answer.
+constexpr Duration kLongestWait = seconds(20);
+/// A list costs bytes of the origin's link, which carries the chunks.
+constexpr std::size_t kMaxLists = 4;
+
+std::string ChunkBytes(std::int64_t version, std::size_t chunk) {
+  std::string bytes = "version " + std::to_string(version) + " chunk " + std::to_string(chunk);
+  bytes.resize(kChunkBytes, '.');
+  return bytes;
+}
+
+/// Origin of the weights. Knows the versions 1 to `newest`.
+class Origin {
+ public:
+  using Damage = std::function<void(json& list)>;
+
+  Origin(net::asio::io_context& context, std::int64_t newest, Damage first_list_damage)
+      : newest_(newest),
+        damage_(std::move(first_list_damage)),
+        server_(context, net::ParseAddress(kOriginAddress), net::HttpLimits{},
+                [this](net::HttpExchange& exchange) { return Serve(exchange); }) {
+    server_.Start();
+  }
+  std::size_t lists() const { return lists_; }
+
+ private:
+  net::Task<void> Serve(net::HttpExchange& exchange) {
+    const std::string text = exchange.Query("version");
+    const std::int64_t version = text.empty() ? newest_ : std::stoll(text);
+    std::string body;
+    if (version < 1 || version > newest_) co_return co_await exchange.Respond(404, body);
+    if (exchange.path().starts_with("/piece/")) {
+      body = ChunkBytes(version, std::stoul(exchange.Query("number")));
+      co_return co_await exchange.Respond(200, body);
+    }
+    json list{{"model-name", kModel}, {"version", version}, {"chunk-bytes", kChunkBytes}};
+    for (std::size_t i = 0; i < kChunks; ++i) {
+      list["chunk-digests"].push_back(Sha256(ChunkBytes(version, i)).Hex());
+    }
+    if (lists_++ == 0) damage_(list);
+    body = list.dump();
+    co_await exchange.Respond(200, body);
+  }
+
+  std::int64_t newest_;
+  Damage damage_;
+  std::size_t lists_ = 0;
+  net::HttpServer server_;
+};
+
+/// Engine that has restarted: it holds staged chunks, but has loaded nothing.
+class Engine {
+ public:
+  Engine(net::asio::io_context& context, std::int64_t staged_version)
+      : server_(context, net::ParseAddress(kEngineAddress), net::HttpLimits{},
+                [this](net::HttpExchange& exchange) { return Serve(exchange); }) {
+    for (std::size_t i = 0; staged_version != 0 && i < kChunks; ++i) {
+      staged_[i] = ChunkBytes(staged_version, i);
+    }
+    server_.Start();
+  }
+  std::int64_t loaded() const { return loaded_; }
+  /// Versions that were loaded from chunks that are not theirs.
+  const std::vector<std::int64_t>& wrong_loads() const { return wrong_loads_; }
+
+ private:
+  net::Task<void> Serve(net::HttpExchange& exchange) {
+    const std::string number = exchange.Query("number");
+    const std::size_t chunk = number.empty() ? 0 : std::stoul(number);
+    std::string body = "{}";
+    unsigned status = 200;
+    if (exchange.path() == "/report") {
+      json state{{"born", 1}, {"busy", false}, {"model-list", json::array()}};
+      if (loaded_ != 0) state["model-list"].push_back({{"name", kModel}, {"version", loaded_}});
+      body = state.dump();
+    } else if (exchange.path().starts_with("/stage-put/")) {
+      staged_[chunk] = exchange.request().body();
+    } else if (exchange.path().starts_with("/stage-get/") && number.empty()) {
+      json list{{"held", json::array()}};
+      for (const auto& [i, bytes] : staged_) list["held"].push_back(i);
+      body = list.dump();
+    } else if (exchange.path().starts_with("/stage-get/")) {
+      status = staged_.contains(chunk) ? 200 : 404;
+      body = staged_.contains(chunk) ? staged_[chunk] : std::string();
+    } else {
+      Load(json::parse(exchange.request().body()).at("version").get<std::int64_t>());
+      status = 202;
+    }
+    co_await exchange.Respond(status, body);
+  }
+  void Load(std::int64_t version) {
+    loaded_ = version;
+    for (std::size_t i = 0; i < kChunks; ++i) {
+      if (staged_.contains(i) && staged_[i] == ChunkBytes(version, i)) continue;
+      wrong_loads_.push_back(version);
+      return;
+    }
+  }
+
+  std::map<std::size_t, std::string> staged_;
+  std::int64_t loaded_ = 0;
+  std::vector<std::int64_t> wrong_loads_;
+  net::HttpServer server_;
+};
+
+deployment::NodeSettings Settings(const std::string& ip) {
+  deployment::NodeSettings settings;
+  settings.name = ip;
+  settings.ip = ip;
+  settings.failure_domain = "north";
+  settings.regions = {{"north", "upper"}};
+  settings.first_port = kFirstPort;
+  settings.seeds = {std::string(kControlIp) + ":8080"};
+  settings.engine_address = kEngineAddress;
+  settings.engine_service = kService;
+  settings.link_rate = 1e8;
+  return settings;
+}
+
+/// Control process that names the source of the weights and a target version.
+class Control : public mesh::MeshListener {
+ public:
+  Control(net::asio::io_context& context, std::int64_t target)
+      : target_(target),
+        mesh_(context, net::ParseAddress(Settings(kControlIp).mesh_address()),
+              mesh::MakeSelfMember(Settings(kControlIp), mesh::MemberKind::kControl, "", 1),
+              mesh::MeshLimits{}, *this) {
+    mesh_.Start();
+  }
+  ~Control() override { mesh_.Stop(); }
+
+ private:
+  void OnMemberUpdated(const mesh::Member& member) override {
+    wire::MeshMessage message;
+    wire::ModelSource source;
+    source.service_name = kService;
+    source.model = kModel;
+    source.origin = kOriginAddress;
+    source.chunks = kChunks;
+    message.__set_sources({source});
+    if (target_ != 0) {
+      wire::WeightsTarget target;
+      target.model = kModel;
+      target.version = target_;
+      message.__set_targets({target});
+    }
+    mesh_.Send(member.process, message);
+  }
+  void OnMemberLost(const mesh::Member&) override {}
+  void OnMessage(const mesh::Member&, const wire::MeshMessage&) override {}
+
+  std::int64_t target_;
+  mesh::MeshNode mesh_;
+};
+
+struct ListRow {
+  const char* name;
+  /// Version that the control process names; 0 if it names none.
+  std::int64_t target;
+  std::int64_t newest;
+  std::int64_t staged;
+  void (*damage)(json& list);
+};
+const ListRow kListRows[] = {
+    {"undamaged", 1, 1, 1, [](json&) {}},
+    {"higher version", 1, 1, 1, [](json& list) { list["version"] = 2; }},
+    {"higher version that exists", 1, 2, 1, [](json& list) { list["version"] = 2; }},
+    {"lower version", 2, 2, 0, [](json& list) { list["version"] = 1; }},
+    {"version of the newest", 0, 1, 1, [](json& list) { list["version"] = 9; }},
+    {"model", 1, 1, 0, [](json& list) { list["model-name"] = "n"; }},
+    {"chunk size 0", 1, 1, 0, [](json& list) { list["chunk-bytes"] = 0; }},
+};
+
+class SidecarTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SidecarTest);
+  CPPUNIT_TEST(DigestsOfAnotherVersionAreNotUsed);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against digests that the origin sent with a damaged version number or chunk size: chunks
+  // that are staged for one version are loaded as another one, or a version is never fetched.
+  void DigestsOfAnotherVersionAreNotUsed() {
+    std::string failures;
+    for (const auto& row : kListRows) {
+      net::asio::io_context context(1);
+      Origin origin(context, row.newest, row.damage);
+      Engine engine(context, row.staged);
+      Control control(context, row.target);
+      SidecarNode node(context, Settings(kSidecarIp), 1);
+      node.Start();
+      const std::int64_t expected = row.target != 0 ? row.target : row.newest;
+      const TimePoint end = process::MonotonicNow() + kLongestWait;
+      while (engine.loaded() != expected && process::MonotonicNow() < end) {
+        context.run_for(milliseconds(20));
+      }
+      node.Stop();
+      if (engine.loaded() == expected && engine.wrong_loads().empty() &&
+          origin.lists() <= kMaxLists) {
+        continue;
+      }
+      failures += std::string(row.name) + ": loaded " + std::to_string(engine.loaded()) + ", " +
+                  std::to_string(engine.wrong_loads().size()) +
+                  " loads of chunks of another version, " + std::to_string(origin.lists()) +
+                  " lists from the origin\n";
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SidecarTest);
+
+}  // namespace
+}  // namespace wagtailslip::sidecar
