Fetch digests again that reject the same bytes twice

What callers saw: nothing yet. With one digest of the origin's list damaged, the sidecar rejected that chunk from every source for ever, kept its engine on the old weights, and handed the list to the sidecars that asked it for digests.

Cause: the list was taken once, unchecked, and each chunk was checked against it. A chunk confirms its digest, but a rejected chunk was always taken as evidence against the chunk.

Change: `spread::RejectedChunks` keeps the digests of rejected bodies. If the same bytes of a chunk arrive twice, the digest may be wrong: the list is fetched again, first from the other sidecars, then from the origin, and replaces the current one only if it has the digest of those bytes. Chunks that match the new list are kept. Further fetches are 1 to 8 s apart, as an origin that always sends the same damaged bytes must not lose its link to lists of 4 KB. A wrong list handed to another sidecar is replaced there in the same way; serving only lists that a complete set of chunks has confirmed would keep every sidecar from starting before the first one is complete.

Evidence: without the refetch in SidecarNode::Tick, sidecar_test fails with "chunk size: loaded 0", "digest: loaded 0", "digest of a staged chunk: loaded 0" after 20 s each, and the sidecar beside one with a correct list does not load. With it all rows load the named version, and the list that is repaired from the other sidecar costs the origin nothing (2 lists for 2 sidecars).

Conclusion: a wrong digest lasts until its chunk has arrived twice.

--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -79,10 +79,13 @@
   const std::int64_t newest_started =
       std::max(current_ ? current_->version : 0, incoming_ ? incoming_->version : 0);
   const bool up_to_date = newest_started != 0 && newest_started >= intended;
-  if (model_source_ && !up_to_date && !ShouldFinishIncoming(now) && !starting_session_ &&
+  const bool start_intended = !up_to_date && !ShouldFinishIncoming(now);
+  const bool refetch_digests = incoming_ && incoming_->rejected.RefetchDue(now);
+  if (model_source_ && (start_intended || refetch_digests) && !starting_session_ &&
       now >= next_session_start_) {
     starting_session_ = true;
-    asio::co_spawn(context_, StartSession(intended), asio::detached);
+    const std::int64_t version = start_intended ? intended : incoming_->version;
+    asio::co_spawn(context_, StartSession(version), asio::detached);
   }
   if (incoming_ && table_.revision() != members_revision_) {
     members_revision_ = table_.revision();
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -64,6 +64,16 @@
   return limits;
 }
 
+/// Copies the chunks that match the manifest of `to`.
+void CopyMatchingChunks(const Weights& from, Weights& to) {
+  for (std::uint32_t i = 0; i < to.chunks.size() && i < from.chunks.size(); ++i) {
+    const auto& bytes = from.chunks[i];
+    if (bytes.empty() || to.manifest->Check(i, bytes) != spread::ChunkResult::kOk) continue;
+    to.chunks[i] = bytes;
+    to.session->MarkPresent(i);
+  }
+}
+
 std::string HostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
 }  // namespace
@@ -150,7 +160,10 @@
     }
     if (response.status != 200) continue;
     auto manifest = DecodeDigests(model, version, response.body);
-    if (manifest) co_return manifest;
+    if (!manifest) continue;
+    // This process fetches the version already, with digests that seem to be wrong.
+    const bool refetch = incoming_ && incoming_->version == version;
+    if (!refetch || incoming_->rejected.MatchedBy(*manifest)) co_return manifest;
   }
   co_return nullptr;
 }
@@ -194,11 +207,25 @@
   const bool use_origin = version == 0 || std::find(sources.begin(), sources.end(),
                                                     settings_.chunk_address()) != sources.end();
   std::shared_ptr<const spread::Manifest> manifest;
-  for (int i = 0; i < kPeerDigestsAttempts && !use_origin && !manifest; ++i) {
+  // Set if the version is being fetched already and its digests seem to be wrong.
+  const auto replaced =
+      incoming_ && incoming_->version == version ? incoming_ : std::shared_ptr<Weights>();
+  if (replaced) {
+    LogEvent(Event::kFetchFailed,
+             {{"what", "digests"},
+              {"version", version},
+              {"error", "a rejected chunk was received again with the same bytes"}});
+    manifest = co_await FetchDigestsFromPeers(sources, version);
+  }
+  for (int i = 0; i < kPeerDigestsAttempts && !use_origin && !replaced && !manifest; ++i) {
     co_await process::Sleep(kDigestsRetryDelay);
     manifest = co_await FetchDigestsFromPeers(sources, version);
   }
   if (!manifest) manifest = co_await FetchDigestsFromOrigin(version);
+  if (replaced) {
+    replaced->rejected.OnRefetch(MonotonicNow());
+    if (manifest && !replaced->rejected.MatchedBy(*manifest)) manifest.reset();
+  }
   next_session_start_ = MonotonicNow() + kDigestsRetryDelay;
   if (manifest) {
     auto weights = std::make_shared<Weights>();
@@ -212,7 +239,9 @@
     co_await ReuseLocalChunks(weights);
     if (weights->model == model_source_->model &&
         (!current_ || weights->version > current_->version) &&
-        (!incoming_ || weights->version > incoming_->version)) {
+        (!incoming_ || weights->version > incoming_->version ||
+         (replaced && incoming_ == replaced))) {
+      if (replaced) CopyMatchingChunks(*replaced, *weights);
       members_revision_ = table_.revision();
       next_session_tick_ = {};
       weights->fetch_started = MonotonicNow();
@@ -229,14 +258,7 @@
 Task<void> SidecarNode::ReuseLocalChunks(std::shared_ptr<Weights> weights) {
   // Chunks that are the same in both versions are not fetched again.
   if (current_) {
-    for (std::uint32_t i = 0; i < weights->chunks.size() && i < current_->chunks.size(); ++i) {
-      const auto& bytes = current_->chunks[i];
-      if (bytes.empty() || weights->manifest->Check(i, bytes) != spread::ChunkResult::kOk) {
-        continue;
-      }
-      weights->chunks[i] = bytes;
-      weights->session->MarkPresent(i);
-    }
+    CopyMatchingChunks(*current_, *weights);
     co_return;
   }
   std::string problem;
@@ -329,6 +351,7 @@
   if (result == spread::ChunkResult::kCorrupt) {
     metrics_.Add(process::Counter::kChunksRejected);
     LogEvent(Event::kChunkRejected, {{"chunk", fetch.chunk}, {"source", address}});
+    weights->rejected.Add(fetch.chunk, response.body, now);
   }
   metrics_.Add(
       from_origin ? process::Counter::kFetchedBytesOrigin : process::Counter::kFetchedBytesPeer,
--- a/src/sidecar/weights.h
+++ b/src/sidecar/weights.h
@@ -7,6 +7,7 @@
 
 #include "platform/engine_calls.h"
 #include "wagtailslip/spread/manifest.h"
+#include "wagtailslip/spread/rejected_chunks.h"
 #include "wagtailslip/spread/session.h"
 
 namespace wagtailslip::sidecar {
@@ -23,6 +24,7 @@
   std::vector<std::string> chunks;
   /// Decides which chunks to fetch from which source.
   std::unique_ptr<spread::Session> session;
+  spread::RejectedChunks rejected;
 
   bool complete() const { return session && session->Complete(); }
 };
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -1,5 +1,5 @@
-// Tests one sidecar process over loopback, with stand-ins for a control process, the origin of the
-// weights and the engine.
+// Tests sidecar processes over loopback, with stand-ins for a control process, the origin of the
+// weights and the engines.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
@@ -31,7 +31,7 @@
 constexpr const char* kControlIp = "127.91.0.1";
 constexpr const char* kOriginAddress = "127.91.0.2:7800";
 constexpr const char* kSidecarIp = "127.91.0.10";
-constexpr const char* kEngineAddress = "127.91.0.10:7900";
+constexpr const char* kOtherSidecarIp = "127.91.0.11";
 constexpr std::uint16_t kFirstPort = 7700;
 /// Longer than the backoff and the repetitions after any single damaged answer.
 constexpr Duration kLongestWait = seconds(20);
@@ -86,8 +86,8 @@
 /// Engine that has restarted: it holds staged chunks, but has loaded nothing.
 class Engine {
  public:
-  Engine(net::asio::io_context& context, std::int64_t staged_version)
-      : server_(context, net::ParseAddress(kEngineAddress), net::HttpLimits{},
+  Engine(net::asio::io_context& context, const std::string& address, std::int64_t staged_version)
+      : server_(context, net::ParseAddress(address), net::HttpLimits{},
                 [this](net::HttpExchange& exchange) { return Serve(exchange); }) {
     for (std::size_t i = 0; staged_version != 0 && i < kChunks; ++i) {
       staged_[i] = ChunkBytes(staged_version, i);
@@ -138,6 +138,8 @@
   net::HttpServer server_;
 };
 
+std::string EngineAddress(const std::string& ip) { return ip + ":7900"; }
+
 deployment::NodeSettings Settings(const std::string& ip) {
   deployment::NodeSettings settings;
   settings.name = ip;
@@ -146,17 +148,18 @@
   settings.regions = {{"north", "upper"}};
   settings.first_port = kFirstPort;
   settings.seeds = {std::string(kControlIp) + ":8080"};
-  settings.engine_address = kEngineAddress;
+  settings.engine_address = EngineAddress(ip);
   settings.engine_service = kService;
   settings.link_rate = 1e8;
   return settings;
 }
 
-/// Control process that names the source of the weights and a target version.
+/// Control process that names the source of the weights, a target version and the engines.
 class Control : public mesh::MeshListener {
  public:
-  Control(net::asio::io_context& context, std::int64_t target)
+  Control(net::asio::io_context& context, std::int64_t target, bool two_engines)
       : target_(target),
+        two_engines_(two_engines),
         mesh_(context, net::ParseAddress(Settings(kControlIp).mesh_address()),
               mesh::MakeSelfMember(Settings(kControlIp), mesh::MemberKind::kControl, "", 1),
               mesh::MeshLimits{}, *this) {
@@ -179,15 +182,34 @@
       target.version = target_;
       message.__set_targets({target});
     }
+    for (const char* ip : {kSidecarIp, kOtherSidecarIp}) {
+      wire::InstanceRecord record;
+      record.id = ip;
+      record.sequence = 1;
+      record.service_name = kService;
+      record.address = EngineAddress(ip);
+      record.failure_domain = "north";
+      record.state = static_cast<std::int16_t>(serving::EndpointState::kServing);
+      record.slots = 1;
+      message.instances.push_back(record);
+    }
+    message.__isset.instances = two_engines_;
     mesh_.Send(member.process, message);
   }
   void OnMemberLost(const mesh::Member&) override {}
   void OnMessage(const mesh::Member&, const wire::MeshMessage&) override {}
 
   std::int64_t target_;
+  bool two_engines_;
   mesh::MeshNode mesh_;
 };
 
+void ChangeFirstCharacter(json& text) {
+  auto value = text.get<std::string>();
+  value[0] = value[0] == '0' ? '1' : '0';
+  text = value;
+}
+
 struct ListRow {
   const char* name;
   /// Version that the control process names; 0 if it names none.
@@ -204,30 +226,37 @@
     {"version of the newest", 0, 1, 1, [](json& list) { list["version"] = 9; }},
     {"model", 1, 1, 0, [](json& list) { list["model-name"] = "n"; }},
     {"chunk size 0", 1, 1, 0, [](json& list) { list["chunk-bytes"] = 0; }},
+    {"chunk size", 1, 1, 0, [](json& list) { list["chunk-bytes"] = kChunkBytes + 8; }},
+    {"digest", 1, 1, 0, [](json& list) { ChangeFirstCharacter(list["chunk-digests"][3]); }},
+    {"digest of a staged chunk", 1, 1, 1,
+     [](json& list) { ChangeFirstCharacter(list["chunk-digests"][3]); }},
 };
 
 class SidecarTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SidecarTest);
-  CPPUNIT_TEST(DigestsOfAnotherVersionAreNotUsed);
+  CPPUNIT_TEST(DamagedDigestListsAreNotUsedAndDoNotLast);
+  CPPUNIT_TEST(DigestsAreRepairedFromAnotherSidecar);
   CPPUNIT_TEST_SUITE_END();
 
+  static void RunUntil(net::asio::io_context& context, const std::function<bool()>& done) {
+    const TimePoint end = process::MonotonicNow() + kLongestWait;
+    while (!done() && process::MonotonicNow() < end) context.run_for(milliseconds(20));
+  }
+
  public:
-  // Guards against digests that the origin sent with a damaged version number or chunk size: chunks
-  // that are staged for one version are loaded as another one, or a version is never fetched.
-  void DigestsOfAnotherVersionAreNotUsed() {
+  // Guards against an answer of the origin that is damaged and can be read: chunks that are staged
+  // for one version are loaded as another one, or a version is never fetched.
+  void DamagedDigestListsAreNotUsedAndDoNotLast() {
     std::string failures;
     for (const auto& row : kListRows) {
       net::asio::io_context context(1);
       Origin origin(context, row.newest, row.damage);
-      Engine engine(context, row.staged);
-      Control control(context, row.target);
+      Engine engine(context, EngineAddress(kSidecarIp), row.staged);
+      Control control(context, row.target, false);
       SidecarNode node(context, Settings(kSidecarIp), 1);
       node.Start();
       const std::int64_t expected = row.target != 0 ? row.target : row.newest;
-      const TimePoint end = process::MonotonicNow() + kLongestWait;
-      while (engine.loaded() != expected && process::MonotonicNow() < end) {
-        context.run_for(milliseconds(20));
-      }
+      RunUntil(context, [&] { return engine.loaded() == expected; });
       node.Stop();
       if (engine.loaded() == expected && engine.wrong_loads().empty() &&
           origin.lists() <= kMaxLists) {
@@ -240,6 +269,27 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::string(), failures);
   }
+
+  // Guards against a sidecar that keeps a damaged list although another sidecar has a correct one,
+  // or that takes the origin's link for it.
+  void DigestsAreRepairedFromAnotherSidecar() {
+    net::asio::io_context context(1);
+    Origin origin(context, 1, [](json& list) { ChangeFirstCharacter(list["chunk-digests"][3]); });
+    Engine engine(context, EngineAddress(kSidecarIp), 0);
+    Engine other_engine(context, EngineAddress(kOtherSidecarIp), 0);
+    Control control(context, 1, true);
+    SidecarNode node(context, Settings(kSidecarIp), 1);
+    SidecarNode other_node(context, Settings(kOtherSidecarIp), 1);
+    node.Start();
+    other_node.Start();
+    RunUntil(context, [&] { return engine.loaded() == 1 && other_engine.loaded() == 1; });
+    node.Stop();
+    other_node.Stop();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, engine.loaded());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, other_engine.loaded());
+    CPPUNIT_ASSERT(engine.wrong_loads().empty() && other_engine.wrong_loads().empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, origin.lists());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SidecarTest);
 
--- a/tests/spread_test.cc
+++ b/tests/spread_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "wagtailslip/spread/pacer.h"
+#include "wagtailslip/spread/rejected_chunks.h"
 #include "wagtailslip/spread/session.h"
 
 namespace wagtailslip::spread {
@@ -75,6 +76,8 @@
   CPPUNIT_TEST_SUITE(SpreadTest);
   CPPUNIT_TEST(ManifestErrorsNameTheField);
   CPPUNIT_TEST(ManifestChecksBodies);
+  CPPUNIT_TEST(RepeatedBytesMakeDigestsSuspect);
+  CPPUNIT_TEST(RefetchesOfDigestsAreSpacedOut);
   CPPUNIT_TEST(CompareFindsSharedChunks);
   CPPUNIT_TEST(BitmapRejectsWrongSizes);
   CPPUNIT_TEST(MembersRejectRepeatedIds);
@@ -114,6 +117,47 @@
     CPPUNIT_ASSERT(manifest.Check(0, "bod") == ChunkResult::kCorrupt);
   }
 
+  // Guards against a wrong digest that keeps its chunk from ever being accepted, and against a
+  // replacement of the digests that was not confirmed by received bytes.
+  void RepeatedBytesMakeDigestsSuspect() {
+    const TimePoint now{};
+    Manifest correct = MakeManifest(3);
+    correct.chunks[1] = {Sha256("body"), 4};
+    RejectedChunks rejected;
+    const auto add = [&](ChunkIndex chunk, std::string_view body, bool suspect) {
+      rejected.Add(chunk, body, now);
+      CPPUNIT_ASSERT_EQUAL(suspect, rejected.RefetchDue(now));
+    };
+    add(1, "bodY", false);
+    add(1, "body", false);
+    CPPUNIT_ASSERT(!rejected.MatchedBy(correct));
+    // The same bytes of another chunk, and other bytes of the same one.
+    add(2, "body", false);
+    add(1, "bOdy", false);
+    add(1, "body", true);
+    CPPUNIT_ASSERT(rejected.MatchedBy(correct));
+    CPPUNIT_ASSERT(!rejected.MatchedBy(MakeManifest(3)));
+    CPPUNIT_ASSERT(!rejected.MatchedBy(MakeManifest(1)));
+    // Many different damaged bodies must not remove the evidence.
+    for (int i = 0; i < 1000; ++i) rejected.Add(1, std::to_string(i), now);
+    CPPUNIT_ASSERT(rejected.MatchedBy(correct));
+  }
+
+  // Guards against an origin whose link is filled by digests because it always sends the same
+  // damaged chunk.
+  void RefetchesOfDigestsAreSpacedOut() {
+    TimePoint now{};
+    RejectedChunks rejected;
+    int fetches = 0;
+    for (; now < TimePoint(seconds(60)); now += milliseconds(50)) {
+      rejected.Add(0, "bodY", now);
+      if (!rejected.RefetchDue(now)) continue;
+      ++fetches;
+      rejected.OnRefetch(now);
+    }
+    CPPUNIT_ASSERT(fetches >= 5 && fetches <= 12);
+  }
+
   // Guards against dropping or refetching shared chunks, also with repeated digests.
   void CompareFindsSharedChunks() {
     const Manifest from = MakeManifest(4);
