Forget a recovered configuration once its place in the log is decided

What callers saw: nothing yet. A control process that had led, was cut off with a proposed configuration on its disk and restarted told the sidecars of its links the origin that this configuration names, for as long as the agreed versions were lower, though the others had replaced the entry.

Cause: the newest configuration on the disk is used at the start to tell sidecars their source before an election. It was checked once, by its version number only, and used for ever.

Change: it is dropped when its entry is applied or replaced. RefreshSources does nothing without a configuration, and logs one that cannot be decompressed instead of ending the process.

Evidence: control_log_test, DiscardedConfigIsNotKeptAsRecovered. Before: "Expected: 0, Actual: 9". After: 9 passed, with RecoversConfigBeforeElection unchanged.

Conclusion: after the election, sidecars learn sources from the agreed configuration only.

--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -122,8 +122,10 @@
   for (agreement::Index i = log.base() + 1; i <= log.last(); ++i) {
     if (log.At(i).kind != agreement::EntryKind::kCommand) continue;
     Command command = DecodeCommand(log.At(i).data);
-    if (command.config_version > recovered_config_.config_version)
+    if (command.config_version > recovered_config_.config_version) {
       recovered_config_ = std::move(command);
+      recovered_index_ = i;
+    }
   }
 }
 
@@ -187,6 +189,10 @@
     changed = true;
   }
   for (const auto& entry : effects.committed) Apply(entry, now);
+  // The entry was committed and is part of the state, or the entry of another leader replaced it.
+  const bool replaced = effects.truncate_from && *effects.truncate_from <= recovered_index_;
+  if (recovered_config_.config_version != 0 && (replaced || applied_ >= recovered_index_))
+    recovered_config_ = Command{};
   if (changed || !effects.committed.empty()) callbacks_.on_change();
 }
 
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -94,8 +94,9 @@
   /// Whether the applied state includes everything that was committed before the current term. If
   /// false, the state may be far behind.
   bool CaughtUp() const { return replica_->CommittedInTerm(); }
-  /// The newest configuration that was on disk at startup. It may be uncommitted, so use it only to
-  /// find the sources of weights.
+  /// The newest configuration that was on disk at startup, until it is known whether it was
+  /// committed; version 0 afterwards. It may be uncommitted, so use it only to find the sources of
+  /// weights.
   const Command& recovered_config() const { return recovered_config_; }
   /// Id of the leader's process; empty if no leader is known.
   std::string Leader() const;
@@ -133,6 +134,8 @@
   std::unique_ptr<agreement::Replica> replica_;
   ReplicatedState state_;
   Command recovered_config_;
+  /// Position of recovered_config_ in the log.
+  agreement::Index recovered_index_ = 0;
   agreement::Index applied_ = 0;
   std::uint64_t last_write_ = 0;
   std::uint64_t persisted_write_ = 0;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -396,7 +396,7 @@
       recovered_is_newer ? log_->recovered_config().config_version : log_->state().config_version;
   const std::string& body =
       recovered_is_newer ? log_->recovered_config().config_body : log_->state().config_body;
-  if (version == sources_version_ || now < next_sources_at_) return;
+  if (version == 0 || version == sources_version_ || now < next_sources_at_) return;
   next_sources_at_ = now + kSourcePeriod;
   sources_version_ = version;
   std::vector<wire::ModelSource> sources;
@@ -416,7 +416,7 @@
       source.layers = static_cast<std::int32_t>(it.engine->layers);
       sources.push_back(source);
     }
-  } catch (const serving::ServingError& e) {
+  } catch (const Error& e) {
     // Configurations are validated before they are proposed, so only a process of another release
     // can have accepted this one.
     LogEvent(Event::kServiceConfigRefused, {{"version", version}, {"error", e.what()}});
--- a/tests/control_log_test.cc
+++ b/tests/control_log_test.cc
@@ -165,6 +165,7 @@
   CPPUNIT_TEST(IsolatedLeaderCannotServeReads);
   CPPUNIT_TEST(WeightsAgeSurvivesRestart);
   CPPUNIT_TEST(RecoversConfigBeforeElection);
+  CPPUNIT_TEST(DiscardedConfigIsNotKeptAsRecovered);
   CPPUNIT_TEST(LimitsLogLinesPerEvent);
   CPPUNIT_TEST_SUITE_END();
 
@@ -221,6 +222,37 @@
     }
   }
 
+  // Guards against sidecars that are sent to the origin of a configuration that was on the disk of
+  // a restarted process, but that the other processes never agreed on.
+  void DiscardedConfigIsNotKeptAsRecovered() {
+    Cluster cluster("discarded");
+    StartAll(cluster, 3);
+    CPPUNIT_ASSERT(cluster.ProposeConfig(4, "four"));
+    cluster.Run(seconds(1));
+    int old_leader = 1;
+    while (&cluster.node(old_leader) != cluster.Leader()) ++old_leader;
+    Command command;
+    command.config_version = 9;
+    command.config_body = "nine";
+    cluster.node(old_leader)
+        .Propose(
+            command, [](bool) {}, cluster.now());
+    cluster.SetIsolated(old_leader, true);
+    cluster.Run(milliseconds(50));
+    cluster.Kill(old_leader);
+    cluster.Run(seconds(4));
+    CPPUNIT_ASSERT(cluster.ProposeConfig(5, "five"));
+    cluster.Start(old_leader, false);
+    CPPUNIT_ASSERT_EQUAL(std::string("nine"),
+                         cluster.node(old_leader).recovered_config().config_body);
+    cluster.SetIsolated(old_leader, false);
+    cluster.Run(seconds(4));
+    CPPUNIT_ASSERT(cluster.node(old_leader).CaughtUp());
+    CPPUNIT_ASSERT_EQUAL(std::string("five"), cluster.node(old_leader).state().config_body);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                         cluster.node(old_leader).recovered_config().config_version);
+  }
+
   // Guards against losing an acknowledged configuration when all processes restart.
   void AcknowledgedConfigSurvivesFullRestart() {
     Cluster cluster("restart");
