Count verified chunks, not entries of the engine's list, as staged

What callers saw: nothing yet.

Cause: after a restart a sidecar reads back the chunks that its engine lists as staged. It took the version for staged and verified if as many entries of that list matched as there are chunks. A list with repeated entries therefore hid missing chunks, and the load command was sent without them. Besides, the loop suspends at each chunk: had another version become complete meanwhile, its chunks could be staged over those that were read before.

Change: all chunks must be present, and no version may have become complete during the reads, as only a complete version is staged.

Evidence: sidecar_test, RepeatedEntriesOfStagedListAreNotCountedAsChunks: 4 of 6 chunks are missing and the others are listed three times. The second condition is covered by reading only.

Conclusion: staged_version_ is set here for chunks that were each read back.

--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -265,16 +265,16 @@
   try {
     const auto staged = co_await engine_.ListStagedChunks(weights->model);
     const TimePoint read_since = MonotonicNow();
-    std::size_t reused = 0;
     for (const std::uint32_t chunk : staged) {
       if (chunk >= weights->chunks.size()) continue;
       auto bytes = co_await engine_.ReadStagedChunk(weights->model, chunk);
       if (weights->manifest->Check(chunk, bytes) != spread::ChunkResult::kOk) continue;
       weights->chunks[chunk] = std::move(bytes);
       weights->session->MarkPresent(chunk);
-      ++reused;
     }
-    if (reused == weights->chunks.size()) {
+    // Another version that became complete meanwhile may have been staged over chunks that were
+    // read before.
+    if (weights->complete() && !current_) {
       // All chunks were just read back and verified, so they need not be staged again. This is the
       // case after a restart of both the sidecar and the engine.
       staged_version_ = weights->version;
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -94,6 +94,11 @@
     }
     server_.Start();
   }
+  /// Loses a staged chunk, and lists each of the others several times from now on.
+  void LoseChunkAndRepeatList(std::size_t chunk) {
+    staged_.erase(chunk);
+    list_repeats_ = 3;
+  }
   std::int64_t loaded() const { return loaded_; }
   /// Versions that were loaded from chunks that are not theirs.
   const std::vector<std::int64_t>& wrong_loads() const { return wrong_loads_; }
@@ -112,7 +117,9 @@
       staged_[chunk] = exchange.request().body();
     } else if (exchange.path().starts_with("/stage-get/") && number.empty()) {
       json list{{"held", json::array()}};
-      for (const auto& [i, bytes] : staged_) list["held"].push_back(i);
+      for (const auto& [i, bytes] : staged_) {
+        for (int n = 0; n < list_repeats_; ++n) list["held"].push_back(i);
+      }
       body = list.dump();
     } else if (exchange.path().starts_with("/stage-get/")) {
       status = staged_.contains(chunk) ? 200 : 404;
@@ -133,6 +140,7 @@
   }
 
   std::map<std::size_t, std::string> staged_;
+  int list_repeats_ = 1;
   std::int64_t loaded_ = 0;
   std::vector<std::int64_t> wrong_loads_;
   net::HttpServer server_;
@@ -236,6 +244,7 @@
   CPPUNIT_TEST_SUITE(SidecarTest);
   CPPUNIT_TEST(DamagedDigestListsAreNotUsedAndDoNotLast);
   CPPUNIT_TEST(DigestsAreRepairedFromAnotherSidecar);
+  CPPUNIT_TEST(RepeatedEntriesOfStagedListAreNotCountedAsChunks);
   CPPUNIT_TEST_SUITE_END();
 
   static void RunUntil(net::asio::io_context& context, const std::function<bool()>& done) {
@@ -290,6 +299,22 @@
     CPPUNIT_ASSERT(engine.wrong_loads().empty() && other_engine.wrong_loads().empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, origin.lists());
   }
+
+  // Guards against weights that are loaded with a chunk missing because the number of entries in
+  // the engine's list of staged chunks was taken for the number of chunks.
+  void RepeatedEntriesOfStagedListAreNotCountedAsChunks() {
+    net::asio::io_context context(1);
+    Origin origin(context, 1, [](json&) {});
+    Engine engine(context, EngineAddress(kSidecarIp), 1);
+    for (std::size_t i = 2; i < kChunks; ++i) engine.LoseChunkAndRepeatList(i);
+    Control control(context, 1, false);
+    SidecarNode node(context, Settings(kSidecarIp), 1);
+    node.Start();
+    RunUntil(context, [&] { return engine.loaded() == 1; });
+    node.Stop();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, engine.loaded());
+    CPPUNIT_ASSERT(engine.wrong_loads().empty());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SidecarTest);
 
