Tell incarnations of an endpoint apart after a request is placed on one

What callers saw: nothing yet. Endpoints may restart under the same id and address.

Cause: a placed request named its endpoint by id only. Once the connection was open, the checks looked up the newest incarnation, while the weights, the slots and the permit were those of the one that was chosen. In the same way, a late response of the old incarnation that said that it leaves took the new one out of service for its whole life, and a pause or a request limit was recorded for the new one.

Change: PlacementResult has the start time of the incarnation. Accepts, MarkLeaving, Pause and OnRequestLimit apply only while that one is the newest known; otherwise the request is withheld and placed again.

Changes to existing tests: MarkLeaving, Pause and Accepts take the placed request instead of the id; the assertions are the same.

Evidence: serving_test, SeparatesIncarnationsOfAnEndpoint. With the comparison of the start times left out: "assertion failed: !placement.Accepts(*placed, now)". With it 46 passed; permit_test 12 and overload_test 2 passed. The calls from responses in src/ingress are covered by reading only.

Conclusion: what is checked before a request is sent is the incarnation that it was placed on.

--- a/benchmark/permit_model.cc
+++ b/benchmark/permit_model.cc
@@ -208,7 +208,7 @@
   /// Sends a request on a connection that was just opened.
   void Send(std::size_t i, serving::PlacementResult& placed) {
     serving::Placement& placement = *processes_[i].placement;
-    if (!placement.Accepts(placed.id, now_) || !placement.UsePermit(placed, now_)) {
+    if (!placement.Accepts(placed, now_) || !placement.UsePermit(placed, now_)) {
       placement.ReturnPermit(placed, now_);
       placement.RemovePending(placed.id, 0);
       placement.Release(placed.id);
--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -118,6 +118,8 @@
   /// When the permit for the request expires; nothing if the endpoint needs none, or if the permit
   /// was used.
   std::optional<TimePoint> permit_expires_at;
+  /// Start time of the endpoint's incarnation; the next one may have the same id and address.
+  std::int64_t started_ms = 0;
 };
 
 /// Status of an engine as polled by its sidecar.
@@ -171,13 +173,15 @@
   void OnRefused(const std::string& id, TimePoint now);
   /// Records that the endpoint said in a response that it is leaving. This incarnation gets no more
   /// requests, whatever it announces, because announcements lag behind.
-  /// @return false if this was already recorded or the endpoint is unknown
-  bool MarkLeaving(const std::string& id);
-  /// Sends the endpoint no new requests for the time `pause`, which it asked for.
-  void Pause(const std::string& id, Duration pause, TimePoint now);
-  /// Whether an endpoint that was chosen may still be sent a request; for example after connecting
-  /// to it, which takes time.
-  bool Accepts(const std::string& id, TimePoint now) const;
+  /// @return false if this was already recorded, or the endpoint is unknown or has restarted
+  bool MarkLeaving(const PlacementResult& placed);
+  /// Sends the endpoint no new requests for the time `pause`, which this incarnation asked for.
+  void Pause(const PlacementResult& placed, Duration pause, TimePoint now);
+  /// Whether the incarnation that was chosen may still be sent a request; for example after
+  /// connecting to it, which takes time.
+  bool Accepts(const PlacementResult& placed, TimePoint now) const;
+  /// Whether the incarnation that was chosen is the newest known one with its id.
+  bool IsCurrent(const PlacementResult& placed) const;
   /// Uses the permit of a request that is about to be sent, or takes one if the permit has expired
   /// or the endpoint has named a limit since it was chosen.
   /// @return false if the request must not be sent
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -54,8 +54,8 @@
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
   /// Records the limit that a response names, or that it names none any more.
-  void RecordRequestLimit(const std::string& endpoint, const platform::EndpointResponse& response,
-                          TimePoint sent_at);
+  void RecordRequestLimit(const serving::PlacementResult& placed,
+                          const platform::EndpointResponse& response, TimePoint sent_at);
   net::Task<ReadResult> ReadBodyPart(net::HttpConnection& upstream);
   net::Task<serving::AttemptOutcome> ReadFullResponse(net::HttpConnection& upstream,
                                                       const net::HttpResponse& response,
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -115,12 +115,12 @@
   const auto decoded = platform::DecodeEndpointResponse(response);
   last_status_ = decoded.status;
   last_request_limit_ = decoded.request_limit;
-  if (decoded.draining) node_.OnEndpointDraining(placed.id, MonotonicNow());
-  if (decoded.retry_after) node_.OnRetryAfter(placed.id, *decoded.retry_after, MonotonicNow());
+  if (decoded.draining) node_.OnEndpointDraining(placed, MonotonicNow());
+  if (decoded.retry_after) node_.OnRetryAfter(placed, *decoded.retry_after, MonotonicNow());
   if (decoded.load) {
     node_.OnLoad(placed.id, decoded.load->running, decoded.load->waiting, MonotonicNow());
   }
-  RecordRequestLimit(placed.id, decoded, sent_at);
+  RecordRequestLimit(placed, decoded, sent_at);
   if (decoded.not_run) co_return AttemptOutcome::kNotRun;
   // Reject a response to another request, and one without an id, which the endpoint may have sent
   // before it read the request.
@@ -138,15 +138,14 @@
   co_return co_await ReadFullResponse(upstream, response, decoded);
 }
 
-void Exchange::RecordRequestLimit(const std::string& endpoint,
+void Exchange::RecordRequestLimit(const serving::PlacementResult& placed,
                                   const platform::EndpointResponse& response, TimePoint sent_at) {
-  if (response.request_limit_unreadable) return node_.OnUnreadableRequestLimit(endpoint);
+  if (response.request_limit_unreadable) return node_.OnUnreadableRequestLimit(placed.id);
   const bool own = response.has_signature && response.attempt_id == request_.attempt_id;
   // A late response to an earlier request, or a damaged one, may lower the limit, but neither raise
   // nor withdraw it: it is not known when the request was sent.
   if (!own && !response.request_limit) return;
-  node_.OnRequestLimit(endpoint, response.request_limit, own ? sent_at : TimePoint{},
-                       MonotonicNow());
+  node_.OnRequestLimit(placed, response.request_limit, own ? sent_at : TimePoint{}, MonotonicNow());
 }
 
 Task<Exchange::ReadResult> Exchange::ReadBodyPart(net::HttpConnection& upstream) {
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -293,9 +293,13 @@
   ScheduleVerdictDelivery();
 }
 
-void IngressNode::OnEndpointDraining(const std::string& endpoint, TimePoint now) {
+void IngressNode::OnEndpointDraining(const serving::PlacementResult& placed, TimePoint now) {
+  const std::string& endpoint = placed.id;
   const auto* known = table_.Find(endpoint);
-  if (known == nullptr || !placement_.MarkLeaving(endpoint)) return;
+  if (known == nullptr || known->started_ms != placed.started_ms ||
+      !placement_.MarkLeaving(placed)) {
+    return;
+  }
   LogEvent(Event::kServiceEndpointChanged,
            {{"endpoint", endpoint},
             {"service", known->service},
@@ -316,10 +320,11 @@
   mesh_->SendTo(ControlProcesses(), message);
 }
 
-void IngressNode::OnRetryAfter(const std::string& endpoint, Duration retry_after, TimePoint now) {
-  placement_.Pause(endpoint, retry_after, now);
+void IngressNode::OnRetryAfter(const serving::PlacementResult& placed, Duration retry_after,
+                               TimePoint now) {
+  placement_.Pause(placed, retry_after, now);
   LogEvent(Event::kServiceEndpointChanged,
-           {{"endpoint", endpoint}, {"pause_s", ToSeconds(retry_after)}, {"from", "its answer"}});
+           {{"endpoint", placed.id}, {"pause_s", ToSeconds(retry_after)}, {"from", "its answer"}});
 }
 
 void IngressNode::AskForPermits(TimePoint now) {
@@ -366,11 +371,12 @@
   }
 }
 
-void IngressNode::OnRequestLimit(const std::string& endpoint, std::optional<double> per_second,
-                                 TimePoint sent_at, TimePoint now) {
-  const auto* known = table_.Find(endpoint);
-  if (known == nullptr) return;
-  RecordLimit({endpoint, known->started_ms, per_second, sent_at, now}, "its answer", now);
+void IngressNode::OnRequestLimit(const serving::PlacementResult& placed,
+                                 std::optional<double> per_second, TimePoint sent_at,
+                                 TimePoint now) {
+  const auto* known = table_.Find(placed.id);
+  if (known == nullptr || known->started_ms != placed.started_ms) return;
+  RecordLimit({placed.id, placed.started_ms, per_second, sent_at, now}, "its answer", now);
   AskForPermits(now);
 }
 
@@ -380,7 +386,7 @@
 
 bool IngressNode::MaySend(serving::PlacementResult& placed, const std::string& model,
                           Duration connect_time, TimePoint now) {
-  if (!placement_.Accepts(placed.id, now)) return false;
+  if (!placement_.Accepts(placed, now)) return false;
   if (!model.empty()) {
     serving::PlacementQuery query;
     SetMinWeightsVersions(model, query, now);
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -103,13 +103,13 @@
   /// that disconnected. The request no longer counts as one that this process has at the endpoint.
   void OnFinishedWithoutResult(const std::string& endpoint);
   /// A response of the endpoint announced that it is shutting down.
-  void OnEndpointDraining(const std::string& endpoint, TimePoint now);
+  void OnEndpointDraining(const serving::PlacementResult& placed, TimePoint now);
   /// A response of the endpoint asked for no further requests until `retry_after` has passed.
-  void OnRetryAfter(const std::string& endpoint, Duration retry_after, TimePoint now);
+  void OnRetryAfter(const serving::PlacementResult& placed, Duration retry_after, TimePoint now);
   /// A response of the endpoint named a limit on the requests per second of all ingress processes.
   /// @param per_second the limit; nothing if the response named none
   /// @param sent_at when the request was sent
-  void OnRequestLimit(const std::string& endpoint, std::optional<double> per_second,
+  void OnRequestLimit(const serving::PlacementResult& placed, std::optional<double> per_second,
                       TimePoint sent_at, TimePoint now);
   /// A response of the endpoint named a limit that cannot be read. The previous one stays in force.
   void OnUnreadableRequestLimit(const std::string& endpoint);
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -332,9 +332,10 @@
   }
   if (best == nullptr) return std::nullopt;
   if (best_is_probe) ejector_.StartProbe(best->record.id, now);
-  PlacementResult placed{best->record.id,       best->record.address,
-                         best->weights_version, EstimateLoad(*best, now),
-                         best->record.slots,    permits_.Take(best->record.id, now)};
+  PlacementResult placed{best->record.id,        best->record.address,
+                         best->weights_version,  EstimateLoad(*best, now),
+                         best->record.slots,     permits_.Take(best->record.id, now),
+                         best->record.started_ms};
   ++best->own_requests;
   best->pending_since.push_back(now);
   best->pending_prompt_tokens += query.prompt_tokens;
@@ -368,24 +369,31 @@
   it->second.paused_until = std::max(it->second.paused_until, now + settings_.refusal_backoff);
 }
 
-bool Placement::MarkLeaving(const std::string& id) {
-  const auto it = endpoints_.find(id);
-  if (it == endpoints_.end() || it->second.leaving) return false;
-  it->second.leaving = true;
+bool Placement::IsCurrent(const PlacementResult& placed) const {
+  const auto it = endpoints_.find(placed.id);
+  return it != endpoints_.end() && it->second.record.started_ms == placed.started_ms;
+}
+
+bool Placement::MarkLeaving(const PlacementResult& placed) {
+  if (!IsCurrent(placed)) return false;
+  Endpoint& endpoint = endpoints_.at(placed.id);
+  if (endpoint.leaving) return false;
+  endpoint.leaving = true;
   subsets_stale_ = true;
   return true;
 }
 
-void Placement::Pause(const std::string& id, Duration pause, TimePoint now) {
-  const auto it = endpoints_.find(id);
-  if (it == endpoints_.end()) return;
-  it->second.paused_until = std::max(it->second.paused_until, now + pause);
+void Placement::Pause(const PlacementResult& placed, Duration pause, TimePoint now) {
+  if (!IsCurrent(placed)) return;
+  Endpoint& endpoint = endpoints_.at(placed.id);
+  endpoint.paused_until = std::max(endpoint.paused_until, now + pause);
 }
 
-bool Placement::Accepts(const std::string& id, TimePoint now) const {
-  const auto it = endpoints_.find(id);
-  return it != endpoints_.end() && it->second.record.state == EndpointState::kServing &&
-         !it->second.leaving && now >= it->second.paused_until;
+bool Placement::Accepts(const PlacementResult& placed, TimePoint now) const {
+  if (!IsCurrent(placed)) return false;
+  const Endpoint& endpoint = endpoints_.at(placed.id);
+  return endpoint.record.state == EndpointState::kServing && !endpoint.leaving &&
+         now >= endpoint.paused_until;
 }
 
 bool Placement::UsePermit(PlacementResult& placed, TimePoint now) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -101,6 +101,7 @@
   CPPUNIT_TEST(AvoidsStalledEndpoint);
   CPPUNIT_TEST(DividesEndpointsWithRequiredWeights);
   CPPUNIT_TEST(SendsNothingToLeavingEndpoint);
+  CPPUNIT_TEST(SeparatesIncarnationsOfAnEndpoint);
   CPPUNIT_TEST(RespectsRequestedPause);
   CPPUNIT_TEST(SkipsUnusableEndpoints);
   CPPUNIT_TEST(PrefersOwnSubsetUntilFull);
@@ -244,12 +245,13 @@
     auto table = Engines(1);
     placement.Sync(table, EngineConfig());
     const TimePoint now = At(seconds(1));
-    CPPUNIT_ASSERT(placement.Choose(Query(), now));
-    CPPUNIT_ASSERT(placement.MarkLeaving("e0"));
-    CPPUNIT_ASSERT_MESSAGE("only the first call returns true", !placement.MarkLeaving("e0"));
+    const auto placed = placement.Choose(Query(), now);
+    CPPUNIT_ASSERT(placed);
+    CPPUNIT_ASSERT(placement.MarkLeaving(*placed));
+    CPPUNIT_ASSERT_MESSAGE("only the first call returns true", !placement.MarkLeaving(*placed));
     CPPUNIT_ASSERT(!placement.Choose(Query(), now));
     CPPUNIT_ASSERT_MESSAGE("a request is withheld even if a connection is already open",
-                           !placement.Accepts("e0", now));
+                           !placement.Accepts(*placed, now));
     EndpointRecord record = *table.Find("e0");
     record.sequence = 9;
     table.Apply(record, now);
@@ -260,7 +262,30 @@
     table.Apply(record, now);
     placement.Sync(table, EngineConfig());
     CPPUNIT_ASSERT(placement.Choose(Query(), now));
-    CPPUNIT_ASSERT(!placement.MarkLeaving("unknown"));
+    PlacementResult unknown;
+    unknown.id = "unknown";
+    CPPUNIT_ASSERT(!placement.MarkLeaving(unknown));
+  }
+
+  // Guards against a request that was placed on an endpoint and is sent to the next incarnation
+  // with its id, and against a late response of one incarnation that takes the next one out of
+  // service.
+  void SeparatesIncarnationsOfAnEndpoint() {
+    Placement placement(Settings(), 1);
+    auto table = Engines(1);
+    placement.Sync(table, EngineConfig());
+    const TimePoint now = At(seconds(1));
+    const auto placed = placement.Choose(Query(), now);
+    CPPUNIT_ASSERT(placed && placement.Accepts(*placed, now));
+    EndpointRecord record = *table.Find("e0");
+    record.started_ms = 2;
+    table.Apply(record, now);
+    placement.Sync(table, EngineConfig());
+    CPPUNIT_ASSERT(!placement.Accepts(*placed, now));
+    CPPUNIT_ASSERT(!placement.MarkLeaving(*placed));
+    placement.Pause(*placed, seconds(3), now);
+    const auto next = placement.Choose(Query(), now);
+    CPPUNIT_ASSERT(next && placement.Accepts(*next, now));
   }
 
   // Guards against requests to an endpoint during a pause that it asked for, and against avoiding
@@ -279,13 +304,14 @@
       Placement placement(Settings(), 1);
       placement.Sync(Engines(1), EngineConfig());
       const TimePoint now = At(seconds(1));
-      placement.Choose(Query(), now);
+      const auto placed = placement.Choose(Query(), now);
+      CPPUNIT_ASSERT(placed);
       // The request whose response asked for the pause has ended.
       placement.RemovePending("e0", 1000);
-      placement.Pause("e0", seconds(3), now);
+      placement.Pause(*placed, seconds(3), now);
       // The shorter pause after a refusal does not end the longer one.
       placement.OnRefused("e0", now);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, accepts, placement.Accepts("e0", now + after));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, accepts, placement.Accepts(*placed, now + after));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(name, accepts,
                                    placement.Choose(Query(), now + after).has_value());
     }
