Fetch the version in use if the newest known one cannot be fetched

What callers saw: nothing yet. An engine that had restarted together with its sidecar stayed without weights as long as the newest known version could not be fetched, though the version in use could.

Cause: a sidecar fetches the highest version that it has heard of. A proposal counts before it is agreed on, so that the fetch starts early; that it was ever agreed on, or that anyone holds it, was not checked later. The same holds for a named version whose origin is gone before the first copy.

Change: if the digests of that version cannot be had, and neither this process nor its engine holds weights, the newest version below it that was named or that another endpoint serves is fetched. The newest one is tried again meanwhile, as before.

Evidence: sidecar_test, NamedVersionIsFetchedIfNewerOneCannotBe: version 1 is named, 9 is proposed and unknown to the origin.

Conclusion: a version that cannot be fetched no longer keeps an engine from the one in use.

--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -222,6 +222,22 @@
     manifest = co_await FetchDigestsFromPeers(sources, version);
   }
   if (!manifest) manifest = co_await FetchDigestsFromOrigin(version);
+  const bool holds_weights =
+      current_ || incoming_ || (engine_state_ && engine_state_->weights.complete_version != 0);
+  if (!manifest && !holds_weights) {
+    // Meanwhile the engine can serve the version that is in use. The newest one may be a proposal
+    // that is never agreed on, or the origin may be gone.
+    std::int64_t in_use = targets_.Newest(model_source_->model);
+    if (in_use >= version) in_use = 0;
+    for (const auto& [id, record] : table_.endpoints()) {
+      if (record.weights < version) in_use = std::max(in_use, record.weights);
+    }
+    if (in_use != 0) {
+      const auto sources_in_use = DigestSources(in_use);
+      manifest = co_await FetchDigestsFromPeers(sources_in_use, in_use);
+      if (!manifest) manifest = co_await FetchDigestsFromOrigin(in_use);
+    }
+  }
   if (replaced) {
     replaced->rejected.OnRefetch(MonotonicNow());
     if (manifest && !replaced->rejected.MatchedBy(*manifest)) manifest.reset();
--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -165,9 +165,11 @@
 /// Control process that names the source of the weights, a target version and the engines.
 class Control : public mesh::MeshListener {
  public:
-  Control(net::asio::io_context& context, std::int64_t target, bool two_engines)
+  Control(net::asio::io_context& context, std::int64_t target, bool two_engines,
+          std::int64_t proposed = 0)
       : target_(target),
         two_engines_(two_engines),
+        proposed_(proposed),
         mesh_(context, net::ParseAddress(Settings(kControlIp).mesh_address()),
               mesh::MakeSelfMember(Settings(kControlIp), mesh::MemberKind::kControl, "", 1),
               mesh::MeshLimits{}, *this) {
@@ -190,6 +192,12 @@
       target.version = target_;
       message.__set_targets({target});
     }
+    if (proposed_ != 0) {
+      wire::WeightsTarget proposed;
+      proposed.model = kModel;
+      proposed.version = proposed_;
+      message.__set_expected({proposed});
+    }
     for (const char* ip : {kSidecarIp, kOtherSidecarIp}) {
       wire::InstanceRecord record;
       record.id = ip;
@@ -209,6 +217,8 @@
 
   std::int64_t target_;
   bool two_engines_;
+  /// Version that was proposed and is not agreed on; 0 if there is none.
+  std::int64_t proposed_;
   mesh::MeshNode mesh_;
 };
 
@@ -244,6 +254,7 @@
   CPPUNIT_TEST_SUITE(SidecarTest);
   CPPUNIT_TEST(DamagedDigestListsAreNotUsedAndDoNotLast);
   CPPUNIT_TEST(DigestsAreRepairedFromAnotherSidecar);
+  CPPUNIT_TEST(NamedVersionIsFetchedIfNewerOneCannotBe);
   CPPUNIT_TEST(RepeatedEntriesOfStagedListAreNotCountedAsChunks);
   CPPUNIT_TEST_SUITE_END();
 
@@ -300,6 +311,21 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, origin.lists());
   }
 
+  // Guards against an engine that is left without weights because a version that was proposed, but
+  // never agreed on, cannot be fetched.
+  void NamedVersionIsFetchedIfNewerOneCannotBe() {
+    net::asio::io_context context(1);
+    Origin origin(context, 1, [](json&) {});
+    Engine engine(context, EngineAddress(kSidecarIp), 0);
+    Control control(context, 1, false, 9);
+    SidecarNode node(context, Settings(kSidecarIp), 1);
+    node.Start();
+    RunUntil(context, [&] { return engine.loaded() == 1; });
+    node.Stop();
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, engine.loaded());
+    CPPUNIT_ASSERT(engine.wrong_loads().empty());
+  }
+
   // Guards against weights that are loaded with a chunk missing because the number of entries in
   // the engine's list of staged chunks was taken for the number of chunks.
   void RepeatedEntriesOfStagedListAreNotCountedAsChunks() {
