Give each run of sidecar_test a loopback network of its own

Servers share ports (SO_REUSEPORT), so two runs at the same time, as in two working trees, could have answered each other's calls. The addresses now contain the process id.

--- a/tests/sidecar_test.cc
+++ b/tests/sidecar_test.cc
@@ -1,6 +1,7 @@
 // Tests sidecar processes over loopback, with stand-ins for a control process, the origin of the
 // weights and the engines.
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
 #include <functional>
 #include <map>
@@ -27,17 +28,28 @@
 constexpr std::size_t kChunkBytes = 1000;
 constexpr const char* kModel = "m";
 constexpr const char* kService = "assistant";
-// Addresses of the loopback network that no other test uses.
-constexpr const char* kControlIp = "127.91.0.1";
-constexpr const char* kOriginAddress = "127.91.0.2:7800";
-constexpr const char* kSidecarIp = "127.91.0.10";
-constexpr const char* kOtherSidecarIp = "127.91.0.11";
+// Last part of the addresses of the processes.
+constexpr int kControlHost = 1;
+constexpr int kOriginHost = 2;
+constexpr int kSidecarHost = 10;
+constexpr int kOtherSidecarHost = 11;
 constexpr std::uint16_t kFirstPort = 7700;
 /// Longer than the backoff and the repetitions after any single damaged answer.
 constexpr Duration kLongestWait = seconds(20);
 /// A list costs bytes of the origin's link, which carries the chunks.
 constexpr std::size_t kMaxLists = 4;
 
+/// Address on a loopback network that no other test process uses at the same time.
+std::string Ip(int host) {
+  const int pid = getpid();
+  return "127." + std::to_string(128 + pid % 100) + "." + std::to_string(pid / 100 % 250) + "." +
+         std::to_string(host);
+}
+
+std::string OriginAddress() { return Ip(kOriginHost) + ":7800"; }
+
+std::string EngineAddress(int host) { return Ip(host) + ":7900"; }
+
 std::string ChunkBytes(std::int64_t version, std::size_t chunk) {
   std::string bytes = "version " + std::to_string(version) + " chunk " + std::to_string(chunk);
   bytes.resize(kChunkBytes, '.');
@@ -52,7 +64,7 @@
   Origin(net::asio::io_context& context, std::int64_t newest, Damage first_list_damage)
       : newest_(newest),
         damage_(std::move(first_list_damage)),
-        server_(context, net::ParseAddress(kOriginAddress), net::HttpLimits{},
+        server_(context, net::ParseAddress(OriginAddress()), net::HttpLimits{},
                 [this](net::HttpExchange& exchange) { return Serve(exchange); }) {
     server_.Start();
   }
@@ -146,17 +158,15 @@
   net::HttpServer server_;
 };
 
-std::string EngineAddress(const std::string& ip) { return ip + ":7900"; }
-
-deployment::NodeSettings Settings(const std::string& ip) {
+deployment::NodeSettings Settings(int host) {
   deployment::NodeSettings settings;
-  settings.name = ip;
-  settings.ip = ip;
+  settings.ip = Ip(host);
+  settings.name = settings.ip;
   settings.failure_domain = "north";
   settings.regions = {{"north", "upper"}};
   settings.first_port = kFirstPort;
-  settings.seeds = {std::string(kControlIp) + ":8080"};
-  settings.engine_address = EngineAddress(ip);
+  settings.seeds = {Ip(kControlHost) + ":8080"};
+  settings.engine_address = EngineAddress(host);
   settings.engine_service = kService;
   settings.link_rate = 1e8;
   return settings;
@@ -170,8 +180,8 @@
       : target_(target),
         two_engines_(two_engines),
         proposed_(proposed),
-        mesh_(context, net::ParseAddress(Settings(kControlIp).mesh_address()),
-              mesh::MakeSelfMember(Settings(kControlIp), mesh::MemberKind::kControl, "", 1),
+        mesh_(context, net::ParseAddress(Settings(kControlHost).mesh_address()),
+              mesh::MakeSelfMember(Settings(kControlHost), mesh::MemberKind::kControl, "", 1),
               mesh::MeshLimits{}, *this) {
     mesh_.Start();
   }
@@ -183,7 +193,7 @@
     wire::ModelSource source;
     source.service_name = kService;
     source.model = kModel;
-    source.origin = kOriginAddress;
+    source.origin = OriginAddress();
     source.chunks = kChunks;
     message.__set_sources({source});
     if (target_ != 0) {
@@ -198,12 +208,12 @@
       proposed.version = proposed_;
       message.__set_expected({proposed});
     }
-    for (const char* ip : {kSidecarIp, kOtherSidecarIp}) {
+    for (const int host : {kSidecarHost, kOtherSidecarHost}) {
       wire::InstanceRecord record;
-      record.id = ip;
+      record.id = "e" + std::to_string(host);
       record.sequence = 1;
       record.service_name = kService;
-      record.address = EngineAddress(ip);
+      record.address = EngineAddress(host);
       record.failure_domain = "north";
       record.state = static_cast<std::int16_t>(serving::EndpointState::kServing);
       record.slots = 1;
@@ -271,9 +281,9 @@
     for (const auto& row : kListRows) {
       net::asio::io_context context(1);
       Origin origin(context, row.newest, row.damage);
-      Engine engine(context, EngineAddress(kSidecarIp), row.staged);
+      Engine engine(context, EngineAddress(kSidecarHost), row.staged);
       Control control(context, row.target, false);
-      SidecarNode node(context, Settings(kSidecarIp), 1);
+      SidecarNode node(context, Settings(kSidecarHost), 1);
       node.Start();
       const std::int64_t expected = row.target != 0 ? row.target : row.newest;
       RunUntil(context, [&] { return engine.loaded() == expected; });
@@ -295,11 +305,11 @@
   void DigestsAreRepairedFromAnotherSidecar() {
     net::asio::io_context context(1);
     Origin origin(context, 1, [](json& list) { ChangeFirstCharacter(list["chunk-digests"][3]); });
-    Engine engine(context, EngineAddress(kSidecarIp), 0);
-    Engine other_engine(context, EngineAddress(kOtherSidecarIp), 0);
+    Engine engine(context, EngineAddress(kSidecarHost), 0);
+    Engine other_engine(context, EngineAddress(kOtherSidecarHost), 0);
     Control control(context, 1, true);
-    SidecarNode node(context, Settings(kSidecarIp), 1);
-    SidecarNode other_node(context, Settings(kOtherSidecarIp), 1);
+    SidecarNode node(context, Settings(kSidecarHost), 1);
+    SidecarNode other_node(context, Settings(kOtherSidecarHost), 1);
     node.Start();
     other_node.Start();
     RunUntil(context, [&] { return engine.loaded() == 1 && other_engine.loaded() == 1; });
@@ -316,9 +326,9 @@
   void NamedVersionIsFetchedIfNewerOneCannotBe() {
     net::asio::io_context context(1);
     Origin origin(context, 1, [](json&) {});
-    Engine engine(context, EngineAddress(kSidecarIp), 0);
+    Engine engine(context, EngineAddress(kSidecarHost), 0);
     Control control(context, 1, false, 9);
-    SidecarNode node(context, Settings(kSidecarIp), 1);
+    SidecarNode node(context, Settings(kSidecarHost), 1);
     node.Start();
     RunUntil(context, [&] { return engine.loaded() == 1; });
     node.Stop();
@@ -331,10 +341,10 @@
   void RepeatedEntriesOfStagedListAreNotCountedAsChunks() {
     net::asio::io_context context(1);
     Origin origin(context, 1, [](json&) {});
-    Engine engine(context, EngineAddress(kSidecarIp), 1);
+    Engine engine(context, EngineAddress(kSidecarHost), 1);
     for (std::size_t i = 2; i < kChunks; ++i) engine.LoseChunkAndRepeatList(i);
     Control control(context, 1, false);
-    SidecarNode node(context, Settings(kSidecarIp), 1);
+    SidecarNode node(context, Settings(kSidecarHost), 1);
     node.Start();
     RunUntil(context, [&] { return engine.loaded() == 1; });
     node.Stop();
