Test what callers get from endpoints that answer wrongly or partly

The retries of all cases need a budget, so the settings of test processes may now state bounds; stand-ins beyond 50 get further ports.

--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -33,6 +33,7 @@
 constexpr int kIngressHost = 20;
 constexpr int kSidecarHost = 100;
 constexpr int kReplicaHost = 200;
+constexpr int kReplicaHosts = 50;
 constexpr int kCallerPort = 8000;
 constexpr int kReadinessPort = 8001;
 constexpr int kControlPort = 8002;
@@ -201,7 +202,13 @@
 }
 
 std::string Cluster::ReplicaAddress(int number) const {
-  return HostOf(kReplicaHost + number) + ":" + std::to_string(kReplicaPort);
+  return HostOf(kReplicaHost + number % kReplicaHosts) + ":" +
+         std::to_string(kReplicaPort + number / kReplicaHosts);
+}
+
+std::string Cluster::ReadinessAddress(const std::string& name) const {
+  const std::string& address = Address(name);
+  return address.substr(0, address.rfind(':') + 1) + std::to_string(kReadinessPort);
 }
 
 std::string Cluster::EngineAddress(int number) const {
@@ -226,6 +233,7 @@
                 {"port-range", {kFirstMeshPort, kFirstMeshPort + 15}},
                 {"seed-nodes", seeds_},
                 {"bootstrap", true},
+                {"timing-bounds", bounds_},
                 {"data-dir", kind == "control" ? (folder_ / name).string() : ""},
                 {"listen-addrs", std::move(listen)}};
   settings.update(more);
@@ -236,7 +244,8 @@
         folder_ / name);
 }
 
-void Cluster::StartDeployment(int controls, int ingresses) {
+void Cluster::StartDeployment(int controls, int ingresses, const Json& bounds) {
+  bounds_ = bounds;
   for (int i = 0; i < controls; ++i) {
     seeds_.push_back(HostOf(kControlHost + i) + ":" + std::to_string(kControlPort));
   }
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -57,7 +57,8 @@
                    const std::vector<std::string>& more = {}, bool obeys_fencing = true);
   /// Starts control processes c1, c2, ... and ingress processes i1, i2, ... as the deployment file
   /// does, each at a loopback address of its own.
-  void StartDeployment(int controls, int ingresses);
+  /// @param bounds bounds in the settings of the processes; those left out have their defaults
+  void StartDeployment(int controls, int ingresses, const Json& bounds = Json::object());
   /// Address of a stand-in of a replica beside the processes of StartDeployment.
   std::string ReplicaAddress(int number) const;
   /// Starts sidecar "w<number>" for the stand-in of an engine at EngineAddress.
@@ -83,6 +84,8 @@
 
   /// HTTP address of a process.
   const std::string& Address(const std::string& name) const { return processes_.at(name).address; }
+  /// Readiness address of an ingress process, which also gives its state dump.
+  std::string ReadinessAddress(const std::string& name) const;
   bool Running(const std::string& name) const { return processes_.at(name).pid > 0; }
   const std::vector<std::string>& entries() const { return entries_; }
   const std::vector<std::string>& controls() const { return controls_; }
@@ -133,6 +136,8 @@
   std::vector<std::string> ingresses_;
   /// Control addresses of the control processes.
   std::vector<std::string> seeds_;
+  /// Bounds in the settings of the processes of StartDeployment.
+  Json bounds_ = Json::object();
 };
 
 }  // namespace wagtailslip::system_test
