Believe a refusal only if it names the request

Cause: Exchange::Send accepted "not run" before it compared the response's id with the request's. Each attempt has a connection of its own, but that does not keep a faulty endpoint from writing an earlier response to it. For the same reason a response to another request paused its endpoint, took it out of use as leaving, or set its load.

Change: a refusal counts only if it echoes the request's id. One without an id does not count: endpoints echo the id in all responses, so nothing shows that the refusal is about this request. If it is wrongly believed, a request that may run once runs twice, or the caller is given a promise that does not hold; if it is wrongly doubted, a repeatable request costs one retry, and another one ends with 502, which promises nothing. A request without an id still matches a response without one. A success that says "not run" contradicts itself and is no valid response. Shutdown, pause and load are no longer read from responses that name another request.

--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -53,6 +53,9 @@
   net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult& placed);
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
+  /// Records what a response reports about the endpoint itself: shutdown, pause and load.
+  void RecordEndpointState(const serving::PlacementResult& placed,
+                           const platform::EndpointResponse& response);
   /// Records the limit that a response names, or that it names none any more.
   void RecordRequestLimit(const serving::PlacementResult& placed,
                           const platform::EndpointResponse& response, TimePoint sent_at);
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -115,17 +115,20 @@
   const auto decoded = platform::DecodeEndpointResponse(response);
   last_status_ = decoded.status;
   last_request_limit_ = decoded.request_limit;
-  if (decoded.draining) node_.OnEndpointDraining(placed, MonotonicNow());
-  if (decoded.retry_after) node_.OnRetryAfter(placed, *decoded.retry_after, MonotonicNow());
-  if (decoded.load) {
-    node_.OnLoad(placed.id, decoded.load->running, decoded.load->waiting, MonotonicNow());
-  }
+  const bool own = decoded.attempt_id == request_.attempt_id;
+  // The state that a response to another request reports may be long past.
+  if (own || decoded.attempt_id.empty()) RecordEndpointState(placed, decoded);
   RecordRequestLimit(placed, decoded, sent_at);
-  if (decoded.not_run) co_return AttemptOutcome::kNotRun;
-  // Reject a response to another request, and one without an id, which the endpoint may have sent
-  // before it read the request.
   const bool success = decoded.status < kMinRedirectStatus;
-  if ((success || !decoded.attempt_id.empty()) && decoded.attempt_id != request_.attempt_id) {
+  if (decoded.not_run) {
+    // Only the id shows which request a refusal is about: endpoints echo it, and one that repeats
+    // an earlier refusal may run this request. Another attempt or another promise to the caller
+    // would then be wrong, whereas an unbelieved refusal costs at most this request.
+    if (own && !success) co_return AttemptOutcome::kNotRun;
+    co_return OutcomeOfError(false, history_.response_started);
+  }
+  // A failure without an id is relayed: it promises nothing that the caller could act upon.
+  if (!own && (success || !decoded.attempt_id.empty())) {
     co_return OutcomeOfError(false, history_.response_started);
   }
   if (success && (!decoded.has_signature || decoded.content_encoded)) {
@@ -138,6 +141,16 @@
   co_return co_await ReadFullResponse(upstream, response, decoded);
 }
 
+void Exchange::RecordEndpointState(const serving::PlacementResult& placed,
+                                   const platform::EndpointResponse& response) {
+  const TimePoint now = MonotonicNow();
+  if (response.draining) node_.OnEndpointDraining(placed, now);
+  if (response.retry_after) node_.OnRetryAfter(placed, *response.retry_after, now);
+  if (response.load) {
+    node_.OnLoad(placed.id, response.load->running, response.load->waiting, now);
+  }
+}
+
 void Exchange::RecordRequestLimit(const serving::PlacementResult& placed,
                                   const platform::EndpointResponse& response, TimePoint sent_at) {
   if (response.request_limit_unreadable) return node_.OnUnreadableRequestLimit(placed.id);
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -170,6 +170,24 @@
        return NotRun(
            Keeps("HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + c.id + "\r\n" + Length("")));
      }},
+    {"refusal of another request", Routes::kAll, Effect::kNoAnswer,
+     [](const Context&) { return Keeps(Refusal(kOtherId)); }},
+    {"421 of another request", Routes::kAll, Effect::kNoAnswer,
+     [](const Context&) {
+       return Keeps("HTTP/1.1 421 Misdirected Request\r\n" + kOtherId + Length(""));
+     }},
+    {"refusal without an id", Routes::kAll, Effect::kNoAnswer,
+     [](const Context&) { return Keeps(Refusal("")); }},
+    {"refusal of another request, then the answer", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) { return Keeps(Refusal(kOtherId) + Whole(c)); }},
+    {"refusal of another request, later the answer", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       Script script = Keeps(Refusal(kOtherId));
+       script.steps.push_back({Whole(c), 100ms});
+       return script;
+     }},
+    {"success that says not run", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) { return Keeps(Success(c, OwnFields(c) + kNotExecuted)); }},
     // Errors.
     {"error", Routes::kAll, Effect::kFails,
      [](const Context& c) { return WithStatus(Keeps(Failure(OwnFields(c))), 500); }},
@@ -565,6 +583,7 @@
 class HostileEndpointsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HostileEndpointsTest);
   CPPUNIT_TEST(CallersGetTheirOwnWholeAnswerOrAFailure);
+  CPPUNIT_TEST(AnswersToOtherRequestsDoNotChangeTheStateOfTheirEndpoint);
   CPPUNIT_TEST_SUITE_END();
 
   /// A route and a service of its own for each case, so that no case changes the state of the
@@ -641,6 +660,51 @@
     std::cout << cases.size() << " cases\n";
     CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
   }
+
+  // Guards against an endpoint that is taken out of use by an answer to another request, which may
+  // be old: it names a pause that is over, a stop that was called off, or a load that has gone.
+  void AnswersToOtherRequestsDoNotChangeTheStateOfTheirEndpoint() {
+    const std::string state =
+        kOtherId + "Server-Leaving: 1\r\nRetry-After: 60\r\nReplica-Load: 900,900,16\r\n";
+    const std::string answers[] = {
+        "HTTP/1.1 503 Service Unavailable\r\n" + kNotExecuted + state + Length("full\n"),
+        Failure(state, "503 Service Unavailable"),
+        kOk + "Replica-Signature: another-signature\r\n" + state + Length("body"),
+    };
+    std::vector<Case> services;
+    std::map<std::string, std::string> answer_of;
+    for (const auto& it : answers) {
+      Case service;
+      service.id = "service-" + std::to_string(services.size());
+      service.kind = &kKinds[0];
+      answer_of[service.id] = it;
+      services.push_back(std::move(service));
+    }
+    Cluster cluster;
+    cluster.StartDeployment(1, 1);
+    SetConfig(cluster, services);
+    std::vector<ReplicaIdentity> identities;
+    for (const auto& it : services) {
+      const int number = static_cast<int>(identities.size());
+      identities.push_back({it.id + "-a", cluster.ReplicaAddress(number), it.id});
+    }
+    const HostileReplicas replicas(
+        std::move(identities), cluster.Address("c1"),
+        [&](const Arrival& arrival, std::size_t earlier) {
+          const std::string& id = arrival.attempt_id;
+          return Keeps(earlier == 0 ? answer_of.at(id) : Whole({id, arrival.signature, false, 1}));
+        });
+    WaitKnown(cluster, replicas, services.size());
+    RunCases(cluster.Address("i1"), services);
+    for (auto& it : services) {
+      CPPUNIT_ASSERT_MESSAGE(it.id, OutcomeOf(it) == Expected::kUnknown);
+      it.received.clear();
+    }
+    RunCases(cluster.Address("i1"), services);
+    for (const auto& it : services) {
+      CPPUNIT_ASSERT_MESSAGE(it.id + ": " + it.received, OutcomeOf(it) == Expected::kServed);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HostileEndpointsTest);
 
