Do not relay "not run" statuses that the endpoint does not state

What callers saw: an endpoint ran a request and answered 503, 429 or 408 without the statement that it had not run. The ingress process relayed the status, which promises callers that the request has not run and never will.

Cause: any complete failure was relayed as it is. 429 and 408 were relayed at once even where another endpoint could be tried.

Change: platform/ decodes whether the status makes that promise. Without the endpoint's statement it is no valid response: a repeatable request goes on at another endpoint, another one ends with 502.

--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -127,6 +127,8 @@
     if (own && !success) co_return AttemptOutcome::kNotRun;
     co_return OutcomeOfError(false, history_.response_started);
   }
+  // Relaying this status would promise the caller what the endpoint has not stated.
+  if (decoded.status_means_not_run) co_return OutcomeOfError(false, history_.response_started);
   // A failure without an id is relayed: it promises nothing that the caller could act upon.
   if (!own && (success || !decoded.attempt_id.empty())) {
     co_return OutcomeOfError(false, history_.response_started);
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -325,6 +326,12 @@
     CPPUNIT_ASSERT(!DecodeEndpointResponse(response).not_run);
     response.status = 421;
     CPPUNIT_ASSERT(DecodeEndpointResponse(response).not_run);
+    const std::set<unsigned> promises{408, 421, 429, 503};
+    for (const unsigned status : {200, 400, 408, 413, 421, 429, 431, 500, 502, 503, 504}) {
+      response.status = status;
+      CPPUNIT_ASSERT_EQUAL(promises.contains(status),
+                           DecodeEndpointResponse(response).status_means_not_run);
+    }
   }
 
   // No requests may go to an endpoint that is shutting down or sent Retry-After.
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -186,6 +186,18 @@
        script.steps.push_back({Whole(c), 100ms});
        return script;
      }},
+    {"503 that does not say not run", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return WithStatus(Keeps(Failure(OwnFields(c), "503 Service Unavailable")), 503);
+     }},
+    {"429 that does not say not run", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return WithStatus(Keeps(Failure(OwnFields(c), "429 Too Many Requests")), 429);
+     }},
+    {"408 that does not say not run", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return WithStatus(Keeps(Failure(OwnFields(c), "408 Request Timeout")), 408);
+     }},
     {"success that says not run", Routes::kAll, Effect::kNoAnswer,
      [](const Context& c) { return Keeps(Success(c, OwnFields(c) + kNotExecuted)); }},
     // Errors.
