Take no answer that begins within the head of another one

What callers saw: an endpoint broke off in a field of an earlier refusal's head and wrote this request's answer after it on the same connection. The two heads read as one: status and "not run" of the refusal, the id of this request. The request ran at a second endpoint or was refused as not run. In the same way a success that broke off in its signature took the body of the error that followed, and reached the caller as a success.

Cause: a field's value was taken up to the end of the line, whatever it held, and of several fields with one name the last was kept.

Change: the HTTP client raises an error if the value of a field contains the beginning of a status line. Fields with the same name are joined by commas (RFC 9110, section 5.3), so an answer with two ids matches no request.

--- a/include/wagtailslip/net/http_client.h
+++ b/include/wagtailslip/net/http_client.h
@@ -19,6 +19,7 @@
 /// Header of an answer, and its body where it was read whole.
 struct HttpResponse {
   unsigned status = 0;
+  /// Fields by name; the values of fields with the same name are joined by commas.
   std::map<std::string, std::string, beast::iless> headers;
   std::string body;
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -16,11 +16,34 @@
   throw NetError(message);
 }
 
+/// Whether a text contains the beginning of a status line.
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kDigits = 3;
+  const auto is_digit = [](char c) { return c >= '0' && c <= '9'; };
+  for (auto at = text.find(kVersion); at != std::string_view::npos; at = text.find(kVersion, at)) {
+    at += kVersion.size();
+    const std::string_view rest = text.substr(at);
+    if (rest.size() < 2 + kDigits || !is_digit(rest[0]) || rest[1] != ' ') continue;
+    const std::string_view status = rest.substr(2, kDigits);
+    if (std::all_of(status.begin(), status.end(), is_digit)) return true;
+  }
+  return false;
+}
+
 HttpResponse ToResponse(const http::response_header<>& header) {
   HttpResponse response;
   response.status = header.result_int();
   for (const auto& field : header) {
-    response.headers[std::string(field.name_string())] = std::string(field.value());
+    const std::string_view value(field.value().data(), field.value().size());
+    // A server that breaks off in a field and then writes another answer; which of the fields
+    // belong to which answer cannot be told.
+    if (ContainsStatusLine(value)) throw NetError("answer begins within the head of another one");
+    auto [it, added] =
+        response.headers.try_emplace(std::string(field.name_string()), std::string(value));
+    // Fields of one name form a list (RFC 9110, section 5.3). Keeping one of them would hide that
+    // an answer names two values where one is due.
+    if (!added) it->second.append(", ").append(value);
   }
   return response;
 }
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -186,6 +186,16 @@
        script.steps.push_back({Whole(c), 100ms});
        return script;
      }},
+    {"refusal cut in its head, then the answer", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps("HTTP/1.1 503 Service Unavailable\r\n" + kOtherId + kNotExecuted +
+                    "Retry-After: 0." + Whole(c));
+     }},
+    {"refusal cut in its head before its id, then the answer", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps("HTTP/1.1 503 Service Unavailable\r\n" + kNotExecuted + "Retry-After: 0." +
+                    Whole(c));
+     }},
     {"503 that does not say not run", Routes::kAll, Effect::kNoAnswer,
      [](const Context& c) {
        return WithStatus(Keeps(Failure(OwnFields(c), "503 Service Unavailable")), 503);
@@ -221,6 +231,8 @@
      [](const Context& c) {
        return Keeps(Success(c, "Replica-Signature: " + c.signature + "\r\n"));
      }},
+    {"success with two ids", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) { return Keeps(Success(c, kOtherId + OwnFields(c))); }},
     {"success without a signature", Routes::kAll, Effect::kNoAnswer,
      [](const Context& c) { return Keeps(Success(c, "Attempt-Id: " + c.id + "\r\n")); }},
     {"success with a content encoding", Routes::kAll, Effect::kNoAnswer,
@@ -261,6 +273,11 @@
      [](const Context& c) { return Keeps(kOk + OwnFields(c) + Type(c)); }},
     {"head cut in a field, then another answer", Routes::kAll, Effect::kNoAnswer,
      [](const Context& c) { return Keeps(kOk + OwnFields(c) + "X-Part: a" + Failure(kOtherId)); }},
+    {"head cut in its signature, then an error", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps(kOk + "Attempt-Id: " + c.id + "\r\n" + Type(c) + "Replica-Signature: 1" +
+                    Failure(""));
+     }},
     // Bodies that end early.
     {"body cut, closed", Routes::kPlain, Effect::kNoAnswer,
      [](const Context& c) {
