Read on after interim answers, and end with a final one

What callers saw: an endpoint that sent "100 Continue" or "103 Early Hints" first: the caller got 502, or, if the interim answer had the request's id and a signature, the interim status with "Content-Length: 0" in place of an answer. A status of 0 was relayed as a success, too.

Cause: the HTTP client returned the first head whatever its status, and every status below 300 counted as a success.

Change: the client reads on after interim answers (RFC 9110, section 15.2), at most eight of them, and raises an error on a change of protocol and on a status below 100.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr std::size_t kReadBytes = std::size_t{64} * 1024;
+constexpr unsigned kMinInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kMinFinalStatus = 200;
+// Bounds the work for a server that sends interim answers without end.
+constexpr int kMaxInterimAnswers = 8;
 
 [[noreturn]] void RaiseCallError(const char* action, const error_code& ec) {
   const std::string message = std::string(action) + ": " + ec.message();
@@ -85,12 +90,19 @@
   error_code ec;
   co_await http::async_write(stream_, request, asio::redirect_error(asio::use_awaitable, ec));
   if (ec) RaiseCallError("request could not be sent", ec);
-  parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
-  parser_->body_limit(body_limit_);
-  co_await http::async_read_header(stream_, buffer_, *parser_,
-                                   asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) RaiseCallError("answer was not received", ec);
-  co_return ToResponse(parser_->get().base());
+  // Interim answers (RFC 9110, section 15.2) precede the final one and have no body.
+  for (int i = 0; i <= kMaxInterimAnswers; ++i) {
+    parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
+    parser_->body_limit(body_limit_);
+    co_await http::async_read_header(stream_, buffer_, *parser_,
+                                     asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) RaiseCallError("answer was not received", ec);
+    const unsigned status = parser_->get().result_int();
+    if (status >= kMinFinalStatus) co_return ToResponse(parser_->get().base());
+    // No request asks for another protocol.
+    if (status < kMinInterimStatus || status == kSwitchingProtocols) break;
+  }
+  throw NetError("the server sent no final answer");
 }
 
 Task<std::optional<std::string>> HttpConnection::ReadSome(Duration timeout) {
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -154,6 +154,11 @@
     {"whole", Routes::kAll, Effect::kServes, [](const Context& c) { return Keeps(Whole(c)); }},
     {"no length, closed", Routes::kPlain, Effect::kServes,
      [](const Context& c) { return Closes(kOk + OwnFields(c) + Type(c) + "\r\n" + PlainBody(c)); }},
+    {"interim answers before the answer", Routes::kAll, Effect::kServes,
+     [](const Context& c) {
+       return Keeps("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+                    Whole(c));
+     }},
     {"an extra answer after the answer", Routes::kAll, Effect::kServes,
      [](const Context& c) { return Keeps(Whole(c) + Failure(kOtherId) + Refusal(kOtherId)); }},
     {"the answer twice", Routes::kAll, Effect::kServes,
@@ -239,6 +244,22 @@
      [](const Context& c) {
        return Keeps(Success(c, OwnFields(c) + "Content-Encoding: gzip\r\n"));
      }},
+    {"status below 100", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps("HTTP/1.1 000 Unknown\r\n" + OwnFields(c) + Length("body"));
+     }},
+    {"interim answer only", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Closes("HTTP/1.1 103 Early Hints\r\n" + OwnFields(c) + "\r\n");
+     }},
+    {"interim answers without end", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Repeats("", "HTTP/1.1 103 Early Hints\r\n" + OwnFields(c) + "\r\n");
+     }},
+    {"change of protocol", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps("HTTP/1.1 101 Switching Protocols\r\n" + OwnFields(c) + "\r\n" + Whole(c));
+     }},
     // Nothing, or bytes that are no answer.
     {"nothing, closed", Routes::kAll, Effect::kNoAnswer, [](const Context&) { return Closes(""); }},
     {"nothing, reset", Routes::kAll, Effect::kNoAnswer, [](const Context&) { return Resets(""); }},
