--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -244,6 +244,11 @@
      [](const Context& c) {
        return Keeps(Success(c, OwnFields(c) + "Content-Encoding: gzip\r\n"));
      }},
+    {"success with a transfer coding", Routes::kAll, Effect::kNoAnswer,
+     [](const Context& c) {
+       return Keeps(kOk + OwnFields(c) + Type(c) + "Transfer-Encoding: gzip, chunked\r\n\r\n" +
+                    Chunk(WholeBody(c)) + kLastChunk);
+     }},
     {"status below 100", Routes::kAll, Effect::kNoAnswer,
      [](const Context& c) {
        return Keeps("HTTP/1.1 000 Unknown\r\n" + OwnFields(c) + Length("body"));
