Relay the events before a gap in a stream

What callers saw: an endpoint left an event out of its stream, and the events before the gap arrived in the same piece. The caller never got those events: the stream was resumed after them, and ended as complete without them.

Cause: RelayEvents advanced the id of the last event while it went through a piece, and returned at the gap without having written what came before.

Change: the events before the gap are written, then the attempt ends.

Evidence: system_hostile_endpoints_test before the change: stream that leaves an event out of one chunk / resumable-stream / healthy: complete, but not the whole body stream that leaves an event out of one chunk / stream / healthy: unexpected outcome, received 502 (two events were due) After it all cases pass.

--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -66,7 +66,7 @@
   net::Task<serving::AttemptOutcome> RelayStream(net::HttpConnection& upstream,
                                                  const net::HttpResponse& response,
                                                  const platform::EndpointResponse& decoded);
-  /// Relays the events that the caller does not have yet.
+  /// Relays the events that the caller does not have yet, up to the first gap.
   /// @return false if the event ids have a gap
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
                               const std::string& header_lines);
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -200,28 +200,31 @@
 Task<bool> Exchange::RelayEvents(const std::vector<serving::StreamEvent>& events,
                                  const std::string& header_lines) {
   std::string bytes;
+  bool gap = false;
   for (const auto& it : events) {
     if (it.id && last_event_id_) {
       // A resumed stream may repeat events that the caller already has.
       if (*it.id <= *last_event_id_) continue;
-      if (*it.id != *last_event_id_ + 1) co_return false;
+      gap = *it.id != *last_event_id_ + 1;
+      // The events before the gap are relayed: the stream is resumed after them.
+      if (gap) break;
     }
     if (it.id) last_event_id_ = it.id;
     bytes += it.bytes;
   }
-  if (bytes.empty()) co_return true;
+  if (bytes.empty()) co_return !gap;
   const TimePoint now = MonotonicNow();
   if (history_.response_started) max_event_gap_ = std::max(max_event_gap_, now - last_event_at_);
   last_event_at_ = now;
   if (history_.response_started) {
     co_await caller_.WriteChunk(bytes);
-    co_return true;
+    co_return !gap;
   }
   history_.response_started = true;
   first_event_at_ = now;
   metrics_.Record(process::Latency::kFirstByte, first_event_at_ - received_at_);
   co_await caller_.StartStreamLines(200, header_lines, std::move(bytes));
-  co_return true;
+  co_return !gap;
 }
 
 Task<AttemptOutcome> Exchange::RelayStream(net::HttpConnection& upstream,
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -381,6 +381,12 @@
      [](const Context& c) {
        return Keeps(Begun(c) + Chunk(Events(c, kEventsBeforeFault + 2, kEvents)) + kLastChunk);
      }},
+    {"stream that leaves an event out of one chunk", Routes::kStreams, Effect::kBreaksOff,
+     [](const Context& c) {
+       const std::string events =
+           Events(c, c.first, kEventsBeforeFault) + Events(c, kEventsBeforeFault + 2, kEvents);
+       return Keeps(kOk + OwnFields(c) + Type(c) + kChunked + Chunk(events) + kLastChunk);
+     }},
     {"stream without its last chunk", Routes::kStreams, Effect::kLosesItsEnd,
      [](const Context& c) {
        return Closes(kOk + OwnFields(c) + Type(c) + kChunked + Chunk(WholeBody(c)));
