Relay nothing from a stream that is no event

What callers saw: an endpoint's stream broke off and the endpoint wrote an error into it, as a chunk or, in a stream without length, as it was. The head of the error, or its text, ended with a blank line, so the caller found it in the middle of its stream, and the stream ended as if it were complete.

Cause: EventSplitter took everything up to a blank line for an event.

Change: a block needs a field of the event stream format (data, event, id, retry) or nothing but comments. At the first other block the attempt ends: the stream is resumed after its last event, or cut. Unknown lines beside such a field are still relayed.

Text that an endpoint appends to an event it has begun cannot be told from that event.

--- a/include/wagtailslip/serving/event_stream.h
+++ b/include/wagtailslip/serving/event_stream.h
@@ -23,17 +23,24 @@
   static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
 
   /// Appends received bytes.
-  /// @return the events that they complete, in order
+  /// @return the events that they complete, in order; none from the first malformed one on
   std::vector<StreamEvent> Feed(std::string_view bytes);
   /// Bytes after the last complete event.
   std::string_view rest() const { return rest_; }
   /// Whether an event exceeds kMaxEventBytes; the rest of the stream cannot be parsed then.
   bool overflow() const { return rest_.size() > kMaxEventBytes; }
+  /// Whether a block without any field of an event was received; the endpoint wrote something else
+  /// into the stream then, such as the head or the text of an error.
+  bool malformed() const { return malformed_; }
   /// Discards a partial event before another endpoint resumes the stream.
-  void Reset() { rest_.clear(); }
+  void Reset() {
+    rest_.clear();
+    malformed_ = false;
+  }
 
  private:
   std::string rest_;
+  bool malformed_ = false;
 };
 
 }  // namespace wagtailslip::serving
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -241,7 +241,7 @@
     timed_out = read.timed_out;
     if (!read.bytes || caller_state_->disconnected) break;
     const auto events = event_splitter_.Feed(*read.bytes);
-    if (event_splitter_.overflow()) failed = true;
+    if (event_splitter_.overflow() || event_splitter_.malformed()) failed = true;
     if (!events.empty()) {
       ClearResponsePending(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
--- a/src/serving/event_stream.cc
+++ b/src/serving/event_stream.cc
@@ -1,5 +1,7 @@
 #include "wagtailslip/serving/event_stream.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace wagtailslip::serving {
@@ -25,6 +27,24 @@
   return std::nullopt;
 }
 
+/// Whether a block has the form of an event: a line with a field of the event stream format, or
+/// nothing but comments. Receivers ignore other lines, so they may stand beside those.
+bool IsEvent(std::string_view block) {
+  constexpr std::array<std::string_view, 4> kFields{"data", "event", "id", "retry"};
+  bool only_comments = true;
+  while (!block.empty()) {
+    const auto end = block.find('\n');
+    std::string_view line = block.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    const std::string_view name = line.substr(0, line.find(':'));
+    if (std::find(kFields.begin(), kFields.end(), name) != kFields.end()) return true;
+    if (!name.empty()) only_comments = false;
+    if (end == std::string_view::npos) break;
+    block.remove_prefix(end + 1);
+  }
+  return only_comments;
+}
+
 /// Position after the blank line that ends the first event; npos if the event is incomplete.
 std::size_t EndOfEvent(std::string_view text) {
   const auto lf = text.find("\n\n");
@@ -42,6 +62,8 @@
   std::string_view text = rest_;
   for (auto end = EndOfEvent(text); end != std::string_view::npos; end = EndOfEvent(text)) {
     const std::string_view event = text.substr(0, end);
+    malformed_ = malformed_ || !IsEvent(event);
+    if (malformed_) break;
     events.push_back({std::string(event), ParseId(event)});
     text.remove_prefix(end);
   }
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -394,6 +394,7 @@
   CPPUNIT_TEST_SUITE(EventSplitterTest);
   CPPUNIT_TEST(EmitsOnlyCompleteEvents);
   CPPUNIT_TEST(ParsesIds);
+  CPPUNIT_TEST(StopsAtBlocksThatAreNoEvents);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -422,6 +423,36 @@
     CPPUNIT_ASSERT(!events[2].id);
     CPPUNIT_ASSERT(splitter.rest().empty());
   }
+
+  // Guards against forwarding an error that an endpoint writes into its stream, and against cutting
+  // streams for lines that receivers ignore.
+  void StopsAtBlocksThatAreNoEvents() {
+    struct Case {
+      const char* block;
+      bool malformed;
+    };
+    const Case cases[] = {
+        {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", true},
+        {"the engine failed\n\n", true},
+        {"{\"error\": \"the engine failed\"}\n\n", true},
+        {"data-loss: yes\n\n", true},
+        {"data\n\n", false},
+        {"event: ping\n\n", false},
+        {": comment\n\n", false},
+        {"\n\n", false},
+        {"weights: 3\nid: 2\ndata: b\n\n", false},
+    };
+    for (const auto& it : cases) {
+      EventSplitter splitter;
+      const std::string text = "id: 1\ndata: a\n\n" + std::string(it.block) + "id: 3\ndata: c\n\n";
+      const auto events = splitter.Feed(text);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.block, it.malformed, splitter.malformed());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.block, std::size_t{it.malformed ? 1U : 3U}, events.size());
+      CPPUNIT_ASSERT_MESSAGE(it.block, splitter.Feed("id: 4\n\n").empty() == it.malformed);
+      splitter.Reset();
+      CPPUNIT_ASSERT_MESSAGE(it.block, !splitter.malformed());
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EventSplitterTest);
 
--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -377,6 +377,20 @@
      [](const Context& c) { return Keeps(Begun(c) + Failure(OwnFields(c))); }},
     {"stream, then a refusal in place of a chunk", Routes::kStreams, Effect::kBreaksOff,
      [](const Context& c) { return Closes(Begun(c) + Refusal("Attempt-Id: " + c.id + "\r\n")); }},
+    {"stream, then an error in a chunk", Routes::kStreams, Effect::kBreaksOff,
+     [](const Context& c) { return Keeps(Begun(c) + Chunk(Failure(OwnFields(c))) + kLastChunk); }},
+    {"stream, then the head of an error in a chunk", Routes::kStreams, Effect::kBreaksOff,
+     [](const Context& c) {
+       return Keeps(Begun(c) +
+                    Chunk("HTTP/1.1 500 Internal Server Error\r\n" + OwnFields(c) +
+                          "Content-Length: 0\r\n\r\n") +
+                    kLastChunk);
+     }},
+    {"stream without length, then the head of an error", Routes::kStreams, Effect::kBreaksOff,
+     [](const Context& c) {
+       return Closes(Begun(c, "\r\n") + "HTTP/1.1 500 Internal Server Error\r\n" + OwnFields(c) +
+                     "Content-Length: 0\r\n\r\n");
+     }},
     {"stream that leaves an event out", Routes::kStreams, Effect::kBreaksOff,
      [](const Context& c) {
        return Keeps(Begun(c) + Chunk(Events(c, kEventsBeforeFault + 2, kEvents)) + kLastChunk);
