Do not reuse a connection on which more than the answer arrived

What could be seen: a server writes an earlier answer once more on a kept connection, and the next call takes it for its own. Attempts of ingress processes have connections of their own, but sidecars (calls to their engine and to other sidecars), agents and entry processes share HttpPool.

Cause: HttpConnection::reusable() looked at keep-alive only, bytes behind the answer stayed in the buffer and were parsed as the next answer, and the pool handed out idle connections whatever had arrived on them meanwhile.

Change: a connection with bytes behind the answer is not reusable, and the pool drops idle connections on which bytes or the end have arrived. An extra answer that arrives after the next request was sent can still be taken for its answer; only an id in request and response excludes that.

Evidence: http_test, ExtraAnswersReachNoLaterCall, before the change: Expected: first first Actual : first extra After it all nine tests pass.

--- a/include/wagtailslip/net/http_client.h
+++ b/include/wagtailslip/net/http_client.h
@@ -55,8 +55,11 @@
 
   /// Most bytes of an answer's body; a longer one is an error.
   void set_body_limit(std::uint64_t bytes) { body_limit_ = bytes; }
-  /// Whether another request may be sent on this connection.
+  /// Whether another request may be sent on this connection: it is kept alive, and nothing was
+  /// received after the last answer.
   bool reusable() const { return reusable_; }
+  /// Whether nothing arrived on the idle connection, neither bytes nor its end.
+  bool Quiet();
   void Close();
 
  private:
@@ -64,6 +67,9 @@
   /// longest head that the parser takes fits, beside one read.
   static constexpr std::size_t kMostBuffered = std::size_t{80} * 1024;
 
+  /// Decides whether the connection may be used again.
+  void EndAnswer();
+
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMostBuffered};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
@@ -76,7 +82,7 @@
  public:
   explicit HttpPool(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
-  /// An idle connection, or a new one.
+  /// An idle connection on which nothing has arrived, or a new one.
   /// @param fresh takes no idle connection; used where a request must not meet a stale connection
   Task<std::unique_ptr<HttpConnection>> Acquire(const tcp::endpoint& address, Duration timeout,
                                                 bool fresh = false);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,7 +1,10 @@
 #include "wagtailslip/net/http_client.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
+#include <cerrno>
 
 #include "wagtailslip/net/address.h"
 
@@ -107,7 +110,7 @@
 
 Task<std::optional<std::string>> HttpConnection::ReadSome(Duration timeout) {
   if (parser_->is_done()) {
-    reusable_ = parser_->get().keep_alive();
+    EndAnswer();
     co_return std::nullopt;
   }
   // Left uninitialised: zeroing the buffer for each token took half of a stream reader's time.
@@ -124,7 +127,7 @@
   if (ec) RaiseCallError("answer ended early", ec);
   std::string piece(scratch.get(), kReadBytes - body.size);
   if (piece.empty() && parser_->is_done()) {
-    reusable_ = parser_->get().keep_alive();
+    EndAnswer();
     co_return std::nullopt;
   }
   co_return piece;
@@ -147,6 +150,18 @@
   }
 }
 
+void HttpConnection::EndAnswer() {
+  // Bytes after a complete answer belong to no request. The next call would take them for its
+  // answer.
+  reusable_ = parser_->get().keep_alive() && buffer_.size() == 0;
+}
+
+bool HttpConnection::Quiet() {
+  char byte = 0;
+  const auto n = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void HttpConnection::Close() {
   error_code ec;
   stream_.socket().close(ec);
@@ -156,10 +171,11 @@
 Task<std::unique_ptr<HttpConnection>> HttpPool::Acquire(const tcp::endpoint& address,
                                                         Duration timeout, bool fresh) {
   auto& connections = idle_[address];
-  if (!fresh && !connections.empty()) {
+  while (!fresh && !connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
-    co_return connection;
+    // Drops connections that the server has closed, or has written an extra answer to.
+    if (connection->Quiet()) co_return connection;
   }
   auto connection = std::make_unique<HttpConnection>(executor_);
   co_await connection->Connect(address, timeout);
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <memory>
+#include <vector>
 
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/net/http_client.h"
@@ -28,6 +30,47 @@
   }
 }
 
+std::string AnswerText(const std::string& first_lines, const std::string& body) {
+  return first_lines + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Reads a request and writes an answer.
+Task<void> AnswerRequest(tcp::socket& socket, beast::flat_buffer& buffer, std::string bytes) {
+  HttpRequest request;
+  co_await http::async_read(socket, buffer, request, asio::use_awaitable);
+  co_await asio::async_write(socket, asio::buffer(bytes), asio::use_awaitable);
+}
+
+/// Answers one call.
+Task<void> WriteAnswer(tcp::acceptor& acceptor, std::string bytes, bool& sent) {
+  tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+  beast::flat_buffer buffer;
+  co_await AnswerRequest(socket, buffer, std::move(bytes));
+  sent = true;
+}
+
+/// Answers two calls, on the same connection or on two, and writes extra bytes after the first
+/// answer of each connection.
+Task<void> ServeWithExtra(tcp::acceptor& acceptor, std::string extra, bool together,
+                          bool& extra_sent) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  std::vector<std::unique_ptr<tcp::socket>> sockets;
+  while (true) {
+    tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+    sockets.push_back(std::make_unique<tcp::socket>(std::move(socket)));
+    beast::flat_buffer buffer;
+    std::string first = AnswerText(ok, "first");
+    if (together) first += extra;
+    co_await AnswerRequest(*sockets.back(), buffer, std::move(first));
+    if (!together) {
+      asio::steady_timer timer(acceptor.get_executor(), std::chrono::milliseconds(50));
+      co_await timer.async_wait(asio::use_awaitable);
+      co_await asio::async_write(*sockets.back(), asio::buffer(extra), asio::use_awaitable);
+    }
+    extra_sent = true;
+  }
+}
+
 class HttpTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpTest);
   CPPUNIT_TEST(AnswersAndKeepsConnection);
@@ -37,6 +80,8 @@
   CPPUNIT_TEST(RefusedConnectionIsConnectError);
   CPPUNIT_TEST(EndsACallToAServerThatSendsWithoutEnd);
   CPPUNIT_TEST(EndsARequestWhoseChunkSizeHasNoEnd);
+  CPPUNIT_TEST(ExtraAnswersReachNoLaterCall);
+  CPPUNIT_TEST(TakesOneWholeFinalHead);
   CPPUNIT_TEST_SUITE_END();
 
   void Run(const std::function<Task<void>(tcp::endpoint)>& body) {
@@ -197,6 +242,103 @@
       CPPUNIT_ASSERT_MESSAGE(it.name, sent <= kBodyLimit + kSocketBuffers);
     }
   }
+
+  // Guards against an answer to an earlier call that the next call on a kept connection takes for
+  // its own. Each connection of the server answers "first", writes the extra bytes and then answers
+  // "second"; the second call must use a new connection.
+  void ExtraAnswersReachNoLaterCall() {
+    struct Case {
+      const char* name;
+      std::string extra;
+      /// The extra bytes come in one piece with the answer.
+      bool together;
+    };
+    const std::string extra = AnswerText("HTTP/1.1 503 Service Unavailable\r\n", "extra");
+    const Case cases[] = {{"with the answer", extra, true},
+                          {"after the answer", extra, false},
+                          {"part of an answer", "HTTP/1.1 2", true},
+                          {"a blank line", "\r\n", false}};
+    for (const auto& it : cases) {
+      asio::io_context context;
+      tcp::acceptor acceptor(context, ParseAddress("127.0.0.1:0"));
+      bool extra_sent = false;
+      asio::co_spawn(context, ServeWithExtra(acceptor, it.extra, it.together, extra_sent),
+                     asio::detached);
+      std::string bodies;
+      asio::co_spawn(
+          context,
+          [&]() -> Task<void> {
+            HttpPool pool(context.get_executor());
+            const tcp::endpoint address = acceptor.local_endpoint();
+            asio::steady_timer timer(context);
+            for (int i = 0; i < 2; ++i) {
+              auto connection = co_await pool.Acquire(address, kTimeout);
+              const auto response =
+                  co_await connection->Call(MakeRequest(http::verb::get, "/"), kTimeout);
+              bodies += response.body + " ";
+              pool.Release(address, std::move(connection));
+              while (!extra_sent) {
+                timer.expires_after(std::chrono::milliseconds(1));
+                co_await timer.async_wait(asio::use_awaitable);
+              }
+            }
+            context.stop();
+          },
+          asio::detached);
+      context.run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, std::string("first first "), bodies);
+    }
+  }
+
+  // Guards against a head that is made of two, and against an interim head that is taken for the
+  // answer.
+  void TakesOneWholeFinalHead() {
+    struct Case {
+      const char* name;
+      std::string bytes;
+      /// Empty if the call must fail.
+      std::string body;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string answer = AnswerText(ok, "body");
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    std::string many;
+    for (int i = 0; i < 20; ++i) many += interim;
+    const Case cases[] = {
+        {"one head", answer, "body"},
+        {"interim heads", interim + interim + answer, "body"},
+        {"too many interim heads", many + answer, ""},
+        {"a change of protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n" + answer, ""},
+        {"a status below 100", AnswerText("HTTP/1.1 000 None\r\n", "body"), ""},
+        {"a head in a field", ok + "X-Part: a" + answer, ""},
+        {"a product in a field",
+         ok + "Via: HTTP/1.1 relay\r\n" + "X-Version: HTTP/1.1\r\n" + answer.substr(ok.size()),
+         "body"},
+    };
+    for (const auto& it : cases) {
+      asio::io_context context;
+      tcp::acceptor acceptor(context, ParseAddress("127.0.0.1:0"));
+      bool sent = false;
+      asio::co_spawn(context, WriteAnswer(acceptor, it.bytes, sent), asio::detached);
+      std::string body;
+      asio::co_spawn(
+          context,
+          [&]() -> Task<void> {
+            const tcp::endpoint address = acceptor.local_endpoint();
+            try {
+              const auto response =
+                  co_await CallOnce(address, MakeRequest(http::verb::get, "/"), kTimeout);
+              body = response.body;
+            } catch (const NetError&) {
+              body.clear();
+            }
+            context.stop();
+          },
+          asio::detached);
+      context.run();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.body, body);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
 
