Use loaded weights only once the engine's sidecar has reported them

Cause: the engine's own announcement reaches ingress processes on another way than the status of its sidecar, and made an engine usable by itself: when the last status said "swapping" and was over 3 s old (the sidecar was paused, or reading chunks of a slow engine back), and when a new incarnation announced weights, for which the last status was forgotten.

Change: a status that says "swapping" holds until the next one. Weights or an incarnation that an engine announces are used only once its sidecar has reported them; the last status is kept by address for the next incarnation. Where no status is known, as after a restart of the ingress process, the announcement counts as before: those weights were in use.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -223,6 +223,9 @@
     TimePoint swap_at{};
     double slowdown = 1;
     std::int64_t weights_version = 0;
+    /// The endpoint has announced a start or weights that its sidecar has not reported yet, so its
+    /// weights may be loaded from damaged chunks.
+    bool weights_unconfirmed = false;
     std::uint32_t own_requests = 0;
     /// When this process placed its requests whose responses have not started, oldest first.
     /// Responses start almost in the order of the requests.
@@ -264,12 +267,20 @@
   bool IsUsable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
   /// Divides the endpoints that are usable now among the ingress processes.
   void AssignSubsets(TimePoint now);
+  struct ReceivedStatus {
+    EngineStatus status;
+    TimePoint received_at{};
+  };
+  /// Takes a status into account if it is not of an earlier incarnation.
+  void ApplyStatus(Endpoint& endpoint, const ReceivedStatus& received);
   void RecordLoadReport(Endpoint& endpoint, std::uint32_t count, TimePoint now);
 
   PlacementSettings settings_;
   std::map<std::string, Endpoint> endpoints_;
   std::unordered_map<std::string, std::vector<Endpoint*>> pools_;
   std::unordered_map<std::string, Endpoint*> by_address_;
+  /// Last status of each engine by its address, kept for the next incarnation there.
+  std::unordered_map<std::string, ReceivedStatus> engine_statuses_;
   traffic::Ejector ejector_;
   PermitPool permits_;
   std::minstd_rand random_;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -7,9 +7,8 @@
 namespace wagtailslip::serving {
 namespace {
 
-// A swap takes much less time than this, so an older status that says "swapping" means that its
-// sidecar is gone.
-constexpr Duration kSwappingStatusTtl = std::chrono::seconds(3);
+// Statuses are kept for more engines than a service has, for addresses that are used again.
+constexpr std::size_t kMaxEngineStatuses = 10000;
 // Limits how often subsets are recomputed, because the endpoints' weights change in bursts.
 constexpr Duration kMinSubsetInterval = std::chrono::milliseconds(50);
 
@@ -71,6 +70,11 @@
       // newer version in the announcement overrides it.
       if (restarted || record.weights > endpoint.weights_version ||
           endpoint.reported_at == TimePoint{}) {
+        // Only the sidecar knows whether a load is intact. Where none has reported yet, as after a
+        // restart of this process, the weights were in use before.
+        if (restarted || record.weights > endpoint.weights_version) {
+          endpoint.weights_unconfirmed = engine_statuses_.contains(record.address);
+        }
         endpoint.weights_version = record.weights;
       }
     }
@@ -83,6 +87,10 @@
                             : Duration::zero();
     pools_[record.service].push_back(&endpoint);
     by_address_[record.address] = &endpoint;
+    const auto received = engine_statuses_.find(record.address);
+    if (restarted && received != engine_statuses_.end()) {
+      ApplyStatus(endpoint, received->second);
+    }
   }
   subsets_stale_ = true;
 }
@@ -96,7 +104,8 @@
     for (const Endpoint* it : endpoints) {
       if (it->record.state != EndpointState::kServing || it->leaving) continue;
       if (it->has_engine &&
-          (it->weights_version == 0 || it->weights_version < min_weights_version || it->swapping))
+          (it->weights_version == 0 || it->weights_version < min_weights_version || it->swapping ||
+           it->weights_unconfirmed))
         continue;
       domains[it->record.id] = it->record.failure_domain;
     }
@@ -126,7 +135,14 @@
 void Placement::OnEngineStatus(const EngineStatus& status, TimePoint now) {
   const auto it = by_address_.find(status.address);
   if (it == by_address_.end()) return;
-  Endpoint& endpoint = *it->second;
+  if (engine_statuses_.size() >= kMaxEngineStatuses) engine_statuses_.clear();
+  engine_statuses_[status.address] = {status, now};
+  ApplyStatus(*it->second, {status, now});
+}
+
+void Placement::ApplyStatus(Endpoint& endpoint, const ReceivedStatus& received) {
+  const EngineStatus& status = received.status;
+  const TimePoint now = received.received_at;
   if (status.started_ms < endpoint.record.started_ms) return;
   // This incarnation has not announced itself yet and has none of the previous one's weights.
   const bool next_incarnation = status.started_ms > endpoint.record.started_ms;
@@ -134,6 +150,7 @@
   subsets_stale_ = subsets_stale_ || endpoint.weights_version != weights_version ||
                    endpoint.swapping != status.swapping;
   endpoint.weights_version = weights_version;
+  endpoint.weights_unconfirmed = false;
   endpoint.swapping = status.swapping;
   endpoint.status_at = now;
   endpoint.slowdown = status.slowdown;
@@ -240,7 +257,11 @@
   if (endpoint.record.state != EndpointState::kServing || endpoint.leaving) return false;
   if (Contains(query.excluded, endpoint.record.id)) return false;
   if (!endpoint.has_engine) return true;
-  if (endpoint.weights_version == 0) return false;
+  // A status that says "swapping" holds until the next one, however old it is: its sidecar may have
+  // stopped before it checked the load.
+  if (endpoint.weights_version == 0 || endpoint.weights_unconfirmed || endpoint.swapping) {
+    return false;
+  }
   if (IsSwapPlanned(endpoint, now)) {
     if (endpoint.weights_version < query.min_weights_version_if_swap_planned) return false;
     if (!EndsBeforeSwap(endpoint, query, now)) return false;
@@ -253,10 +274,8 @@
                                   now - endpoint.connected_at < settings_.link_state_ttl;
     if (!idle || !link_state_known || IsLinkSlow(endpoint, now)) return false;
   }
-  if (query.required_weights_version != 0 &&
-      endpoint.weights_version != query.required_weights_version)
-    return false;
-  return !endpoint.swapping || now - endpoint.status_at > kSwappingStatusTtl;
+  return query.required_weights_version == 0 ||
+         endpoint.weights_version == query.required_weights_version;
 }
 
 std::optional<PlacementResult> Placement::Choose(const PlacementQuery& query, TimePoint now) {
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(SeparatesIncarnationsOfAnEndpoint);
   CPPUNIT_TEST(RespectsRequestedPause);
   CPPUNIT_TEST(SkipsUnusableEndpoints);
+  CPPUNIT_TEST(UsesLoadedWeightsOnlyOnceTheirSidecarReportsThem);
   CPPUNIT_TEST(PrefersOwnSubsetUntilFull);
   CPPUNIT_TEST(KeepsOnlyEndpointDespiteFailures);
   CPPUNIT_TEST(PrefersHealthyEndpoints);
@@ -348,6 +349,57 @@
     }
   }
 
+  // Guards against requests on weights that no sidecar has checked: the engine's own announcement,
+  // which reaches this process on another way, names them as soon as they are loaded, while the
+  // sidecar is paused, stopped or checking them.
+  void UsesLoadedWeightsOnlyOnceTheirSidecarReportsThem() {
+    constexpr const char* kAddress = "10.0.0.0:80";
+    // A status has a start time of the engine, a version and whether a load is going on.
+    struct Case {
+      const char* name;
+      std::vector<EngineStatus> before;
+      std::int64_t announced_start;
+      std::int64_t announced_weights;
+      std::vector<EngineStatus> after;
+      bool usable;
+    };
+    const EngineStatus idle{kAddress, 1, 1, 0, 0, false, 1};
+    const EngineStatus swapping{kAddress, 1, 1, 0, 0, true, 1};
+    const EngineStatus swapped{kAddress, 1, 2, 0, 0, false, 1};
+    const EngineStatus checking{kAddress, 2, 2, 0, 0, true, 1};
+    const EngineStatus restarted{kAddress, 2, 2, 0, 0, false, 1};
+    const Case cases[] = {
+        {"no status yet, as after a restart of this process", {}, 1, 2, {}, true},
+        {"announced before the sidecar's next status", {idle}, 1, 2, {}, false},
+        {"announced while the last status says swapping", {swapping}, 1, 2, {}, false},
+        {"reported after the announcement", {swapping}, 1, 2, {swapped}, true},
+        {"reported before the announcement", {swapping, swapped}, 1, 2, {}, true},
+        {"a new incarnation without a status", {swapped}, 2, 2, {}, false},
+        {"a new incarnation that is being checked", {swapped, checking}, 2, 2, {}, false},
+        {"a new incarnation whose status came first", {swapped, restarted}, 2, 2, {}, true},
+        {"a new incarnation whose status comes later", {swapped}, 2, 2, {restarted}, true},
+        {"a late status of the old incarnation", {swapped}, 2, 2, {swapped}, false},
+    };
+    for (const auto& it : cases) {
+      Placement placement(Settings(), 1);
+      InstanceTable table = Engines(1, 1);
+      placement.Sync(table, EngineConfig());
+      for (const auto& status : it.before) placement.OnEngineStatus(status, At(seconds(1)));
+      EndpointRecord record = *table.Find("e0");
+      record.started_ms = it.announced_start;
+      record.sequence = 2;
+      record.weights = it.announced_weights;
+      // A new incarnation mostly has a new id.
+      if (it.announced_start != 1) record.id = "e1";
+      table.Apply(record, At(seconds(1)));
+      placement.Sync(table, EngineConfig());
+      for (const auto& status : it.after) placement.OnEngineStatus(status, At(seconds(1)));
+      // The time at which a status was received does not matter.
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.usable,
+                                   placement.Choose(Query(), At(seconds(10))).has_value());
+    }
+  }
+
   // Without subsets, several processes with the same outdated load reports would all choose the
   // endpoint that looks idle.
   void PrefersOwnSubsetUntilFull() {
