Let the stand-ins of an engine and an origin fail in more ways

The stand-in of an engine can crash with its connections, come back with or without its staged chunks, and stand still from outside of a call; a call that it carries out late ends with the incarnation that received it. It keeps for each chunk when it ceased to match a version, so that a chunk that is damaged twice counts from the first damage. The origin can be down, slow, or send damaged chunks.

--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -19,6 +19,8 @@
 constexpr Duration kAnnouncementPeriod = std::chrono::milliseconds(300);
 constexpr Duration kAnnouncementTimeout = std::chrono::milliseconds(500);
 constexpr int kSlots = 16;
+// Versions that a staged chunk can be told to belong to.
+constexpr std::int64_t kVersions = 12;
 
 TimePoint Now() { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()); }
 
@@ -73,16 +75,20 @@
       incarnation_(UnixMilliseconds()),
       loaded_version_(options_.loaded_version),
       context_(1) {
-  for (std::uint32_t i = 0; loaded_version_ != 0 && i < kLayers; ++i) layers_[i] = false;
+  for (std::uint32_t i = 0; loaded_version_ != 0 && i < kLayers; ++i) layers_[i] = {};
   for (std::uint32_t i = 0; loaded_version_ != 0 && i < options_.weights.chunks; ++i) {
     SetStaged(i, options_.weights.Bytes(loaded_version_, i));
   }
+  StartServer();
+  asio::co_spawn(context_, Announce(), asio::detached);
+  thread_ = std::thread([this] { context_.run(); });
+}
+
+void WeightsEngine::StartServer() {
   server_ = std::make_unique<net::HttpServer>(
       context_, net::ParseAddress(options_.address), net::HttpLimits{},
       [this](net::HttpExchange& exchange) { return Handle(exchange); });
   server_->Start();
-  asio::co_spawn(context_, Announce(), asio::detached);
-  thread_ = std::thread([this] { context_.run(); });
 }
 
 WeightsEngine::~WeightsEngine() {
@@ -99,7 +105,8 @@
 
 bool WeightsEngine::holds_damaged_layers() const {
   const std::lock_guard lock(mutex_);
-  return std::any_of(layers_.begin(), layers_.end(), [](const auto& it) { return it.second; });
+  return std::any_of(layers_.begin(), layers_.end(),
+                     [](const auto& it) { return it.second.damaged; });
 }
 
 std::vector<TakenLoad> WeightsEngine::loads() const {
@@ -114,8 +121,14 @@
 
 void WeightsEngine::SetStaged(std::uint32_t chunk, std::string bytes) {
   const std::lock_guard lock(mutex_);
-  if (staged_.contains(chunk) && staged_[chunk].bytes == bytes) return;
-  staged_[chunk] = {std::move(bytes), Elapsed()};
+  Staged& staged = staged_[chunk];
+  if (staged.bytes == bytes) return;
+  if (staged.version != 0) staged.matched_until[staged.version] = Elapsed();
+  staged.version = 0;
+  for (std::int64_t version = 1; version <= kVersions && staged.version == 0; ++version) {
+    if (bytes == options_.weights.Bytes(version, chunk)) staged.version = version;
+  }
+  staged.bytes = std::move(bytes);
 }
 
 void WeightsEngine::Spoil(std::uint32_t chunk) {
@@ -142,21 +155,51 @@
   commands_ = 0;
 }
 
-bool WeightsEngine::TakeLayer(std::uint32_t layer, TakenLoad& load) const {
+void WeightsEngine::Down() {
+  Restart();
+  const std::lock_guard lock(mutex_);
+  if (down_) return;
+  down_ = true;
+  asio::post(context_, [this] { server_->StopAccepting(); });
+}
+
+void WeightsEngine::Up(bool keep_staged) {
+  Restart();
+  const std::lock_guard lock(mutex_);
+  for (std::uint32_t i = 0; !keep_staged && i < options_.weights.chunks; ++i) SetStaged(i, {});
+  if (!down_) return;
+  asio::post(context_, [this] {
+    StartServer();
+    const std::lock_guard lock(mutex_);
+    down_ = false;
+  });
+}
+
+void WeightsEngine::Stall(Duration time) {
+  asio::post(context_, [time] { std::this_thread::sleep_for(time); });
+}
+
+WeightsEngine::HeldLayer WeightsEngine::TakeLayer(std::uint32_t layer, TakenLoad& load) const {
   const std::uint32_t chunks = options_.weights.chunks;
   const std::uint32_t end = ((layer + 1) * chunks + kLayers - 1) / kLayers;
-  bool intact = true;
+  HeldLayer held;
   for (std::uint32_t i = layer * chunks / kLayers; i < end; ++i) {
     const auto it = staged_.find(i);
-    if (it != staged_.end() && it->second.bytes == options_.weights.Bytes(load.version, i)) {
-      continue;
+    if (it != staged_.end() && it->second.version == load.version) continue;
+    held.damaged = true;
+    held.mixed = held.mixed || (it != staged_.end() && it->second.version != 0);
+    // A chunk that never matched counts from the start of the engine.
+    Duration matched_until{};
+    if (it != staged_.end()) {
+      const auto match = it->second.matched_until.find(load.version);
+      if (match != it->second.matched_until.end()) matched_until = match->second;
     }
-    intact = false;
+    held.bad_for = std::max(held.bad_for, load.at - matched_until);
     load.bad_chunks.push_back(i);
-    const Duration since = it == staged_.end() ? Duration::zero() : it->second.since;
-    load.bad_for = std::max(load.bad_for, load.at - since);
   }
-  return intact;
+  load.bad_for = std::max(load.bad_for, held.bad_for);
+  load.mixed = load.mixed || held.mixed;
+  return held;
 }
 
 WeightsEngine::Command WeightsEngine::ParseCommand(const std::string& body) {
@@ -195,7 +238,7 @@
 }
 
 Task<void> WeightsEngine::Load(Command command, std::int64_t incarnation) {
-  std::map<std::uint32_t, bool> layers;
+  std::map<std::uint32_t, HeldLayer> layers;
   bool drained = false;
   {
     const std::lock_guard lock(mutex_);
@@ -206,11 +249,12 @@
         layers_, [&](const auto& it) { return it.first < command.from || it.first >= command.to; });
     layers = layers_;
   }
+  const Duration accepted_at = Elapsed();
   const auto take = [&] {
     const std::lock_guard lock(mutex_);
-    TakenLoad load{command.version, Elapsed(), {}, {}};
+    TakenLoad load{command.version, Elapsed(), accepted_at, {}, {}, false};
     for (std::uint32_t i = command.from; i < command.to; ++i) {
-      if (!layers.contains(i)) layers[i] = !TakeLayer(i, load);
+      if (!layers.contains(i)) layers[i] = TakeLayer(i, load);
     }
     return load;
   };
@@ -253,6 +297,10 @@
 }
 
 Task<void> WeightsEngine::Handle(net::HttpExchange& exchange) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (down_) throw net::NetError("the engine is down");
+  }
   if (!IsSidecarCall(exchange.path())) {
     co_await HandleRequest(exchange);
     co_return;
@@ -264,9 +312,11 @@
     info.version = ParseCommand(exchange.request().body()).version;
   }
   CallFault fault;
+  std::int64_t incarnation = 0;
   {
     const std::lock_guard lock(mutex_);
     info.count = ++calls_[info.call];
+    incarnation = incarnation_;
   }
   if (script_) fault = script_(*this, info);
   // Blocks the only thread of the engine, so that nothing is read from its sockets.
@@ -282,6 +332,11 @@
       *status = AcceptLoad(command);
     };
   }
+  // A call that is carried out late ends with the incarnation that received it.
+  effect = [this, incarnation, effect = std::move(effect)] {
+    const std::lock_guard lock(mutex_);
+    if (incarnation == incarnation_) effect();
+  };
   if (fault.lose_answer) {
     asio::co_spawn(context_, ApplyLater(fault.delay, std::move(effect)), asio::detached);
     throw net::NetError("the answer is lost");
@@ -291,6 +346,7 @@
   std::string body = "{}";
   {
     const std::lock_guard lock(mutex_);
+    if (down_) throw net::NetError("the engine is down");
     if (info.call == EngineCall::kState) body = State();
     if (info.call == EngineCall::kListStaged) {
       Json held = Json::array();
@@ -315,7 +371,14 @@
   {
     const std::lock_guard lock(mutex_);
     version = loaded_version();
-    if (version != 0) served_.push_back({Elapsed(), version, holds_damaged_layers()});
+    if (version != 0) {
+      ServedRequest served{Elapsed(), version, holds_damaged_layers(), {}, false};
+      for (const auto& [layer, held] : layers_) {
+        served.bad_for = std::max(served.bad_for, held.bad_for);
+        served.mixed_weights = served.mixed_weights || held.mixed;
+      }
+      served_.push_back(served);
+    }
   }
   const std::string body = "{}";
   if (version == 0) {
@@ -330,6 +393,15 @@
 
 Task<void> WeightsEngine::Announce() {
   for (std::int64_t sequence = 1;; ++sequence) {
+    bool down = false;
+    {
+      const std::lock_guard lock(mutex_);
+      down = down_;
+    }
+    if (down) {
+      co_await Sleep(kAnnouncementPeriod);
+      continue;
+    }
     Json announcement = Json::parse(State());
     announcement.update(Json{{"backend", options_.service},
                              {"address", options_.address},
@@ -370,6 +442,8 @@
 }
 
 Task<void> WeightsOrigin::Handle(net::HttpExchange& exchange) {
+  co_await Sleep(delay_.load());
+  if (down_) throw net::NetError("the origin is down");
   const std::int64_t version = QueryNumber(exchange, "version", newest_);
   std::string body;
   unsigned status = 404;
@@ -388,6 +462,9 @@
   } else if (version >= 1 && version <= newest_ && exchange.path().starts_with("/piece/")) {
     body = weights_.Bytes(version, static_cast<std::uint32_t>(QueryNumber(exchange, "number", 0)));
     status = 200;
+    if (damage_one_of_ != 0 && ++chunks_sent_ % damage_one_of_ == 0) {
+      body[body.size() / 2] = static_cast<char>(body[body.size() / 2] ^ 1);
+    }
   }
   co_await exchange.Respond(status, body);
 }
--- a/tests/system/weights_engine.h
+++ b/tests/system/weights_engine.h
@@ -51,10 +51,13 @@
 struct TakenLoad {
   std::int64_t version = 0;
   Duration at{};
+  Duration accepted_at{};
   /// Chunks that did not match the version when they were taken.
   std::vector<std::uint32_t> bad_chunks;
   /// Longest time for which one of them had not matched.
   Duration bad_for{};
+  /// One of them matched another version.
+  bool mixed = false;
 };
 
 /// Request of a caller that an engine has run.
@@ -63,6 +66,10 @@
   std::int64_t version = 0;
   /// The weights in use were loaded from a chunk that did not match.
   bool bad_weights = false;
+  /// Longest time for which such a chunk had not matched when it was taken.
+  Duration bad_for{};
+  /// Such a chunk matched another version.
+  bool mixed_weights = false;
 };
 
 /// When a load takes the staged chunks.
@@ -106,6 +113,13 @@
   void Overwrite(std::uint32_t chunk, std::int64_t version);
   /// Starts a new incarnation that holds no weights; staged chunks stay.
   void Restart();
+  /// Ends like a crashed process: connections break and no new ones are accepted.
+  void Down();
+  /// Starts again after Down, as a new incarnation that holds no weights.
+  /// @param keep_staged false after a loss of power
+  void Up(bool keep_staged);
+  /// The thread stands still for a time, like a paused process.
+  void Stall(Duration time);
 
   /// Version of which all layers are held; 0 if there is none.
   std::int64_t loaded_version() const;
@@ -118,11 +132,21 @@
 
  private:
   struct Staged {
+    /// Empty if the chunk is lost.
     std::string bytes;
-    /// When the chunk got these bytes; a lost chunk is empty.
-    Duration since{};
+    /// Version that the bytes match; 0 if none.
+    std::int64_t version = 0;
+    /// When the bytes ceased to match a version.
+    std::map<std::int64_t, Duration> matched_until;
+  };
+  /// How a layer that is held was taken.
+  struct HeldLayer {
+    bool damaged = false;
+    Duration bad_for{};
+    bool mixed = false;
   };
 
+  void StartServer();
   net::Task<void> Handle(net::HttpExchange& exchange);
   net::Task<void> HandleRequest(net::HttpExchange& exchange);
   net::Task<void> Announce();
@@ -141,9 +165,8 @@
   /// @return HTTP status
   unsigned AcceptLoad(const Command& command);
   void SetStaged(std::uint32_t chunk, std::string bytes);
-  /// Takes the staged chunks of a layer.
-  /// @return whether all of them match the version
-  bool TakeLayer(std::uint32_t layer, TakenLoad& load) const;
+  /// Takes the staged chunks of a layer, and records in the load which of them do not match.
+  HeldLayer TakeLayer(std::uint32_t layer, TakenLoad& load) const;
   bool HoldsAllLayers() const { return layers_.size() == kLayers; }
   std::string State() const;
 
@@ -155,9 +178,9 @@
   std::map<EngineCall, std::size_t> calls_;
   std::int64_t incarnation_ = 0;
   std::int64_t loaded_version_ = 0;
-  /// Layers that are held, with whether they were taken from damaged chunks.
-  std::map<std::uint32_t, bool> layers_;
+  std::map<std::uint32_t, HeldLayer> layers_;
   bool loading_ = false;
+  bool down_ = false;
   Command loading_command_;
   std::int64_t commands_ = 0;
   std::vector<TakenLoad> loads_;
@@ -174,12 +197,21 @@
   WeightsOrigin(const std::string& address, TestWeights weights, std::int64_t newest);
   ~WeightsOrigin();
   void SetNewest(std::int64_t version) { newest_ = version; }
+  /// Connections end without an answer while it is down.
+  void SetDown(bool down) { down_ = down; }
+  void SetDelay(Duration delay) { delay_ = delay; }
+  /// Damages the answer to one of so many chunk requests; 0 for none.
+  void SetDamagedShare(unsigned one_of) { damage_one_of_ = one_of; }
 
  private:
   net::Task<void> Handle(net::HttpExchange& exchange);
 
   TestWeights weights_;
   std::atomic<std::int64_t> newest_;
+  std::atomic<bool> down_{false};
+  std::atomic<Duration> delay_{Duration::zero()};
+  std::atomic<unsigned> damage_one_of_{0};
+  unsigned chunks_sent_ = 0;
   net::asio::io_context context_;
   std::unique_ptr<net::HttpServer> server_;
   std::thread thread_;
