Let the seed choose which engines swap first in the random test

The swap order follows from addresses, which differ between runs, so the same seed damaged the first engines of the order in one run and the last ones in the next.

--- a/tests/system/weights_random_test.cc
+++ b/tests/system/weights_random_test.cc
@@ -14,6 +14,7 @@
 #include <thread>
 
 #include "cluster.h"
+#include "wagtailslip/serving/swap_plan.h"
 #include "weights_engine.h"
 
 namespace wagtailslip::system_test {
@@ -265,12 +266,13 @@
     const auto take_time = take_late ? TakeTime::kAfterRunningRequests : TakeTime::kOnAcceptance;
     log_.Add(take_late ? "chunks are taken after the running requests"
                        : "chunks are taken when a load command is accepted");
-    for (int i = 1; i <= count; ++i) {
-      cluster_.StartSidecar(i, "m", kPropagationMs);
-      sidecars_.push_back("w" + std::to_string(i));
+    for (const int number : NumbersInSwapOrder(count)) {
+      cluster_.StartSidecar(number, "m", kPropagationMs);
+      sidecars_.push_back("w" + std::to_string(number));
       EngineOptions options;
-      options.id = "m" + std::to_string(i);
-      options.address = cluster_.EngineAddress(i);
+      options.id = "m" + std::to_string(sidecars_.size());
+      log_.Add(options.id + " is beside " + sidecars_.back());
+      options.address = cluster_.EngineAddress(number);
       options.service = "m";
       options.controls = Addresses(cluster_.controls());
       options.weights = weights_;
@@ -310,6 +312,17 @@
   bool Has(Trouble trouble) const {
     return std::find(row_.troubles.begin(), row_.troubles.end(), trouble) != row_.troubles.end();
   }
+  /// Numbers of engines and sidecars in the order of their swaps. The order follows from addresses,
+  /// which differ between runs, so a seed could not choose by number who swaps first.
+  std::vector<int> NumbersInSwapOrder(int count) const {
+    std::vector<std::string> addresses;
+    for (int i = 1; i <= count; ++i) addresses.push_back(cluster_.EngineAddress(i));
+    std::vector<int> numbers(addresses.size());
+    for (int i = 1; i <= count; ++i) {
+      numbers[serving::SwapRank(cluster_.EngineAddress(i), addresses)] = i;
+    }
+    return numbers;
+  }
   std::vector<std::string> Addresses(const std::vector<std::string>& names) const {
     std::vector<std::string> addresses;
     for (const auto& it : names) addresses.push_back(cluster_.Address(it));
