--- a/tests/system/weights_random_test.cc
+++ b/tests/system/weights_random_test.cc
@@ -1,6 +1,7 @@
 // Loads of staged weights on control, ingress and sidecar processes over loopback, in random days
 // of faults. WTS_SEED, WTS_SECONDS and WTS_DAY in the environment choose the day.
 #include <cppunit/extensions/HelperMacros.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +13,7 @@
 #include <random>
 #include <sstream>
 #include <thread>
+#include <utility>
 
 #include "cluster.h"
 #include "wagtailslip/serving/swap_plan.h"
@@ -80,6 +82,10 @@
       {"users-stops", {kDamage, kAllKilled, kSidecarStops}, true},
       {"users-origin", {kDamage, kAllKilled, kOriginFaults}, true},
       {"users-controls", {kDamage, kAllKilled, kControlKills}, true},
+      {"users-running-kills", {kDamage, kAllKilled, kRunningRequests, kSidecarKills}, true},
+      {"users-running-freezes", {kDamage, kAllKilled, kRunningRequests, kSidecarFreezes}, true},
+      {"users-running-crashes", {kDamage, kAllKilled, kRunningRequests, kEngineCrashes}, true},
+      {"users-running-second", {kDamage, kAllKilled, kRunningRequests, kSecondVersion}, true},
       {"calls", {kDamage, kDamageAtCalls}},
       {"mix",
        {kDamage, kDamageAtCalls, kSecondVersion, kRunningRequests, kSlowCalls, kEngineStalls,
@@ -272,6 +278,7 @@
     // Engines may copy staged chunks when they accept a load command or when they begin the load.
     const bool take_late = Has(Trouble::kRunningRequests) && (row.fixed_times || dice_.OneOf(2));
     const auto take_time = take_late ? TakeTime::kAfterRunningRequests : TakeTime::kOnAcceptance;
+    log_.Add("process " + std::to_string(getpid()));
     log_.Add(take_late ? "chunks are taken after the running requests"
                        : "chunks are taken when a load command is accepted");
     for (const int number : NumbersInSwapOrder(count)) {
@@ -633,8 +640,18 @@
         }
         log_.AddAt(it.at + offset, text.str());
       }
+      bool first = true;
       for (const auto& it : engine->served()) {
         ++requests;
+        // One line for each time that the weights in use become damaged.
+        if (it.bad_weights && std::exchange(first, false)) {
+          log_.AddAt(it.at + offset, engine->id() + " runs a request on damaged version " +
+                                         std::to_string(it.version));
+        }
+        if (!it.bad_weights && !first) {
+          log_.AddAt(it.at + offset, engine->id() + " runs requests on undamaged weights again");
+          first = true;
+        }
         if (it.bad_weights) ++bad;
         if (it.bad_for > kExcusedDamage) ++bad_long;
         if (it.mixed_weights) ++mixed;
