Count chunks written before a load was known as damage of that load

Cause: a command whose answer was lost can be accepted while the sidecar verifies or stages chunks for the next one. The load takes a damaged chunk, the verification then writes the chunk again, and the report that tells of the load comes later, so that the read-back after it finds all chunks intact.

Change: each write of a staged chunk is told to LoadGuard. If the next report tells of a load that was not expected, the layers of the written chunks count as damaged. An accepted command, whose number of commands was the expected one, excludes such a load.

Evidence: by reading; two rows of WeightsAreUsableOnlyAfterAReadBack failed with the writes ignored ("expected damaged, actual usable"), all pass now. Not seen with real processes.

--- a/include/wagtailslip/serving/load_guard.h
+++ b/include/wagtailslip/serving/load_guard.h
@@ -58,6 +58,11 @@
   /// The engine has answered that it does not carry out the last command.
   void OnCommandRejected();
 
+  /// A staged chunk is about to be written. Whether an earlier load took it damaged cannot be seen
+  /// afterwards.
+  /// @param layers layers that need the chunk
+  void OnChunkWritten(const std::set<std::uint32_t>& layers);
+
   /// Whether the staged chunks have to be read back now.
   bool NeedsReadBack(TimePoint now) const;
   /// All staged chunks were read back after the last report, and those that did not match were
@@ -83,13 +88,15 @@
     std::int64_t version = 0;
     std::set<std::uint32_t> damaged;
   };
-  void BeginLoad(std::int64_t version);
+  void BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged = {});
 
   bool reported_ = false;
   EngineLoadReport report_;
   Load load_;
   /// The load before the last command, while it is not known whether that was accepted.
   std::optional<Load> before_command_;
+  /// Layers of the chunks that were written since the last report or accepted command.
+  std::set<std::uint32_t> written_;
   TimePoint read_back_at_{};
 };
 
--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -11,23 +11,29 @@
 
 }  // namespace
 
-void LoadGuard::BeginLoad(std::int64_t version) {
-  load_ = {LoadTrust::kUnchecked, version, {}};
+void LoadGuard::BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged) {
+  load_ = {LoadTrust::kUnchecked, version, std::move(damaged)};
   read_back_at_ = {};
 }
 
+void LoadGuard::OnChunkWritten(const std::set<std::uint32_t>& layers) {
+  written_.insert(layers.begin(), layers.end());
+}
+
 void LoadGuard::OnReport(const EngineLoadReport& report) {
+  // A load of which only this report tells may have taken its chunks before they were written.
+  std::set<std::uint32_t> written = std::exchange(written_, {});
   const EngineLoadReport previous = report_;
   report_ = report;
   if (!reported_ || report.started_ms != previous.started_ms) {
     const bool begun = report.busy || (reported_ && report.commands > 0);
     // Nothing speaks against weights that were in use before this process started.
     load_ = Load{};
-    if (begun) BeginLoad(0);
+    if (begun) BeginLoad(0, written);
     before_command_.reset();
     reported_ = true;
   } else if (report.commands != previous.commands || (report.busy && !previous.busy)) {
-    if (load_.trust != LoadTrust::kUnchecked) BeginLoad(0);
+    if (load_.trust != LoadTrust::kUnchecked) BeginLoad(0, written);
     before_command_.reset();
   } else if (!report.busy) {
     // The command got lost. If it is accepted later, the number of commands will tell.
@@ -39,7 +45,8 @@
   // A late command may have loaded another version than the last one that was sent.
   if (unchecked ? load_.version != report.complete_version
                 : replaced && previous.started_ms == report.started_ms) {
-    BeginLoad(report.complete_version);
+    if (unchecked) written = load_.damaged;
+    BeginLoad(report.complete_version, std::move(written));
   }
 }
 
@@ -54,7 +61,10 @@
   }
 }
 
-void LoadGuard::OnCommandAccepted() { before_command_.reset(); }
+void LoadGuard::OnCommandAccepted() {
+  before_command_.reset();
+  written_.clear();
+}
 
 void LoadGuard::OnCommandRejected() {
   if (!before_command_) return;
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -140,6 +140,9 @@
     std::string staged;
     if (read_first) staged = co_await engine_.ReadStagedChunk(weights->model, i);
     if (read_first && weights->manifest->Check(i, staged) == spread::ChunkResult::kOk) continue;
+    const std::vector<std::uint32_t> chunk{i};
+    const std::uint32_t layer_count = model_source_ ? std::max(model_source_->layers, 1U) : 1U;
+    load_guard_.OnChunkWritten(LayersOf(chunk, weights->chunks.size(), layer_count));
     const std::string bytes = weights->chunks[i];
     co_await engine_.StageChunk(weights->model, i, bytes);
     written.push_back(i);
--- a/tests/load_guard_test.cc
+++ b/tests/load_guard_test.cc
@@ -37,6 +37,9 @@
 Step ReadBack(std::int64_t version, std::set<std::uint32_t> damaged, LoadTrust trust) {
   return {[=](LoadGuard& guard) { guard.OnReadBack(version, damaged, TimePoint(1s)); }, trust};
 }
+Step Written(std::set<std::uint32_t> layers, LoadTrust trust) {
+  return {[=](LoadGuard& guard) { guard.OnChunkWritten(layers); }, trust};
+}
 
 constexpr auto kUsable = LoadTrust::kUsable;
 constexpr auto kUnchecked = LoadTrust::kUnchecked;
@@ -93,6 +96,20 @@
      {Report(1, 0, false, kUsable), Sent(2, kUnchecked),
       Report(0, 1, true, kUnchecked, kSecondStart), Report(2, 1, false, kUnchecked, kSecondStart),
       ReadBack(2, {}, kUsable)}},
+    {"a chunk is written after a late command took it",
+     {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
+      Written({1}, kUsable), Sent(2, kUnchecked), Rejected(kUsable), Report(1, 1, true, kUnchecked),
+      Report(2, 1, false, kUnchecked), ReadBack(2, {}, kDamaged)}},
+    {"chunks of the next version are written while a late command loads the last one",
+     {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
+      Written({0, 1, 2, 3}, kUsable), Report(2, 1, false, kUnchecked), ReadBack(2, {}, kDamaged)}},
+    {"a chunk is written before the command",
+     {Report(1, 0, false, kUsable), Written({1}, kUsable), Sent(2, kUnchecked),
+      Accepted(kUnchecked), Report(2, 1, false, kUnchecked), ReadBack(2, {}, kUsable)}},
+    {"a chunk was written before the last report",
+     {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
+      Written({1}, kUsable), Report(1, 0, false, kUsable), Report(2, 1, false, kUnchecked),
+      ReadBack(2, {}, kUsable)}},
     {"layers are loaded again",
      {Report(0, 0, false, kUsable), Sent(2, kUnchecked), Accepted(kUnchecked),
       Report(2, 1, false, kUnchecked), ReadBack(2, {1}, kDamaged), Sent(2, kUnchecked, {3, 4}),
