Announce a swap before the load command is sent

What callers saw in a test: answers made with a damaged layer, because the sidecar of the engine stood still from the load command on.

Cause: the status "swapping" was sent only after the answer to the load command, so that the last status of a sidecar that stops in between says that the engine may be used.

Change: the sidecar announces the swap before it sends the command.

--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -108,6 +108,8 @@
   const std::uint32_t layer_count = model_source_ ? model_source_->layers : 0;
   load_guard_.OnCommandSent(command.version,
                             command.layers.value_or(serving::LayerRange{0, layer_count}));
+  // This process may stand still or end before the answer arrives.
+  SendStatus(sent_at);
   const std::int64_t version = command.version;
   const bool all_layers = !command.layers;
   const auto answer = co_await engine_.SendLoadCommand(std::move(command));
--- a/tests/system/staged_weights_test.cc
+++ b/tests/system/staged_weights_test.cc
@@ -80,6 +80,10 @@
      Event::kSidecarPaused},
     {"spoilt while waiting, sidecar killed", Damage::kSpoilt, Step::kWhileWaiting,
      Event::kSidecarRestarts},
+    {"lost at the command, sidecar killed", Damage::kLost, Step::kOnLoadCommand,
+     Event::kSidecarRestarts},
+    {"lost at the command, sidecar paused", Damage::kLost, Step::kOnLoadCommand,
+     Event::kSidecarPaused},
 };
 
 /// Callers that send requests to all ingress processes in turn.
