Check loads whose sidecar ended before it had read them back

What callers saw in a test: answers made with a damaged layer for as long as the engine lived, because its sidecar was killed after the load command and started again after the load.

Cause: a sidecar took weights that were loaded when it started as usable, also if its predecessor had not read the chunks back. Sidecars have no disk on which to record that.

Change: a load of this incarnation that began with a command counts as unchecked at the first report. Until it is checked, the sidecar sends no status, so that the engine stays in use or out of use as the predecessor's last status says. If the process fetches another version only, the load is taken as usable as before, because nothing can be compared. Cost: chunks that were damaged since an intact load cause one needless reload after a restart of the sidecar.

--- a/include/wagtailslip/serving/load_guard.h
+++ b/include/wagtailslip/serving/load_guard.h
@@ -71,6 +71,12 @@
   /// @param damaged layers with a chunk that did not match
   void OnReadBack(std::int64_t version, const std::set<std::uint32_t>& damaged, TimePoint now);
 
+  /// The chunks of an inherited load are not available, so that it cannot be checked.
+  void OnUncheckable();
+
+  /// Whether the load is unchecked, and had ended before this process started. The predecessor has
+  /// announced whether it may be used meanwhile.
+  bool inherited() const { return load_.inherited && load_.trust == LoadTrust::kUnchecked; }
   LoadTrust trust() const { return load_.trust; }
   /// Version of the load that is to be checked; 0 if it is not known.
   std::int64_t version() const { return load_.version; }
@@ -87,6 +93,7 @@
     LoadTrust trust = LoadTrust::kUsable;
     std::int64_t version = 0;
     std::set<std::uint32_t> damaged;
+    bool inherited = false;
   };
   void BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged = {});
 
--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void LoadGuard::BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged) {
-  load_ = {LoadTrust::kUnchecked, version, std::move(damaged)};
+  load_ = {LoadTrust::kUnchecked, version, std::move(damaged), false};
   read_back_at_ = {};
 }
 
@@ -24,10 +24,10 @@
   // A load of which only this report tells may have taken its chunks before they were written.
   std::set<std::uint32_t> written = std::exchange(written_, {});
   const EngineLoadReport previous = report_;
+  const bool first = !reported_;
   report_ = report;
   if (!reported_ || report.started_ms != previous.started_ms) {
-    const bool begun = report.busy || (reported_ && report.commands > 0);
-    // Nothing speaks against weights that were in use before this process started.
+    const bool begun = report.busy || report.commands > 0;
     load_ = Load{};
     if (begun) BeginLoad(0, written);
     before_command_.reset();
@@ -48,6 +48,11 @@
     if (unchecked) written = load_.damaged;
     BeginLoad(report.complete_version, std::move(written));
   }
+  load_.inherited = load_.inherited || first;
+}
+
+void LoadGuard::OnUncheckable() {
+  if (inherited()) load_ = Load{};
 }
 
 void LoadGuard::OnCommandSent(std::int64_t version, LayerRange layers) {
--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -112,7 +112,8 @@
 }
 
 void SidecarNode::SendStatus(TimePoint now) {
-  if (!engine_state_) return;
+  // An inherited load stays in use, or out of use, as the last status of the predecessor says.
+  if (!engine_state_ || load_guard_.inherited()) return;
   serving::EngineStatus status;
   status.address = settings_.engine_address;
   status.started_ms = engine_state_->started_ms;
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -52,6 +52,8 @@
   if (load_guard_.trust() == LoadTrust::kUsable) co_return true;
   const auto weights =
       model_source_ ? FindWeights(model_source_->model, load_guard_.version()) : nullptr;
+  // Other weights are fetched, which are to replace those of the engine.
+  if (!weights && (current_ || incoming_)) load_guard_.OnUncheckable();
   std::string problem;
   try {
     if (weights && weights->complete() && load_guard_.NeedsReadBack(MonotonicNow())) {
--- a/tests/system/staged_weights_test.cc
+++ b/tests/system/staged_weights_test.cc
@@ -46,6 +46,8 @@
   kEnginePaused,
   kSidecarPaused,
   kSidecarRestarts,
+  /// The sidecar is killed and starts only after the load.
+  kSidecarGone,
   kEngineRestarts,
   kLateCommand,
 };
@@ -82,6 +84,7 @@
      Event::kSidecarRestarts},
     {"lost at the command, sidecar killed", Damage::kLost, Step::kOnLoadCommand,
      Event::kSidecarRestarts},
+    {"lost at the command, sidecar gone", Damage::kLost, Step::kOnLoadCommand, Event::kSidecarGone},
     {"lost at the command, sidecar paused", Damage::kLost, Step::kOnLoadCommand,
      Event::kSidecarPaused},
 };
@@ -161,6 +164,13 @@
         cluster_.Continue(sidecar_);
       });
     }
+    if (row_.event == Event::kSidecarGone) {
+      cluster_.Kill(sidecar_);
+      threads_.emplace_back([this] {
+        std::this_thread::sleep_for(kLongPause);
+        cluster_.Restart(sidecar_);
+      });
+    }
     if (row_.event == Event::kSidecarRestarts) {
       cluster_.Kill(sidecar_);
       cluster_.Restart(sidecar_);
