Keep the damage that a read-back found before it broke off

What callers saw in a test: answers made with a damaged layer for as long as the engine lived, without a disturbance other than two reads without an answer.

Cause: ReadBackLoad writes damaged chunks as it goes and reports them at its end. If a later read or write fails, the list is lost with the exception, and the next read-back finds all chunks intact.

Change: LoadGuard counts each write of a chunk as damage of the load that is being checked, when the chunk is written.

The row "a read-back breaks off after it has written a chunk" of load_guard_test.cc failed before ("expected damaged, actual usable").

--- a/include/wagtailslip/serving/load_guard.h
+++ b/include/wagtailslip/serving/load_guard.h
@@ -60,8 +60,9 @@
 
   /// A staged chunk is about to be written. Whether an earlier load took it damaged cannot be seen
   /// afterwards.
+  /// @param version version of the chunk
   /// @param layers layers that need the chunk
-  void OnChunkWritten(const std::set<std::uint32_t>& layers);
+  void OnChunkWritten(std::int64_t version, const std::set<std::uint32_t>& layers);
 
   /// Whether the staged chunks have to be read back now.
   bool NeedsReadBack(TimePoint now) const;
--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -16,8 +16,13 @@
   read_back_at_ = {};
 }
 
-void LoadGuard::OnChunkWritten(const std::set<std::uint32_t>& layers) {
+void LoadGuard::OnChunkWritten(std::int64_t version, const std::set<std::uint32_t>& layers) {
   written_.insert(layers.begin(), layers.end());
+  // The read-back that found the damage may break off, and the next one no longer finds it.
+  const bool loaded = report_.busy || report_.complete_version == version;
+  if (load_.trust == LoadTrust::kUnchecked && load_.version == version && loaded) {
+    load_.damaged.insert(layers.begin(), layers.end());
+  }
 }
 
 void LoadGuard::OnReport(const EngineLoadReport& report) {
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -146,7 +146,8 @@
     if (read_first && weights->manifest->Check(i, staged) == spread::ChunkResult::kOk) continue;
     const std::vector<std::uint32_t> chunk{i};
     const std::uint32_t layer_count = model_source_ ? std::max(model_source_->layers, 1U) : 1U;
-    load_guard_.OnChunkWritten(LayersOf(chunk, weights->chunks.size(), layer_count));
+    load_guard_.OnChunkWritten(weights->version,
+                               LayersOf(chunk, weights->chunks.size(), layer_count));
     const std::string bytes = weights->chunks[i];
     co_await engine_.StageChunk(weights->model, i, bytes);
     written.push_back(i);
--- a/tests/load_guard_test.cc
+++ b/tests/load_guard_test.cc
@@ -37,8 +37,8 @@
 Step ReadBack(std::int64_t version, std::set<std::uint32_t> damaged, LoadTrust trust) {
   return {[=](LoadGuard& guard) { guard.OnReadBack(version, damaged, TimePoint(1s)); }, trust};
 }
-Step Written(std::set<std::uint32_t> layers, LoadTrust trust) {
-  return {[=](LoadGuard& guard) { guard.OnChunkWritten(layers); }, trust};
+Step Written(std::int64_t version, std::set<std::uint32_t> layers, LoadTrust trust) {
+  return {[=](LoadGuard& guard) { guard.OnChunkWritten(version, layers); }, trust};
 }
 Step Uncheckable(LoadTrust trust) {
   return {[](LoadGuard& guard) { guard.OnUncheckable(); }, trust};
@@ -110,18 +110,27 @@
       ReadBack(2, {}, kUsable)}},
     {"a chunk is written after a late command took it",
      {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
-      Written({1}, kUsable), Sent(2, kUnchecked), Rejected(kUsable), Report(1, 1, true, kUnchecked),
-      Report(2, 1, false, kUnchecked), ReadBack(2, {}, kDamaged)}},
+      Written(2, {1}, kUsable), Sent(2, kUnchecked), Rejected(kUsable),
+      Report(1, 1, true, kUnchecked), Report(2, 1, false, kUnchecked), ReadBack(2, {}, kDamaged)}},
     {"chunks of the next version are written while a late command loads the last one",
      {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
-      Written({0, 1, 2, 3}, kUsable), Report(2, 1, false, kUnchecked), ReadBack(2, {}, kDamaged)}},
+      Written(3, {0, 1, 2, 3}, kUsable), Report(2, 1, false, kUnchecked),
+      ReadBack(2, {}, kDamaged)}},
     {"a chunk is written before the command",
-     {Report(1, 0, false, kUsable), Written({1}, kUsable), Sent(2, kUnchecked),
+     {Report(1, 0, false, kUsable), Written(2, {1}, kUsable), Sent(2, kUnchecked),
       Accepted(kUnchecked), Report(2, 1, false, kUnchecked), ReadBack(2, {}, kUsable)}},
     {"a chunk was written before the last report",
      {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Report(1, 0, false, kUsable),
-      Written({1}, kUsable), Report(1, 0, false, kUsable), Report(2, 1, false, kUnchecked),
+      Written(2, {1}, kUsable), Report(1, 0, false, kUsable), Report(2, 1, false, kUnchecked),
       ReadBack(2, {}, kUsable)}},
+    {"a read-back breaks off after it has written a chunk",
+     {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Accepted(kUnchecked),
+      Report(2, 1, false, kUnchecked), Written(2, {1}, kUnchecked), Report(2, 1, false, kUnchecked),
+      ReadBack(2, {}, kDamaged)}},
+    {"a read-back breaks off while the engine is busy",
+     {Report(1, 0, false, kUsable), Sent(2, kUnchecked), Accepted(kUnchecked),
+      Report(1, 1, true, kUnchecked), Written(2, {1}, kUnchecked), Report(2, 1, false, kUnchecked),
+      ReadBack(2, {}, kDamaged)}},
     {"layers are loaded again",
      {Report(0, 0, false, kUsable), Sent(2, kUnchecked), Accepted(kUnchecked),
       Report(2, 1, false, kUnchecked), ReadBack(2, {1}, kDamaged), Sent(2, kUnchecked, {3, 4}),
--- a/tests/system/staged_weights_test.cc
+++ b/tests/system/staged_weights_test.cc
@@ -50,6 +50,8 @@
   kSidecarGone,
   kEngineRestarts,
   kLateCommand,
+  /// The read-back that finds the damage gets no answer for the next chunk.
+  kReadBackBreaksOff,
 };
 
 struct FaultRow {
@@ -85,6 +87,8 @@
     {"lost at the command, sidecar killed", Damage::kLost, Step::kOnLoadCommand,
      Event::kSidecarRestarts},
     {"lost at the command, sidecar gone", Damage::kLost, Step::kOnLoadCommand, Event::kSidecarGone},
+    {"lost at the command, read-back breaks off", Damage::kLost, Step::kOnLoadCommand,
+     Event::kReadBackBreaksOff},
     {"lost at the command, sidecar paused", Damage::kLost, Step::kOnLoadCommand,
      Event::kSidecarPaused},
 };
@@ -141,6 +145,11 @@
       fault.delay = kSlowRead;
     }
     if (info.call == EngineCall::kReadStaged && info.chunk == last_chunk_) read_back_ = true;
+    if (done_ && row_.event == Event::kReadBackBreaksOff && info.call == EngineCall::kReadStaged &&
+        info.chunk == kDamagedChunk + 1 && lost_reads_ < kReadAttempts) {
+      ++lost_reads_;
+      fault.lose_answer = true;
+    }
     if (done_ || !IsDue(info)) return fault;
     done_ = true;
     if (row_.step == Step::kWhileRequestsEnd) {
@@ -181,6 +190,8 @@
 
  private:
   static constexpr std::uint32_t kDamagedChunk = 3;
+  // A sidecar repeats a read without an answer once.
+  static constexpr int kReadAttempts = 2;
   bool IsDue(const EngineCallInfo& info) const {
     switch (row_.step) {
       case Step::kBeforeReadBack:
@@ -209,6 +220,7 @@
   std::atomic<bool> staged_{false};
   std::atomic<bool> read_back_{false};
   std::atomic<bool> done_{false};
+  std::atomic<int> lost_reads_{0};
   std::vector<std::thread> threads_;
 };
 
