Reload a damaged last layer of a model of two layers

What callers could see: an engine that is never used again, and loads without end.

Cause: a reload keeps one layer and never the first, so that with two layers it always keeps the last one, also if that is the damaged one.

Change: with two layers, the first one is kept if only the last is damaged.

Evidence: the row "the last layer of two is damaged" of KeepsALayerThatIsIntact failed before and passes now. No run with an engine of two layers.

--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -99,10 +99,13 @@
 
 std::optional<LayerRange> LoadGuard::LayerToKeep(std::uint32_t layer_count) const {
   if (load_.trust != LoadTrust::kDamaged || layer_count < 2) return std::nullopt;
-  // Never the first layer: a report of layers from the first on does not say whether more follow.
+  // Not the first layer if possible: a report of layers from the first on does not say whether more
+  // follow.
   for (std::uint32_t i = layer_count - 1; i >= 1; --i) {
     if (!load_.damaged.contains(i)) return LayerRange{i, i + 1};
   }
+  // With two layers, another reload would keep the same one.
+  if (layer_count == 2 && !load_.damaged.contains(0)) return LayerRange{0, 1};
   return LayerRange{layer_count - 1, layer_count};
 }
 
--- a/tests/load_guard_test.cc
+++ b/tests/load_guard_test.cc
@@ -159,6 +159,8 @@
     {"the last layer", {0}, 4, LayerRange{3, 4}},
     {"an intact one", {2, 3}, 4, LayerRange{1, 2}},
     {"never the first", {1, 2, 3}, 4, LayerRange{3, 4}},
+    {"the last layer of two is damaged", {1}, 2, LayerRange{0, 1}},
+    {"both layers of two are damaged", {0, 1}, 2, LayerRange{1, 2}},
     {"a model of one layer", {0}, 1, std::nullopt},
     {"an unknown number of layers", {0}, 0, std::nullopt},
 };
