Retry a failed check of a load after a delay, and forget a version that is overwritten

Found by review, by reading. A read-back that fails, or a command to drop layers that the engine refuses, was repeated every 30 ms with a log line each; it now waits 200 ms like the other calls to the engine. Chunks that were written for another version than the staged one left staged_version_ as it was, so that a load of that version could rest on chunks of both; it is forgotten with the first write. serving_test 51 and sidecar_test 4 passed.

--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "sidecar_node.h"
+#include "wagtailslip/process/async_result.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
 
@@ -14,6 +15,9 @@
 using process::MonotonicNow;
 using serving::LoadTrust;
 
+// Delay before a check or a reload that failed is tried again.
+constexpr Duration kCheckRetryDelay = std::chrono::milliseconds(200);
+
 /// Layers that need one of the chunks. Chunk i of n holds the part of the model from i/n to
 /// (i + 1)/n, so a chunk at the boundary belongs to both layers.
 std::set<std::uint32_t> LayersOf(const std::vector<std::uint32_t>& chunks, std::size_t chunk_count,
@@ -68,6 +72,9 @@
   if (!problem.empty()) {
     LogEvent(Event::kOrderFailed, {{"version", load_guard_.version()}, {"error", problem}});
   }
+  // The read-back failed, or the engine did not take the command to drop layers.
+  const bool retry = !problem.empty() || load_guard_.trust() == LoadTrust::kDamaged;
+  if (retry) co_await process::Sleep(kCheckRetryDelay);
   // Until the load is checked, the staged chunks must stay those of its version. An engine without
   // complete weights has nothing to check, and weights that cannot be checked are to be replaced.
   const bool pending = load_guard_.trust() == LoadTrust::kUnchecked && weights != nullptr &&
@@ -148,6 +155,8 @@
     const std::uint32_t layer_count = model_source_ ? std::max(model_source_->layers, 1U) : 1U;
     load_guard_.OnChunkWritten(weights->version,
                                LayersOf(chunk, weights->chunks.size(), layer_count));
+    // From here on the staged chunks are not all of one version.
+    if (staged_version_ != weights->version) staged_version_ = 0;
     const std::string bytes = weights->chunks[i];
     co_await engine_.StageChunk(weights->model, i, bytes);
     written.push_back(i);
