Do not delay the stop of a sidecar for a load that it inherited

Found in the read of the change: a sidecar that is stopped soon after its start waited for the check of a load that it could not check without the chunks, up to the end of its grace period. A process now waits only for loads that it has seen begin.

--- a/include/wagtailslip/serving/stop_plan.h
+++ b/include/wagtailslip/serving/stop_plan.h
@@ -22,7 +22,8 @@
   /// signal; without an upload since then the two are equal.
   TimePoint signalled_at{};
   TimePoint last_upload_at{};
-  bool uploading = false;
+  /// A chunk is being uploaded, or a load of the engine is being checked.
+  bool busy = false;
   /// Time from the signal until the process is killed.
   Duration grace{};
 };
--- a/src/serving/stop_plan.cc
+++ b/src/serving/stop_plan.cc
@@ -29,7 +29,7 @@
 
 bool SourceMayExit(const StoppingSource& source, TimePoint now) {
   if (now - source.signalled_at >= MakeStopPlan(source.grace).exit_after) return true;
-  return !source.uploading && now - source.last_upload_at >= kSourceIdleTimeout;
+  return !source.busy && now - source.last_upload_at >= kSourceIdleTimeout;
 }
 
 }  // namespace wagtailslip::serving
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -39,8 +39,8 @@
 
 Task<void> SidecarNode::EngineLoop() {
   bool reachable = true;
-  // A process that stops does not leave a load unchecked: its successor would take it as usable.
-  while (!stopping_ || LoadPending()) {
+  // A process that stops does not leave a load unchecked: its successor may not have its chunks.
+  while (!stopping_ || CheckPending()) {
     std::string problem;
     try {
       co_await ReadEngineState();
@@ -94,6 +94,8 @@
 
 bool SidecarNode::LoadPending() const { return load_guard_.trust() != serving::LoadTrust::kUsable; }
 
+bool SidecarNode::CheckPending() const { return LoadPending() && !load_guard_.inherited(); }
+
 bool SidecarNode::SwapPending() const {
   return engine_state_ && current_ && staged_version_ == current_->version &&
          current_->version > engine_state_->weights.complete_version &&
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -59,9 +59,9 @@
 }
 
 bool SidecarNode::Finished(TimePoint now) const {
-  return serving::SourceMayExit({stop_requested_at_, last_upload_at_,
-                                 active_uploads_ > 0 || LoadPending(), settings_.bounds.stop_grace},
-                                now);
+  const bool busy = active_uploads_ > 0 || CheckPending();
+  return serving::SourceMayExit(
+      {stop_requested_at_, last_upload_at_, busy, settings_.bounds.stop_grace}, now);
 }
 
 void SidecarNode::Stop() {
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -103,6 +103,8 @@
   /// Returns whether the engine carries out a load command, or its weights have to be checked or
   /// loaded again.
   bool LoadPending() const;
+  /// Like LoadPending, but not for a load that had ended before this process started.
+  bool CheckPending() const;
   /// Returns whether current_ is staged and the load command for it has not been accepted yet.
   bool SwapPending() const;
   /// Returns the time until the next read of the engine state.
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -508,7 +508,7 @@
 struct SourceRow {
   const char* guards_against;
   int last_upload_ms;
-  bool uploading;
+  bool busy;
   int now_ms;
   bool may_exit;
 };
@@ -544,7 +544,7 @@
   void UploadsChunksBeforeExit() {
     for (const SourceRow& row : kSourceRows) {
       const TimePoint stop = At(seconds(20));
-      const StoppingSource source{stop, stop + milliseconds(row.last_upload_ms), row.uploading,
+      const StoppingSource source{stop, stop + milliseconds(row.last_upload_ms), row.busy,
                                   seconds(8)};
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.guards_against, row.may_exit,
                                    SourceMayExit(source, stop + milliseconds(row.now_ms)));
