Log the retry budget of each attempt that asked for it

Change: request.attempt_ended gives retries_used, retries_allowed and ingress_processes where a further send needed the budget.

--- a/include/wagtailslip/serving/shared_retry_budget.h
+++ b/include/wagtailslip/serving/shared_retry_budget.h
@@ -28,6 +28,12 @@
 
   /// Counts a caller's request to a service.
   void OnRequest(const std::string& service, TimePoint now);
+  /// Retries of the window, and how many are allowed in it.
+  struct Status {
+    double used = 0;
+    double allowed = 0;
+  };
+  Status StatusOf(const std::string& service, std::size_t processes, TimePoint now);
   /// Whether Take would grant a retry.
   bool CanTake(const std::string& service, std::size_t processes, TimePoint now);
   /// Takes one retry from the budget.
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -206,7 +206,8 @@
 }
 
 void Exchange::LogAttempt(const serving::PlacementResult& placed, AttemptOutcome outcome,
-                          NextStep next, TimePoint started, TimePoint now) const {
+                          NextStep next, bool asked_for_retry, TimePoint started,
+                          TimePoint now) const {
   nlohmann::json fields{{"request", request_.attempt_id},
                         {"route", route_->name},
                         {"endpoint", placed.id},
@@ -221,6 +222,12 @@
                         {"longest_pause_ms", ToMilliseconds(max_event_gap_)},
                         {"ms", ToMilliseconds(now - received_at_)}};
   if (last_request_limit_) fields["limit"] = *last_request_limit_;
+  if (asked_for_retry) {
+    const auto budget = node_.RetryBudgetStatus(service_, now);
+    fields["retries_used"] = budget.used;
+    fields["retries_allowed"] = budget.allowed;
+    fields["ingress_processes"] = node_.ingress_count();
+  }
   LogEvent(Event::kAttemptEnded, fields);
 }
 
@@ -321,11 +328,13 @@
     }
     serving::RecordOutcome(history_, outcome);
     const TimePoint now = MonotonicNow();
+    bool asked_for_retry = false;
     const NextStep step = serving::DecideNextStep(*route_, history_, outcome, deadline_ - now, [&] {
+      asked_for_retry = true;
       metrics_.Add(Counter::kRetries);
       return node_.TakeRetry(service_, now);
     });
-    LogAttempt(placed, outcome, step, attempt_started, now);
+    LogAttempt(placed, outcome, step, asked_for_retry, attempt_started, now);
     if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) continue;
     if (outcome == AttemptOutcome::kCallerDisconnected) caller_.CloseAfter();
     if (outcome == AttemptOutcome::kDelivered) {
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -78,8 +78,10 @@
   net::Task<void> Finish(serving::NextStep step, serving::AttemptOutcome last);
   /// Writes the log line of an attempt.
   /// @param started time when the endpoint was chosen
+  /// @param asked_for_retry whether the retry budget was asked for another send
   void LogAttempt(const serving::PlacementResult& placed, serving::AttemptOutcome outcome,
-                  serving::NextStep next, TimePoint started, TimePoint now) const;
+                  serving::NextStep next, bool asked_for_retry, TimePoint started,
+                  TimePoint now) const;
   /// Relays the buffered error response of an endpoint.
   net::Task<void> RelayErrorResponse();
   /// Responds 503 with Retry-After.
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -78,6 +78,11 @@
   bool MayRetry(const std::string& service, TimePoint now) {
     return retry_budget_.CanTake(service, ingress_count_, now);
   }
+  serving::SharedRetryBudget::Status RetryBudgetStatus(const std::string& service, TimePoint now) {
+    return retry_budget_.StatusOf(service, ingress_count_, now);
+  }
+  /// Number of ingress processes that share the retry budget.
+  std::size_t ingress_count() const { return ingress_count_; }
   /// Records the time limit of a caller's request.
   /// @return the longest limit that the group gave recently, see CallerTimeoutTracker
   Duration LongestRecentTimeLeft(const std::string& group, Duration time_left, TimePoint now) {
--- a/src/serving/shared_retry_budget.cc
+++ b/src/serving/shared_retry_budget.cc
@@ -29,16 +29,23 @@
   ++CurrentInterval(service, now).requests;
 }
 
-bool SharedRetryBudget::CanTake(const std::string& service, std::size_t processes, TimePoint now) {
+SharedRetryBudget::Status SharedRetryBudget::StatusOf(const std::string& service,
+                                                      std::size_t processes, TimePoint now) {
   CurrentInterval(service, now);
   double requests = 0;
-  double retries = 0;
+  Status status;
   for (const auto& it : intervals_[service]) {
     requests += it.requests;
-    retries += it.retries;
+    status.used += it.retries;
   }
   const double part = limits_.extra / static_cast<double>(std::max<std::size_t>(processes, 1));
-  return retries + 1 <= kUsableFraction * (limits_.ratio * requests + part);
+  status.allowed = kUsableFraction * (limits_.ratio * requests + part);
+  return status;
+}
+
+bool SharedRetryBudget::CanTake(const std::string& service, std::size_t processes, TimePoint now) {
+  const Status status = StatusOf(service, processes, now);
+  return status.used + 1 <= status.allowed;
 }
 
 bool SharedRetryBudget::Take(const std::string& service, std::size_t processes, TimePoint now) {
