--- a/include/wagtailslip/mesh/codec.h
+++ b/include/wagtailslip/mesh/codec.h
@@ -5,6 +5,7 @@
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/permits.h"
 #include "wagtailslip/serving/placement.h"
+#include "wagtailslip/serving/retry_permits.h"
 
 namespace wagtailslip::wire {
 class MeshMember;
@@ -13,6 +14,7 @@
 class EndpointLimit;
 class MeshMessage;
 class Permits;
+class Retries;
 }  // namespace wagtailslip::wire
 
 namespace wagtailslip::mesh {
@@ -39,6 +41,15 @@
 /// @throws MeshError if a limit is not a number of at least 0
 serving::PermitRequest PermitRequestFromWire(const wire::MeshMessage& message,
                                              const std::string& process, TimePoint now);
+wire::Retries ToWire(const serving::RetryReport& report);
+/// @param process process that sent the message
+/// @throws MeshError if a number is negative or too large
+serving::RetryReport RetryReportFromWire(const wire::Retries& retries, const std::string& process,
+                                         std::int64_t incarnation);
+wire::Retries ToWire(const serving::RetryGrant& grant);
+/// @throws MeshError if a number is negative or too large
+serving::RetryGrant RetryGrantFromWire(const wire::Retries& retries);
+
 wire::Permits ToWire(const serving::PermitGrant& grant);
 serving::PermitGrant PermitGrantFromWire(const wire::Permits& permits);
 
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -34,8 +34,13 @@
   kPermitsExpired,
   kPermitsOwnShare,
   kLoadsDamaged,
+  kRetryPermitsGranted,
+  kRetryPermitsUsed,
+  kRetryPermitsExpired,
+  kRetriesOwnShare,
+  kRetriesDenied,
 };
-inline constexpr std::size_t kCounterCount = 21;
+inline constexpr std::size_t kCounterCount = 26;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -57,7 +62,12 @@
       {Counter::kPermitsReturned, "permits_returned_total"},
       {Counter::kPermitsExpired, "permits_expired_total"},
       {Counter::kPermitsOwnShare, "permits_own_share_total"},
-      {Counter::kLoadsDamaged, "weights_loads_damaged_total"}}}};
+      {Counter::kLoadsDamaged, "weights_loads_damaged_total"},
+      {Counter::kRetryPermitsGranted, "retry_permits_granted_total"},
+      {Counter::kRetryPermitsUsed, "retry_permits_used_total"},
+      {Counter::kRetryPermitsExpired, "retry_permits_expired_total"},
+      {Counter::kRetriesOwnShare, "retries_own_share_total"},
+      {Counter::kRetriesDenied, "retries_denied_total"}}}};
 
 /// Latency histograms of a process in milliseconds.
 enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
--- a/include/wagtailslip/serving/attempt_policy.h
+++ b/include/wagtailslip/serving/attempt_policy.h
@@ -88,13 +88,21 @@
 /// The next step if no further attempt is made.
 NextStep StepWithoutRetry(const AttemptHistory& history, AttemptOutcome outcome);
 
+/// Whether the next step needs a retry from the budget.
+inline bool NeedsRetry(const Route& route, const AttemptHistory& history, AttemptOutcome outcome,
+                       Duration time_left) {
+  const NextStep step = StepWithRetry(route, history, outcome, time_left);
+  const bool sends_again = step == NextStep::kTryAnother || step == NextStep::kContinueStream;
+  return sends_again && history.sends > 0;
+}
+
 template <typename TakeRetry>
 NextStep DecideNextStep(const Route& route, const AttemptHistory& history, AttemptOutcome outcome,
                         Duration time_left, TakeRetry take_retry) {
-  const NextStep step = StepWithRetry(route, history, outcome, time_left);
-  const bool sends_again = step == NextStep::kTryAnother || step == NextStep::kContinueStream;
-  if (sends_again && history.sends > 0 && !take_retry()) return StepWithoutRetry(history, outcome);
-  return step;
+  if (NeedsRetry(route, history, outcome, time_left) && !take_retry()) {
+    return StepWithoutRetry(history, outcome);
+  }
+  return StepWithRetry(route, history, outcome, time_left);
 }
 
 }  // namespace wagtailslip::serving
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -1816,6 +1816,470 @@
 }
 
 
+RetryRow::~RetryRow() noexcept {
+}
+
+
+void RetryRow::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void RetryRow::__set_requests(const std::vector<int32_t> & val) {
+  this->requests = val;
+}
+
+void RetryRow::__set_used(const int64_t val) {
+  this->used = val;
+}
+
+void RetryRow::__set_held(const int32_t val) {
+  this->held = val;
+}
+
+void RetryRow::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void RetryRow::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void RetryRow::__set_reserve(const int32_t val) {
+  this->reserve = val;
+}
+std::ostream& operator<<(std::ostream& out, const RetryRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RetryRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->requests.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
+            {
+              xfer += iprot->readI32(this->requests[_i30]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->used);
+          this->__isset.used = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reserve);
+          this->__isset.reserve = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RetryRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RetryRow");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requests.size()));
+    std::vector<int32_t> ::const_iterator _iter31;
+    for (_iter31 = this->requests.begin(); _iter31 != this->requests.end(); ++_iter31)
+    {
+      xfer += oprot->writeI32((*_iter31));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("used", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->used);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->held);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reserve", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->reserve);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RetryRow &a, RetryRow &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.requests, b.requests);
+  swap(a.used, b.used);
+  swap(a.held, b.held);
+  swap(a.wanted, b.wanted);
+  swap(a.granted, b.granted);
+  swap(a.reserve, b.reserve);
+  swap(a.__isset, b.__isset);
+}
+
+RetryRow::RetryRow(const RetryRow& other32) {
+  service_name = other32.service_name;
+  requests = other32.requests;
+  used = other32.used;
+  held = other32.held;
+  wanted = other32.wanted;
+  granted = other32.granted;
+  reserve = other32.reserve;
+  __isset = other32.__isset;
+}
+RetryRow& RetryRow::operator=(const RetryRow& other33) {
+  service_name = other33.service_name;
+  requests = other33.requests;
+  used = other33.used;
+  held = other33.held;
+  wanted = other33.wanted;
+  granted = other33.granted;
+  reserve = other33.reserve;
+  __isset = other33.__isset;
+  return *this;
+}
+void RetryRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RetryRow(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "used=" << to_string(used);
+  out << ", " << "held=" << to_string(held);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "reserve=" << to_string(reserve);
+  out << ")";
+}
+
+
+Retries::~Retries() noexcept {
+}
+
+
+void Retries::__set_grant(const bool val) {
+  this->grant = val;
+}
+
+void Retries::__set_reported_at_ns(const int64_t val) {
+  this->reported_at_ns = val;
+}
+
+void Retries::__set_granted_at_ns(const int64_t val) {
+  this->granted_at_ns = val;
+}
+
+void Retries::__set_since_grant_ns(const int64_t val) {
+  this->since_grant_ns = val;
+}
+
+void Retries::__set_lifetime_ms(const int32_t val) {
+  this->lifetime_ms = val;
+}
+
+void Retries::__set_counted(const bool val) {
+  this->counted = val;
+}
+
+void Retries::__set_rows(const std::vector<RetryRow> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const Retries& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Retries::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->grant);
+          this->__isset.grant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->reported_at_ns);
+          this->__isset.reported_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->granted_at_ns);
+          this->__isset.granted_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->since_grant_ns);
+          this->__isset.since_grant_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->lifetime_ms);
+          this->__isset.lifetime_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->counted);
+          this->__isset.counted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->rows.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += this->rows[_i38].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Retries::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Retries");
+
+  xfer += oprot->writeFieldBegin("grant", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->grant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reported_at_ns", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->reported_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted_at_ns", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->granted_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("since_grant_ns", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->since_grant_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lifetime_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->lifetime_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counted", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->counted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<RetryRow> ::const_iterator _iter39;
+    for (_iter39 = this->rows.begin(); _iter39 != this->rows.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Retries &a, Retries &b) {
+  using ::std::swap;
+  swap(a.grant, b.grant);
+  swap(a.reported_at_ns, b.reported_at_ns);
+  swap(a.granted_at_ns, b.granted_at_ns);
+  swap(a.since_grant_ns, b.since_grant_ns);
+  swap(a.lifetime_ms, b.lifetime_ms);
+  swap(a.counted, b.counted);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+Retries::Retries(const Retries& other40) {
+  grant = other40.grant;
+  reported_at_ns = other40.reported_at_ns;
+  granted_at_ns = other40.granted_at_ns;
+  since_grant_ns = other40.since_grant_ns;
+  lifetime_ms = other40.lifetime_ms;
+  counted = other40.counted;
+  rows = other40.rows;
+  __isset = other40.__isset;
+}
+Retries& Retries::operator=(const Retries& other41) {
+  grant = other41.grant;
+  reported_at_ns = other41.reported_at_ns;
+  granted_at_ns = other41.granted_at_ns;
+  since_grant_ns = other41.since_grant_ns;
+  lifetime_ms = other41.lifetime_ms;
+  counted = other41.counted;
+  rows = other41.rows;
+  __isset = other41.__isset;
+  return *this;
+}
+void Retries::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Retries(";
+  out << "grant=" << to_string(grant);
+  out << ", " << "reported_at_ns=" << to_string(reported_at_ns);
+  out << ", " << "granted_at_ns=" << to_string(granted_at_ns);
+  out << ", " << "since_grant_ns=" << to_string(since_grant_ns);
+  out << ", " << "lifetime_ms=" << to_string(lifetime_ms);
+  out << ", " << "counted=" << to_string(counted);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 MeshMessage::~MeshMessage() noexcept {
 }
 
@@ -1879,6 +2343,11 @@
   this->limits = val;
 __isset.limits = true;
 }
+
+void MeshMessage::__set_retries(const Retries& val) {
+  this->retries = val;
+__isset.retries = true;
+}
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj)
 {
   obj.printTo(out);
@@ -1919,14 +2388,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->members.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->members.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->members[_i30].read(iprot);
+              xfer += this->members[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1939,14 +2408,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->instances.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->instances.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->instances[_i35].read(iprot);
+              xfer += this->instances[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1959,14 +2428,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->readings.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->readings.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->readings[_i40].read(iprot);
+              xfer += this->readings[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1987,14 +2456,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->targets.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->targets.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->targets[_i45].read(iprot);
+              xfer += this->targets[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2007,14 +2476,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->sources.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->sources.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->sources[_i50].read(iprot);
+              xfer += this->sources[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2043,14 +2512,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->expected.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->expected.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
             {
-              xfer += this->expected[_i55].read(iprot);
+              xfer += this->expected[_i71].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2071,14 +2540,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->limits.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->limits.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->limits[_i60].read(iprot);
+              xfer += this->limits[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2087,6 +2556,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->retries.read(iprot);
+          this->__isset.retries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2113,10 +2590,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter61;
-      for (_iter61 = this->members.begin(); _iter61 != this->members.end(); ++_iter61)
+      std::vector<MeshMember> ::const_iterator _iter77;
+      for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
       {
-        xfer += (*_iter61).write(oprot);
+        xfer += (*_iter77).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2126,10 +2603,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter62;
-      for (_iter62 = this->instances.begin(); _iter62 != this->instances.end(); ++_iter62)
+      std::vector<InstanceRecord> ::const_iterator _iter78;
+      for (_iter78 = this->instances.begin(); _iter78 != this->instances.end(); ++_iter78)
       {
-        xfer += (*_iter62).write(oprot);
+        xfer += (*_iter78).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2139,10 +2616,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter63;
-      for (_iter63 = this->readings.begin(); _iter63 != this->readings.end(); ++_iter63)
+      std::vector<InstanceReading> ::const_iterator _iter79;
+      for (_iter79 = this->readings.begin(); _iter79 != this->readings.end(); ++_iter79)
       {
-        xfer += (*_iter63).write(oprot);
+        xfer += (*_iter79).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2157,10 +2634,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter64;
-      for (_iter64 = this->targets.begin(); _iter64 != this->targets.end(); ++_iter64)
+      std::vector<WeightsTarget> ::const_iterator _iter80;
+      for (_iter80 = this->targets.begin(); _iter80 != this->targets.end(); ++_iter80)
       {
-        xfer += (*_iter64).write(oprot);
+        xfer += (*_iter80).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2170,10 +2647,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter65;
-      for (_iter65 = this->sources.begin(); _iter65 != this->sources.end(); ++_iter65)
+      std::vector<ModelSource> ::const_iterator _iter81;
+      for (_iter81 = this->sources.begin(); _iter81 != this->sources.end(); ++_iter81)
       {
-        xfer += (*_iter65).write(oprot);
+        xfer += (*_iter81).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2193,10 +2670,10 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter66;
-      for (_iter66 = this->expected.begin(); _iter66 != this->expected.end(); ++_iter66)
+      std::vector<WeightsTarget> ::const_iterator _iter82;
+      for (_iter82 = this->expected.begin(); _iter82 != this->expected.end(); ++_iter82)
       {
-        xfer += (*_iter66).write(oprot);
+        xfer += (*_iter82).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2211,15 +2688,20 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<EndpointLimit> ::const_iterator _iter67;
-      for (_iter67 = this->limits.begin(); _iter67 != this->limits.end(); ++_iter67)
+      std::vector<EndpointLimit> ::const_iterator _iter83;
+      for (_iter83 = this->limits.begin(); _iter83 != this->limits.end(); ++_iter83)
       {
-        xfer += (*_iter67).write(oprot);
+        xfer += (*_iter83).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.retries) {
+    xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->retries.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2239,38 +2721,41 @@
   swap(a.expected, b.expected);
   swap(a.permits, b.permits);
   swap(a.limits, b.limits);
+  swap(a.retries, b.retries);
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other68) {
-  hello = other68.hello;
-  members = other68.members;
-  instances = other68.instances;
-  readings = other68.readings;
-  service_config = other68.service_config;
-  targets = other68.targets;
-  sources = other68.sources;
-  agreement = other68.agreement;
-  join = other68.join;
-  expected = other68.expected;
-  permits = other68.permits;
-  limits = other68.limits;
-  __isset = other68.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other69) {
-  hello = other69.hello;
-  members = other69.members;
-  instances = other69.instances;
-  readings = other69.readings;
-  service_config = other69.service_config;
-  targets = other69.targets;
-  sources = other69.sources;
-  agreement = other69.agreement;
-  join = other69.join;
-  expected = other69.expected;
-  permits = other69.permits;
-  limits = other69.limits;
-  __isset = other69.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other84) {
+  hello = other84.hello;
+  members = other84.members;
+  instances = other84.instances;
+  readings = other84.readings;
+  service_config = other84.service_config;
+  targets = other84.targets;
+  sources = other84.sources;
+  agreement = other84.agreement;
+  join = other84.join;
+  expected = other84.expected;
+  permits = other84.permits;
+  limits = other84.limits;
+  retries = other84.retries;
+  __isset = other84.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other85) {
+  hello = other85.hello;
+  members = other85.members;
+  instances = other85.instances;
+  readings = other85.readings;
+  service_config = other85.service_config;
+  targets = other85.targets;
+  sources = other85.sources;
+  agreement = other85.agreement;
+  join = other85.join;
+  expected = other85.expected;
+  permits = other85.permits;
+  limits = other85.limits;
+  retries = other85.retries;
+  __isset = other85.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -2288,6 +2773,7 @@
   out << ", " << "expected="; (__isset.expected ? (out << to_string(expected)) : (out << "<null>"));
   out << ", " << "permits="; (__isset.permits ? (out << to_string(permits)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
+  out << ", " << "retries="; (__isset.retries ? (out << to_string(retries)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2305,6 +2791,11 @@
   this->target = val;
 __isset.target = true;
 }
+
+void ControlCommand::__set_retry_blocks(const int32_t val) {
+  this->retry_blocks = val;
+__isset.retry_blocks = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj)
 {
   obj.printTo(out);
@@ -2349,6 +2840,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_blocks);
+          this->__isset.retry_blocks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2376,6 +2875,11 @@
     xfer += this->target.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.retry_blocks) {
+    xfer += oprot->writeFieldBegin("retry_blocks", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->retry_blocks);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2385,18 +2889,21 @@
   using ::std::swap;
   swap(a.service_config, b.service_config);
   swap(a.target, b.target);
+  swap(a.retry_blocks, b.retry_blocks);
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other70) {
-  service_config = other70.service_config;
-  target = other70.target;
-  __isset = other70.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other86) {
+  service_config = other86.service_config;
+  target = other86.target;
+  retry_blocks = other86.retry_blocks;
+  __isset = other86.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other71) {
-  service_config = other71.service_config;
-  target = other71.target;
-  __isset = other71.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other87) {
+  service_config = other87.service_config;
+  target = other87.target;
+  retry_blocks = other87.retry_blocks;
+  __isset = other87.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -2404,6 +2911,7 @@
   out << "ControlCommand(";
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
+  out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2420,6 +2928,11 @@
 void ControlSnapshot::__set_targets(const std::vector<WeightsTarget> & val) {
   this->targets = val;
 }
+
+void ControlSnapshot::__set_retry_blocks(const int32_t val) {
+  this->retry_blocks = val;
+__isset.retry_blocks = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -2460,14 +2973,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->targets.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->targets.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += this->targets[_i76].read(iprot);
+              xfer += this->targets[_i92].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2476,6 +2989,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_blocks);
+          this->__isset.retry_blocks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2501,15 +3022,20 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter77;
-    for (_iter77 = this->targets.begin(); _iter77 != this->targets.end(); ++_iter77)
+    std::vector<WeightsTarget> ::const_iterator _iter93;
+    for (_iter93 = this->targets.begin(); _iter93 != this->targets.end(); ++_iter93)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.retry_blocks) {
+    xfer += oprot->writeFieldBegin("retry_blocks", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->retry_blocks);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2519,18 +3045,21 @@
   using ::std::swap;
   swap(a.service_config, b.service_config);
   swap(a.targets, b.targets);
+  swap(a.retry_blocks, b.retry_blocks);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other78) {
-  service_config = other78.service_config;
-  targets = other78.targets;
-  __isset = other78.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other94) {
+  service_config = other94.service_config;
+  targets = other94.targets;
+  retry_blocks = other94.retry_blocks;
+  __isset = other94.__isset;
 }
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other79) {
-  service_config = other79.service_config;
-  targets = other79.targets;
-  __isset = other79.__isset;
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other95) {
+  service_config = other95.service_config;
+  targets = other95.targets;
+  retry_blocks = other95.retry_blocks;
+  __isset = other95.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -2538,6 +3067,7 @@
   out << "ControlSnapshot(";
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "targets=" << to_string(targets);
+  out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -42,6 +42,10 @@
 
 class Permits;
 
+class RetryRow;
+
+class Retries;
+
 class MeshMessage;
 
 class ControlCommand;
@@ -779,8 +783,176 @@
 
 std::ostream& operator<<(std::ostream& out, const Permits& obj);
 
+typedef struct _RetryRow__isset {
+  _RetryRow__isset() : service_name(false), requests(false), used(false), held(false), wanted(false), granted(false), reserve(false) {}
+  bool service_name :1;
+  bool requests :1;
+  bool used :1;
+  bool held :1;
+  bool wanted :1;
+  bool granted :1;
+  bool reserve :1;
+} _RetryRow__isset;
+
+class RetryRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  RetryRow(const RetryRow&);
+  RetryRow& operator=(const RetryRow&);
+  RetryRow() noexcept
+           : service_name(),
+             used(0),
+             held(0),
+             wanted(0),
+             granted(0),
+             reserve(0) {
+  }
+
+  virtual ~RetryRow() noexcept;
+  std::string service_name;
+  std::vector<int32_t>  requests;
+  int64_t used;
+  int32_t held;
+  int32_t wanted;
+  int32_t granted;
+  int32_t reserve;
+
+  _RetryRow__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_requests(const std::vector<int32_t> & val);
+
+  void __set_used(const int64_t val);
+
+  void __set_held(const int32_t val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_reserve(const int32_t val);
+
+  bool operator == (const RetryRow & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(used == rhs.used))
+      return false;
+    if (!(held == rhs.held))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(reserve == rhs.reserve))
+      return false;
+    return true;
+  }
+  bool operator != (const RetryRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RetryRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RetryRow &a, RetryRow &b);
+
+std::ostream& operator<<(std::ostream& out, const RetryRow& obj);
+
+typedef struct _Retries__isset {
+  _Retries__isset() : grant(false), reported_at_ns(false), granted_at_ns(false), since_grant_ns(false), lifetime_ms(false), counted(false), rows(false) {}
+  bool grant :1;
+  bool reported_at_ns :1;
+  bool granted_at_ns :1;
+  bool since_grant_ns :1;
+  bool lifetime_ms :1;
+  bool counted :1;
+  bool rows :1;
+} _Retries__isset;
+
+class Retries : public virtual ::apache::thrift::TBase {
+ public:
+
+  Retries(const Retries&);
+  Retries& operator=(const Retries&);
+  Retries() noexcept
+          : grant(0),
+            reported_at_ns(0),
+            granted_at_ns(0),
+            since_grant_ns(0),
+            lifetime_ms(0),
+            counted(0) {
+  }
+
+  virtual ~Retries() noexcept;
+  bool grant;
+  int64_t reported_at_ns;
+  int64_t granted_at_ns;
+  int64_t since_grant_ns;
+  int32_t lifetime_ms;
+  bool counted;
+  std::vector<RetryRow>  rows;
+
+  _Retries__isset __isset;
+
+  void __set_grant(const bool val);
+
+  void __set_reported_at_ns(const int64_t val);
+
+  void __set_granted_at_ns(const int64_t val);
+
+  void __set_since_grant_ns(const int64_t val);
+
+  void __set_lifetime_ms(const int32_t val);
+
+  void __set_counted(const bool val);
+
+  void __set_rows(const std::vector<RetryRow> & val);
+
+  bool operator == (const Retries & rhs) const
+  {
+    if (!(grant == rhs.grant))
+      return false;
+    if (!(reported_at_ns == rhs.reported_at_ns))
+      return false;
+    if (!(granted_at_ns == rhs.granted_at_ns))
+      return false;
+    if (!(since_grant_ns == rhs.since_grant_ns))
+      return false;
+    if (!(lifetime_ms == rhs.lifetime_ms))
+      return false;
+    if (!(counted == rhs.counted))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const Retries &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Retries & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Retries &a, Retries &b);
+
+std::ostream& operator<<(std::ostream& out, const Retries& obj);
+
 typedef struct _MeshMessage__isset {
-  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false) {}
+  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false) {}
   bool hello :1;
   bool members :1;
   bool instances :1;
@@ -793,6 +965,7 @@
   bool expected :1;
   bool permits :1;
   bool limits :1;
+  bool retries :1;
 } _MeshMessage__isset;
 
 class MeshMessage : public virtual ::apache::thrift::TBase {
@@ -816,6 +989,7 @@
   std::vector<WeightsTarget>  expected;
   Permits permits;
   std::vector<EndpointLimit>  limits;
+  Retries retries;
 
   _MeshMessage__isset __isset;
 
@@ -843,6 +1017,8 @@
 
   void __set_limits(const std::vector<EndpointLimit> & val);
 
+  void __set_retries(const Retries& val);
+
   bool operator == (const MeshMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -893,6 +1069,10 @@
       return false;
     else if (__isset.limits && !(limits == rhs.limits))
       return false;
+    if (__isset.retries != rhs.__isset.retries)
+      return false;
+    else if (__isset.retries && !(retries == rhs.retries))
+      return false;
     return true;
   }
   bool operator != (const MeshMessage &rhs) const {
@@ -912,9 +1092,10 @@
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj);
 
 typedef struct _ControlCommand__isset {
-  _ControlCommand__isset() : service_config(false), target(false) {}
+  _ControlCommand__isset() : service_config(false), target(false), retry_blocks(false) {}
   bool service_config :1;
   bool target :1;
+  bool retry_blocks :1;
 } _ControlCommand__isset;
 
 class ControlCommand : public virtual ::apache::thrift::TBase {
@@ -922,12 +1103,14 @@
 
   ControlCommand(const ControlCommand&);
   ControlCommand& operator=(const ControlCommand&);
-  ControlCommand() noexcept {
+  ControlCommand() noexcept
+                 : retry_blocks(0) {
   }
 
   virtual ~ControlCommand() noexcept;
   ServiceConfigBody service_config;
   WeightsTarget target;
+  int32_t retry_blocks;
 
   _ControlCommand__isset __isset;
 
@@ -935,6 +1118,8 @@
 
   void __set_target(const WeightsTarget& val);
 
+  void __set_retry_blocks(const int32_t val);
+
   bool operator == (const ControlCommand & rhs) const
   {
     if (__isset.service_config != rhs.__isset.service_config)
@@ -945,6 +1130,10 @@
       return false;
     else if (__isset.target && !(target == rhs.target))
       return false;
+    if (__isset.retry_blocks != rhs.__isset.retry_blocks)
+      return false;
+    else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
+      return false;
     return true;
   }
   bool operator != (const ControlCommand &rhs) const {
@@ -964,9 +1153,10 @@
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj);
 
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : service_config(false), targets(false) {}
+  _ControlSnapshot__isset() : service_config(false), targets(false), retry_blocks(false) {}
   bool service_config :1;
   bool targets :1;
+  bool retry_blocks :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -974,12 +1164,14 @@
 
   ControlSnapshot(const ControlSnapshot&);
   ControlSnapshot& operator=(const ControlSnapshot&);
-  ControlSnapshot() noexcept {
+  ControlSnapshot() noexcept
+                  : retry_blocks(0) {
   }
 
   virtual ~ControlSnapshot() noexcept;
   ServiceConfigBody service_config;
   std::vector<WeightsTarget>  targets;
+  int32_t retry_blocks;
 
   _ControlSnapshot__isset __isset;
 
@@ -987,6 +1179,8 @@
 
   void __set_targets(const std::vector<WeightsTarget> & val);
 
+  void __set_retry_blocks(const int32_t val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (__isset.service_config != rhs.__isset.service_config)
@@ -995,6 +1189,10 @@
       return false;
     if (!(targets == rhs.targets))
       return false;
+    if (__isset.retry_blocks != rhs.__isset.retry_blocks)
+      return false;
+    else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -97,6 +97,31 @@
   3: list<PermitRow> rows
 }
 
+struct RetryRow {
+  1: string service_name
+  // Reports: requests of callers in the intervals before the report, most recent first.
+  2: list<i32> requests
+  3: i64 used
+  4: i32 held
+  5: i32 wanted
+  // Grants only.
+  6: i32 granted
+  7: i32 reserve
+}
+
+// Report of an ingress process on requests and retries, or the grant of permits that replies to it.
+struct Retries {
+  1: bool grant
+  // Clock of the process that reports; returned in the grant.
+  2: i64 reported_at_ns
+  // Clock of the process that grants; returned in the next report with the time since it arrived.
+  3: i64 granted_at_ns
+  4: i64 since_grant_ns
+  5: i32 lifetime_ms
+  6: bool counted
+  7: list<RetryRow> rows
+}
+
 struct MeshMessage {
   1: optional MeshMember hello
   2: optional list<MeshMember> members
@@ -111,15 +136,19 @@
   10: optional list<WeightsTarget> expected
   11: optional Permits permits
   12: optional list<EndpointLimit> limits
+  13: optional Retries retries
 }
 
 // An entry of the control log.
 struct ControlCommand {
   1: optional ServiceConfigBody service_config
   2: optional WeightsTarget target
+  // Blocks of the retry budget that may be in use.
+  3: optional i32 retry_blocks
 }
 
 struct ControlSnapshot {
   1: optional ServiceConfigBody service_config
   2: list<WeightsTarget> targets
+  3: optional i32 retry_blocks
 }
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -243,6 +243,12 @@
   for (const auto& [id, it] : permits.limits().observations()) {
     if (it.per_second) limits[id] = *it.per_second;
   }
+  auto& retries = node_.retry_allocator();
+  nlohmann::json retry_services = nlohmann::json::object();
+  for (const auto& [name, it] : retries.Services(now)) {
+    retry_services[name] = {
+        {"allowed", it.allowed}, {"available", it.available}, {"outstanding", it.outstanding}};
+  }
   const nlohmann::json dump{{"process", settings_.mesh_address()},
                             {"role", agreement::kRoles.Name(replica.role())},
                             {"term", replica.term()},
@@ -256,7 +262,15 @@
                             {"permits",
                              {{"requests", permits.counters().requests},
                               {"granted", permits.counters().granted},
-                              {"denied", permits.counters().denied}}}};
+                              {"denied", permits.counters().denied}}},
+                            {"retries",
+                             {{"services", retry_services},
+                              {"inherited_blocks", retries.inherited_blocks()},
+                              {"open_blocks", retries.open_blocks()},
+                              {"reports", retries.counters().reports},
+                              {"granted", retries.counters().granted},
+                              {"denied", retries.counters().denied},
+                              {"lost", retries.counters().lost}}}};
   const std::string body = dump.dump();
   co_await exchange.Respond(200, body);
 }
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -56,6 +56,8 @@
     body.version = command.config_version;
     body.body = command.config_body;
     w.__set_service_config(body);
+  } else if (command.retry_blocks) {
+    w.__set_retry_blocks(*command.retry_blocks);
   } else {
     wire::WeightsTarget target;
     target.model = command.model;
@@ -78,6 +80,7 @@
     command.weights_version = w.target.version;
     command.named_utc_ms = w.target.named_utc_ms;
   }
+  if (w.__isset.retry_blocks) command.retry_blocks = w.retry_blocks;
   return command;
 }
 
@@ -220,6 +223,7 @@
     LogEvent(Event::kServiceConfigAgreed,
              {{"version", command.config_version}, {"bytes", command.config_body.size()}});
   }
+  if (command.retry_blocks) state_.retry_blocks = *command.retry_blocks;
   if (command.weights_version > 0)
     ApplyTarget(command.model, command.weights_version, command.named_utc_ms, now);
 }
@@ -249,6 +253,7 @@
   for (const auto& it : w.targets) {
     ApplyTarget(it.model, it.version, it.named_utc_ms, now);
   }
+  if (w.__isset.retry_blocks) state_.retry_blocks = w.retry_blocks;
 }
 
 void ControlLog::Propose(const Command& command, CommitCallback done, TimePoint) {
@@ -356,6 +361,7 @@
     body.body = state_.config_body;
     w.__set_service_config(body);
   }
+  w.__set_retry_blocks(state_.retry_blocks);
   for (const auto& [model, targets] : state_.targets) {
     for (const auto& target : targets) {
       wire::WeightsTarget it;
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -16,8 +16,8 @@
 
 namespace wagtailslip::control {
 
-/// Command in the control log: either a new service configuration or a new weights target for a
-/// model.
+/// Command in the control log: a new service configuration, a new weights target for a model, or
+/// the blocks of the retry budget that may be in use.
 struct Command {
   /// Version of the service configuration; 0 if the command sets a weights target.
   std::int64_t config_version = 0;
@@ -27,6 +27,7 @@
   std::int64_t weights_version = 0;
   /// When the operator named the weights version; UTC, milliseconds since the epoch.
   std::int64_t named_utc_ms = 0;
+  std::optional<int> retry_blocks;
 };
 
 /// A weights version that an operator named as the one to serve.
@@ -47,6 +48,8 @@
   /// The most recent targets of each model, oldest first. A superseded target is kept because its
   /// propagation bound still applies.
   std::map<std::string, std::vector<WeightsTarget>> targets;
+  /// Blocks of the retry budget that may be in use, see serving::RetryAllocator.
+  int retry_blocks = 0;
 };
 
 /// Compresses a configuration for the log and for links to other processes. Compression matters
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -52,7 +52,9 @@
     : context_(context),
       settings_(settings),
       ticks_(context, kTickPeriod, [this] { Tick(); }),
-      control_discovery_(settings) {
+      control_discovery_(settings),
+      retry_allocator_({settings.bounds.retry_budget_ratio, settings.bounds.retry_budget_extra,
+                        settings.bounds.retry_window}) {
   auto self =
       mesh::MakeSelfMember(settings, MemberKind::kControl, settings.control_address, incarnation);
   self.accepting = true;
@@ -98,6 +100,7 @@
   if (now >= next_relay_at_) FlushRelay(now);
   SendConfig(now);
   SendLimits(now);
+  CommitRetryBlocks(now);
   RefreshSources(now);
   if (now >= next_join_at_) {
     next_join_at_ = now + kJoinPeriod;
@@ -240,6 +243,9 @@
   } else if (message.__isset.limits) {
     for (const auto& it : message.limits) permit_allocator_.Record(mesh::FromWire(it, now));
   }
+  if (message.__isset.retries && !message.retries.grant) {
+    OnRetryReport(from, message.retries, now);
+  }
   if (message.__isset.service_config) {
     // An ingress process reports the version that it has in force.
     config_syncs_[from.process].config_version = message.service_config.version;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -15,6 +15,7 @@
 #include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/permit_allocator.h"
+#include "wagtailslip/serving/retry_allocator.h"
 #include "wagtailslip/serving/service_config.h"
 
 namespace wagtailslip::control {
@@ -49,6 +50,7 @@
   /// Sorted addresses of the linked ingress processes that accept callers.
   std::vector<std::string> IngressAddresses() const;
   const serving::PermitAllocator& permit_allocator() const { return permit_allocator_; }
+  serving::RetryAllocator& retry_allocator() { return retry_allocator_; }
 
  private:
   /// Progress of sending the service configuration to a linked process.
@@ -68,6 +70,12 @@
   void OnPermitRequest(const mesh::Member& from, const wire::MeshMessage& message, TimePoint now);
   /// Sends changed limits to the ingress processes.
   void SendLimits(TimePoint now);
+  /// Grants retry permits if this process leads.
+  void OnRetryReport(const mesh::Member& from, const wire::Retries& retries, TimePoint now);
+  /// Whether this process may grant retry permits; takes over from a former leader if it is new.
+  bool LeadsRetries(TimePoint now);
+  /// Has the log hold as many blocks of the retry budget as are needed.
+  void CommitRetryBlocks(TimePoint now);
   /// Discards the limits of endpoints that are gone.
   void PruneLimits(TimePoint now);
   void OnRecords(const std::vector<wire::InstanceRecord>& records, TimePoint now);
@@ -103,6 +111,9 @@
   serving::PermitAllocator permit_allocator_;
   /// Term of the leadership in which this process granted permits last.
   std::uint64_t permit_term_ = 0;
+  serving::RetryAllocator retry_allocator_;
+  /// Term of the leadership in which this process granted retry permits last.
+  std::uint64_t retry_term_ = 0;
   /// Endpoints whose limit has changed since the last SendLimits.
   std::set<std::string> changed_limits_;
   TimePoint next_limits_at_{};
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -21,6 +21,9 @@
 // Admission decides by the latest start; a verdict that is missing this long after it is treated as
 // lost.
 constexpr Duration kVerdictTimeoutMargin = std::chrono::milliseconds(400);
+// A permit that the allocator still has arrives within a few milliseconds of asking.
+constexpr Duration kMaxRetryPermitWait = std::chrono::milliseconds(60);
+constexpr Duration kRetryPermitPollInterval = std::chrono::milliseconds(5);
 constexpr Duration kDefaultLatencyObjective = std::chrono::milliseconds(300);
 
 }  // namespace
@@ -176,6 +179,18 @@
   co_return pending->verdict;
 }
 
+Task<void> Exchange::WaitForRetryPermit() {
+  const TimePoint until = MonotonicNow() + kMaxRetryPermitWait;
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor);
+  for (TimePoint now = MonotonicNow(); now < until; now = MonotonicNow()) {
+    if (node_.MayRetry(service_, now) || !node_.AskForRetryPermit(service_, now)) co_return;
+    timer.expires_after(kRetryPermitPollInterval);
+    net::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
 void Exchange::ReportOutcome(const serving::PlacementResult& placed, AttemptOutcome outcome) {
   const TimePoint now = MonotonicNow();
   ClearResponsePending(placed.id);
@@ -223,10 +238,7 @@
                         {"ms", ToMilliseconds(now - received_at_)}};
   if (last_request_limit_) fields["limit"] = *last_request_limit_;
   if (asked_for_retry) {
-    const auto budget = node_.RetryBudgetStatus(service_, now);
-    fields["retries_used"] = budget.used;
-    fields["retries_allowed"] = budget.allowed;
-    fields["ingress_processes"] = node_.ingress_count();
+    fields["retry_permits"] = node_.retry_pool().Held(service_, now);
   }
   LogEvent(Event::kAttemptEnded, fields);
 }
@@ -327,7 +339,11 @@
       tried_endpoints_.push_back(placed.id);
     }
     serving::RecordOutcome(history_, outcome);
-    const TimePoint now = MonotonicNow();
+    TimePoint now = MonotonicNow();
+    if (serving::NeedsRetry(*route_, history_, outcome, deadline_ - now)) {
+      co_await WaitForRetryPermit();
+      now = MonotonicNow();
+    }
     bool asked_for_retry = false;
     const NextStep step = serving::DecideNextStep(*route_, history_, outcome, deadline_ - now, [&] {
       asked_for_retry = true;
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -53,6 +53,8 @@
   net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult& placed);
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
+  /// Waits for a retry permit if none is held and one may come at once.
+  net::Task<void> WaitForRetryPermit();
   /// Records what a response reports about the endpoint itself: shutdown, pause and load.
   void RecordEndpointState(const serving::PlacementResult& placed,
                            const platform::EndpointResponse& response);
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -81,6 +81,7 @@
     }
     if (exchange.path() == "/metrics") {
       AddPermitCounts();
+      AddRetryCounts();
       body = metrics_.Text();
       co_return co_await exchange.Respond(200, body, headers, "text/plain; version=0.0.4");
     }
@@ -111,6 +112,25 @@
     permit_counts_ = counts;
   }
 
+  /// Adds to the metrics what the retry pool has counted since the last call.
+  void AddRetryCounts() {
+    using Counters = serving::RetryPool::Counters;
+    struct Row {
+      process::Counter counter;
+      std::uint64_t Counters::*value;
+    };
+    constexpr Row kRows[] = {{process::Counter::kRetryPermitsGranted, &Counters::granted},
+                             {process::Counter::kRetryPermitsUsed, &Counters::used},
+                             {process::Counter::kRetryPermitsExpired, &Counters::expired},
+                             {process::Counter::kRetriesOwnShare, &Counters::own_share},
+                             {process::Counter::kRetriesDenied, &Counters::denied}};
+    const Counters counts = node_.retry_pool().counters();
+    for (const auto& [counter, value] : kRows) {
+      metrics_.Add(counter, counts.*value - retry_counts_.*value);
+    }
+    retry_counts_ = counts;
+  }
+
   std::string DumpState() const {
     nlohmann::json endpoints = nlohmann::json::object();
     for (const auto& [id, record] : node_.table().endpoints()) {
@@ -121,11 +141,18 @@
         endpoints[id]["limit"] = *limit;
       }
     }
+    nlohmann::json retry_permits = nlohmann::json::object();
+    if (node_.routes()) {
+      for (const auto& it : node_.routes()->config().services) {
+        retry_permits[it.name] = node_.retry_pool().Held(it.name, process::MonotonicNow());
+      }
+    }
     return nlohmann::json{{"name", settings_.name},
                           {"ready", node_.Ready()},
                           {"config", node_.routes() ? node_.routes()->config().version : 0},
                           {"active", caller_server_->active()},
                           {"waiting", node_.waiting()},
+                          {"retry_permits", retry_permits},
                           {"endpoints", endpoints}}
         .dump();
   }
@@ -158,6 +185,7 @@
   std::vector<std::unique_ptr<net::HttpServer>> operator_servers_;
   /// Counts of the permit pool that are already in the metrics.
   serving::PermitPool::Counters permit_counts_;
+  serving::RetryPool::Counters retry_counts_;
   std::int64_t limits_config_version_ = 0;
   net::asio::steady_timer stop_timer_;
   TimePoint stop_at_{};
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -57,7 +57,7 @@
       placement_(PlacementSettingsFor(settings),
                  Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
-      retry_budget_(RetryBoundsFor(settings)) {
+      retry_pool_(RetryBoundsFor(settings)) {
   mesh_ = std::make_unique<mesh::MeshNode>(
       context, net::ParseAddress(settings.mesh_address()),
       mesh::MakeSelfMember(settings, MemberKind::kIngress, settings.caller_address, incarnation),
@@ -87,6 +87,7 @@
   SyncPlacement();
   if (admission_.waiting() > 0) DeliverVerdicts(now);
   AskForPermits(now);
+  ReportRetries(now);
   if (placement_.permits().uses_own_share(now) && !permit_allocator_lost_) {
     permit_allocator_lost_ = true;
     LogEvent(Event::kPermitAllocatorLost,
@@ -155,13 +156,14 @@
   }
   if (message.__isset.limits) OnRelayedLimits(message.limits, now);
   if (message.__isset.permits && message.permits.grant) OnPermitGrant(from, message.permits, now);
+  if (message.__isset.retries && message.retries.grant) OnRetryGrant(from, message.retries, now);
   if (message.__isset.service_config) ApplyConfig(message.service_config);
 }
 
 void IngressNode::UpdateIngressProcesses(std::map<std::string, std::string> processes,
                                          TimePoint now) {
   // Keep the old count for a while when processes disappear: a process that restarts has used its
-  // share of the retry budget already.
+  // share of the limits already.
   if (processes.size() >= ingress_count_ ||
       now - ingress_count_updated_at_ >= kIngressCountHoldTime) {
     ingress_count_ = processes.size();
@@ -351,6 +353,43 @@
   ScheduleVerdictDelivery();
 }
 
+bool IngressNode::TakeRetry(const std::string& service, TimePoint now) {
+  const bool taken = retry_pool_.Take(service, now);
+  ReportRetries(now);
+  return taken;
+}
+
+bool IngressNode::AskForRetryPermit(const std::string& service, TimePoint now) {
+  retry_pool_.OnMissed(service);
+  ReportRetries(now);
+  return retry_pool_.MayComeSoon(service, now);
+}
+
+void IngressNode::ReportRetries(TimePoint now) {
+  const auto report = retry_pool_.NextReport(ingress_count_, now);
+  if (!report) return;
+  wire::MeshMessage message;
+  message.__set_retries(mesh::ToWire(*report));
+  // Only the control process that leads grants permits.
+  const std::string allocator = retry_pool_.allocator(now);
+  if (!allocator.empty() && mesh_->Linked(allocator)) {
+    mesh_->Send(allocator, message);
+  } else {
+    mesh_->SendTo(ControlProcesses(), message);
+  }
+  if (!retry_pool_.uses_own_share(now) || retry_allocator_lost_) return;
+  retry_allocator_lost_ = true;
+  LogEvent(Event::kRetryAllocatorLost, {{"allocator", allocator}});
+}
+
+void IngressNode::OnRetryGrant(const mesh::Member& from, const wire::Retries& retries,
+                               TimePoint now) {
+  retry_pool_.OnGrant(mesh::RetryGrantFromWire(retries), from.process, now);
+  if (!retry_allocator_lost_ || retry_pool_.uses_own_share(now)) return;
+  retry_allocator_lost_ = false;
+  LogEvent(Event::kRetryAllocatorRegained, {{"allocator", from.process}});
+}
+
 void IngressNode::RecordLimit(const serving::LimitObservation& observation, std::string_view source,
                               TimePoint now) {
   if (!placement_.permits().Record(observation)) return;
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -17,13 +17,14 @@
 #include "wagtailslip/serving/caller_timeout_tracker.h"
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/placement.h"
+#include "wagtailslip/serving/retry_pool.h"
 #include "wagtailslip/serving/route_table.h"
-#include "wagtailslip/serving/shared_retry_budget.h"
 #include "wagtailslip/serving/weights_targets.h"
 
 namespace wagtailslip::wire {
 class EndpointLimit;
 class Permits;
+class Retries;
 class ServiceConfigBody;
 }  // namespace wagtailslip::wire
 
@@ -67,22 +68,19 @@
   std::uint64_t NextId() { return ++last_id_; }
 
   void CountRequest(const std::string& service, TimePoint now) {
-    retry_budget_.OnRequest(service, now);
-  }
-  /// Takes one retry from the budget.
-  /// @return false if the budget is used up
-  bool TakeRetry(const std::string& service, TimePoint now) {
-    return retry_budget_.Take(service, ingress_count_, now);
+    retry_pool_.OnRequest(service, now);
   }
+  /// Takes one retry permit, and asks for more if they are short.
+  /// @return false if there is none
+  bool TakeRetry(const std::string& service, TimePoint now);
+  /// Asks the allocator for a retry permit.
+  /// @return whether one may come at once
+  bool AskForRetryPermit(const std::string& service, TimePoint now);
   /// Whether TakeRetry would succeed now.
-  bool MayRetry(const std::string& service, TimePoint now) {
-    return retry_budget_.CanTake(service, ingress_count_, now);
-  }
-  serving::SharedRetryBudget::Status RetryBudgetStatus(const std::string& service, TimePoint now) {
-    return retry_budget_.StatusOf(service, ingress_count_, now);
+  bool MayRetry(const std::string& service, TimePoint now) const {
+    return retry_pool_.CanTake(service, now);
   }
-  /// Number of ingress processes that share the retry budget.
-  std::size_t ingress_count() const { return ingress_count_; }
+  const serving::RetryPool& retry_pool() const { return retry_pool_; }
   /// Records the time limit of a caller's request.
   /// @return the longest limit that the group gave recently, see CallerTimeoutTracker
   Duration LongestRecentTimeLeft(const std::string& group, Duration time_left, TimePoint now) {
@@ -157,6 +155,9 @@
   /// Sends a request for permits if one is due.
   void AskForPermits(TimePoint now);
   void OnPermitGrant(const mesh::Member& from, const wire::Permits& permits, TimePoint now);
+  /// Sends a report on requests and retries if one is due.
+  void ReportRetries(TimePoint now);
+  void OnRetryGrant(const mesh::Member& from, const wire::Retries& retries, TimePoint now);
   /// Records the limits that control processes relay.
   void OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now);
   void RecordLimit(const serving::LimitObservation& observation, std::string_view source,
@@ -178,10 +179,10 @@
   serving::WeightsTargets weights_targets_;
   serving::Placement placement_;
   serving::Admission admission_;
-  serving::SharedRetryBudget retry_budget_;
+  serving::RetryPool retry_pool_;
   serving::CallerTimeoutTracker caller_timeouts_;
   std::unordered_map<std::uint64_t, VerdictCallback> verdict_callbacks_;
-  /// Number of ingress processes that share the retry budget.
+  /// Number of ingress processes that share the permits.
   std::size_t ingress_count_ = 1;
   /// Failure domain of each ingress process that shares the endpoints.
   std::map<std::string, std::string> ingress_domains_;
@@ -191,6 +192,7 @@
   std::string permit_allocator_;
   /// No control process has granted permits for long, which was logged.
   bool permit_allocator_lost_ = false;
+  bool retry_allocator_lost_ = false;
   std::uint64_t last_id_ = 0;
   bool draining_ = false;
   bool delivery_scheduled_ = false;
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -12,6 +12,11 @@
   return static_cast<std::int32_t>(std::clamp<std::int64_t>(ms, 0, 1'000'000'000));
 }
 
+std::uint32_t Unsigned(std::int32_t value) {
+  if (value < 0) throw MeshError("negative number in a mesh message");
+  return static_cast<std::uint32_t>(value);
+}
+
 }  // namespace
 
 wire::MeshMember ToWire(const Member& member) {
@@ -148,6 +153,72 @@
   return request;
 }
 
+wire::Retries ToWire(const serving::RetryReport& report) {
+  wire::Retries w;
+  w.reported_at_ns = report.sent_at.time_since_epoch().count();
+  w.granted_at_ns = report.last_grant_at.time_since_epoch().count();
+  w.since_grant_ns = report.since_last_grant.count();
+  for (const auto& it : report.rows) {
+    wire::RetryRow row;
+    row.service_name = it.service;
+    for (const auto n : it.requests) row.requests.push_back(static_cast<std::int32_t>(n));
+    row.used = static_cast<std::int64_t>(it.used);
+    row.held = static_cast<std::int32_t>(it.held);
+    row.wanted = static_cast<std::int32_t>(it.wanted);
+    w.rows.push_back(std::move(row));
+  }
+  return w;
+}
+
+serving::RetryReport RetryReportFromWire(const wire::Retries& w, const std::string& process,
+                                         std::int64_t incarnation) {
+  serving::RetryReport report;
+  report.process = process;
+  report.incarnation = incarnation;
+  report.sent_at = TimePoint(Duration(w.reported_at_ns));
+  report.last_grant_at = TimePoint(Duration(w.granted_at_ns));
+  report.since_last_grant = Duration(w.since_grant_ns);
+  for (const auto& it : w.rows) {
+    serving::RetryReport::Row row;
+    row.service = it.service_name;
+    for (const auto n : it.requests) row.requests.push_back(Unsigned(n));
+    row.used = static_cast<std::uint64_t>(std::max<std::int64_t>(it.used, 0));
+    row.held = Unsigned(it.held);
+    row.wanted = Unsigned(it.wanted);
+    report.rows.push_back(std::move(row));
+  }
+  return report;
+}
+
+wire::Retries ToWire(const serving::RetryGrant& grant) {
+  wire::Retries w;
+  w.grant = true;
+  w.reported_at_ns = grant.report_sent_at.time_since_epoch().count();
+  w.granted_at_ns = grant.sent_at.time_since_epoch().count();
+  w.lifetime_ms = ClampedMilliseconds(grant.lifetime);
+  w.counted = grant.counted;
+  for (const auto& it : grant.rows) {
+    wire::RetryRow row;
+    row.service_name = it.service;
+    row.granted = static_cast<std::int32_t>(it.granted);
+    row.reserve = static_cast<std::int32_t>(it.reserve);
+    w.rows.push_back(std::move(row));
+  }
+  return w;
+}
+
+serving::RetryGrant RetryGrantFromWire(const wire::Retries& w) {
+  serving::RetryGrant grant;
+  grant.report_sent_at = TimePoint(Duration(w.reported_at_ns));
+  grant.sent_at = TimePoint(Duration(w.granted_at_ns));
+  grant.lifetime = std::chrono::milliseconds(Unsigned(w.lifetime_ms));
+  grant.counted = w.counted;
+  for (const auto& it : w.rows) {
+    grant.rows.push_back({it.service_name, Unsigned(it.granted), Unsigned(it.reserve)});
+  }
+  return grant;
+}
+
 wire::Permits ToWire(const serving::PermitGrant& grant) {
   wire::Permits w;
   w.grant = true;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST_SUITE(MeshTest);
   CPPUNIT_TEST(PermitRequestKeepsAgesAndClock);
   CPPUNIT_TEST(PermitGrantReturnsClock);
+  CPPUNIT_TEST(RetryReportAndGrantKeepClocks);
   CPPUNIT_TEST(RejectsInvalidNumbers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,35 @@
     CPPUNIT_ASSERT(received.rows.front().queue_delay == seconds(2));
   }
 
+  // Guards against retry permits whose lifetime, or requests whose age, counts from another clock.
+  void RetryReportAndGrantKeepClocks() {
+    serving::RetryReport report;
+    report.sent_at = kSenderNow;
+    report.last_grant_at = kReceiverNow;
+    report.since_last_grant = milliseconds(120);
+    report.rows = {{"s", {3, 0, 7}, 12, 4, 5}};
+    wire::MeshMessage message;
+    message.__set_retries(ToWire(report));
+    const auto received = RetryReportFromWire(Transmit(message).retries, "p", 9);
+    CPPUNIT_ASSERT_EQUAL(std::string("p"), received.process);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, received.incarnation);
+    CPPUNIT_ASSERT(received.sent_at == kSenderNow && received.last_grant_at == kReceiverNow);
+    CPPUNIT_ASSERT(received.since_last_grant == milliseconds(120));
+    const auto& row = received.rows.front();
+    CPPUNIT_ASSERT(row.requests == std::vector<std::uint32_t>({3, 0, 7}));
+    CPPUNIT_ASSERT(row.used == 12 && row.held == 4 && row.wanted == 5);
+
+    serving::RetryGrant grant{kSenderNow, kReceiverNow, seconds(4), true, {{"s", 2, 6}}};
+    message.__set_retries(ToWire(grant));
+    const auto granted = RetryGrantFromWire(Transmit(message).retries);
+    CPPUNIT_ASSERT(granted.report_sent_at == kSenderNow && granted.sent_at == kReceiverNow);
+    CPPUNIT_ASSERT(granted.lifetime == seconds(4) && granted.counted);
+    CPPUNIT_ASSERT(granted.rows.front().granted == 2 && granted.rows.front().reserve == 6);
+
+    message.retries.rows.front().granted = -1;
+    CPPUNIT_ASSERT_THROW(RetryGrantFromWire(message.retries), MeshError);
+  }
+
   // Guards against a message of a faulty process that grants billions of permits or withdraws a
   // limit.
   void RejectsInvalidNumbers() {
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -13,7 +13,6 @@
 #include "wagtailslip/serving/instance_table.h"
 #include "wagtailslip/serving/route_table.h"
 #include "wagtailslip/serving/service_config.h"
-#include "wagtailslip/serving/shared_retry_budget.h"
 #include "wagtailslip/serving/stop_plan.h"
 #include "wagtailslip/serving/subsets.h"
 #include "wagtailslip/serving/swap_plan.h"
@@ -345,51 +344,6 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptPolicyTest);
 
-class SharedRetryBudgetTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(SharedRetryBudgetTest);
-  CPPUNIT_TEST(LimitsTheSumOverAllProcesses);
-  CPPUNIT_TEST(FreesTheBudgetAfterTheWindow);
-  CPPUNIT_TEST_SUITE_END();
-
- public:
-  // Guards against processes that together send more retries than the limits allow, in any window.
-  void LimitsTheSumOverAllProcesses() {
-    const RetryLimits limits{0.2, 100, seconds(10)};
-    constexpr std::size_t kProcesses = 4;
-    std::vector<SharedRetryBudget> budgets(kProcesses, SharedRetryBudget(limits));
-    std::vector<std::pair<double, bool>> retries;
-    std::vector<double> requests;
-    for (int ms = 0; ms < 60000; ms += 10) {
-      const TimePoint now = At(milliseconds(ms));
-      auto& budget = budgets[static_cast<std::size_t>(ms / 10) % kProcesses];
-      budget.OnRequest("s", now);
-      requests.push_back(ms);
-      // Every attempt fails, so each request needs a retry.
-      if (budget.Take("s", kProcesses, now)) retries.emplace_back(ms, true);
-    }
-    for (double from = 0; from + 10000 <= 60000; from += 250) {
-      const auto inside = [from](double at) { return at >= from && at < from + 10000; };
-      double request_count = 0;
-      double retry_count = 0;
-      for (const double at : requests) request_count += inside(at) ? 1 : 0;
-      for (const auto& [at, granted] : retries) retry_count += inside(at) ? 1 : 0;
-      CPPUNIT_ASSERT(retry_count <= limits.ratio * request_count + limits.extra);
-    }
-    CPPUNIT_ASSERT(!retries.empty());
-  }
-
-  void FreesTheBudgetAfterTheWindow() {
-    SharedRetryBudget budget({0, 4, seconds(10)});
-    std::size_t granted = 0;
-    for (int i = 0; i < 10; ++i) granted += budget.Take("s", 1, At(seconds(0))) ? 1 : 0;
-    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, granted);
-    CPPUNIT_ASSERT(!budget.Take("s", 1, At(seconds(9))));
-    CPPUNIT_ASSERT(budget.Take("s", 1, At(seconds(12))));
-    CPPUNIT_ASSERT(budget.Take("other", 1, At(seconds(9))));
-  }
-};
-CPPUNIT_TEST_SUITE_REGISTRATION(SharedRetryBudgetTest);
-
 class EventSplitterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EventSplitterTest);
   CPPUNIT_TEST(EmitsOnlyCompleteEvents);
