Log the parts of the prompt of attempts whose engine gave no valid response

Change: the list of prompt parts is decoded without its last entry, and request.attempt_ended gives it where an engine's response is missing or broken.

--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -237,6 +237,10 @@
                         {"longest_pause_ms", ToMilliseconds(max_event_gap_)},
                         {"ms", ToMilliseconds(now - received_at_)}};
   if (last_request_limit_) fields["limit"] = *last_request_limit_;
+  // The attempts that may have ended their engine.
+  if (engine_ != nullptr && outcome == AttemptOutcome::kNoValidResponse) {
+    fields["prompt_parts"] = request_.shared_prompt_parts;
+  }
   if (asked_for_retry) {
     fields["retry_permits"] = node_.retry_pool().Held(service_, now);
   }
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(DistinguishesCompleteFromPartialWeights);
   CPPUNIT_TEST(EncodesLoadCommands);
   CPPUNIT_TEST(SetsAndStripsRequestHeaders);
+  CPPUNIT_TEST(DecodesPromptParts);
   CPPUNIT_TEST(DecodesEndpointResponses);
   CPPUNIT_TEST(DecodesShutdownAndRetryAfter);
   CPPUNIT_TEST(DecodesRequestLimits);
@@ -313,6 +314,32 @@
                          static_cast<std::ptrdiff_t>(forwarded.count("Last-Event-Id")));
   }
 
+  // Guards against blaming the last part, which is the request's own, and against lists that make
+  // the system remember without bound.
+  void DecodesPromptParts() {
+    struct Row {
+      std::string text;
+      std::vector<std::string> parts;
+    };
+    const Row rows[] = {{"", {}},
+                        {"a:800", {}},
+                        {"a:800,b:410,c:250", {"a", "b"}},
+                        {"a:800, b:410, a:3,c:250", {"a", "b"}},
+                        {"a,,:7,b:x,c", {"a", "b"}},
+                        {std::string(65, 'a') + ":1,b:2,c:3", {"b"}}};
+    for (const auto& row : rows) {
+      net::HttpRequest request(net::http::verb::post, "/", 11);
+      request.set("Prefix-Hash", row.text);
+      CPPUNIT_ASSERT_MESSAGE(row.text,
+                             DecodeCallerRequest(request).shared_prompt_parts == row.parts);
+    }
+    std::string many;
+    for (int i = 0; i < 500; ++i) many += "p" + std::to_string(i) + ":1,";
+    net::HttpRequest request(net::http::verb::post, "/", 11);
+    request.set("Prefix-Hash", many);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{32}, DecodeCallerRequest(request).shared_prompt_parts.size());
+  }
+
   void DecodesEndpointResponses() {
     net::HttpResponse response;
     response.status = 503;
