--- a/include/wagtailslip/mesh/codec.h
+++ b/include/wagtailslip/mesh/codec.h
@@ -3,6 +3,8 @@
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/mesh/member.h"
 #include "wagtailslip/serving/instance_table.h"
+#include "wagtailslip/serving/part_guard.h"
+#include "wagtailslip/serving/part_verdicts.h"
 #include "wagtailslip/serving/permits.h"
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/retry_permits.h"
@@ -14,6 +16,9 @@
 class EndpointLimit;
 class MeshMessage;
 class Permits;
+class PartReport;
+class PartVerdict;
+class PartVerdicts;
 class Retries;
 }  // namespace wagtailslip::wire
 
@@ -50,6 +55,15 @@
 /// @throws MeshError if a number is negative or too large
 serving::RetryGrant RetryGrantFromWire(const wire::Retries& retries);
 
+wire::PartReport ToWire(const serving::PartReport& report, TimePoint now);
+/// @throws MeshError if an age is negative
+serving::PartReport FromWire(const wire::PartReport& report, TimePoint now);
+wire::PartVerdict ToWire(const serving::PartVerdict& verdict);
+/// @throws MeshError if the state is unknown
+serving::PartVerdict FromWire(const wire::PartVerdict& verdict);
+wire::PartVerdicts ToWire(const serving::PartVerdictList& list);
+serving::PartVerdictList FromWire(const wire::PartVerdicts& list);
+
 wire::Permits ToWire(const serving::PermitGrant& grant);
 serving::PermitGrant PermitGrantFromWire(const wire::Permits& permits);
 
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -39,8 +39,12 @@
   kRetryPermitsExpired,
   kRetriesOwnShare,
   kRetriesDenied,
+  kRefusedByPart,
+  kHeldBackByPart,
+  kPartTrials,
+  kAttemptsEnded,
 };
-inline constexpr std::size_t kCounterCount = 26;
+inline constexpr std::size_t kCounterCount = 30;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -67,7 +71,11 @@
       {Counter::kRetryPermitsUsed, "retry_permits_used_total"},
       {Counter::kRetryPermitsExpired, "retry_permits_expired_total"},
       {Counter::kRetriesOwnShare, "retries_own_share_total"},
-      {Counter::kRetriesDenied, "retries_denied_total"}}}};
+      {Counter::kRetriesDenied, "retries_denied_total"},
+      {Counter::kRefusedByPart, "requests_refused_by_prompt_part_total"},
+      {Counter::kHeldBackByPart, "requests_held_back_by_prompt_part_total"},
+      {Counter::kPartTrials, "prompt_part_trials_total"},
+      {Counter::kAttemptsEnded, "attempts_ended_with_engine_total"}}}};
 
 /// Latency histograms of a process in milliseconds.
 enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -2280,6 +2280,918 @@
 }
 
 
+AttemptEnd::~AttemptEnd() noexcept {
+}
+
+
+void AttemptEnd::__set_engine(const std::string& val) {
+  this->engine = val;
+}
+
+void AttemptEnd::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
+
+void AttemptEnd::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void AttemptEnd::__set_parts(const std::vector<std::string> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const AttemptEnd& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AttemptEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->engine);
+          this->__isset.engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->parts.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
+            {
+              xfer += iprot->readString(this->parts[_i46]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AttemptEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AttemptEnd");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->parts.begin(); _iter47 != this->parts.end(); ++_iter47)
+    {
+      xfer += oprot->writeString((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AttemptEnd &a, AttemptEnd &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.started_ms, b.started_ms);
+  swap(a.age_ms, b.age_ms);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+AttemptEnd::AttemptEnd(const AttemptEnd& other48) {
+  engine = other48.engine;
+  started_ms = other48.started_ms;
+  age_ms = other48.age_ms;
+  parts = other48.parts;
+  __isset = other48.__isset;
+}
+AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other49) {
+  engine = other49.engine;
+  started_ms = other49.started_ms;
+  age_ms = other49.age_ms;
+  parts = other49.parts;
+  __isset = other49.__isset;
+  return *this;
+}
+void AttemptEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AttemptEnd(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+PartProof::~PartProof() noexcept {
+}
+
+
+void PartProof::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void PartProof::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartProof& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartProof::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartProof::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartProof");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartProof &a, PartProof &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PartProof::PartProof(const PartProof& other50) {
+  part = other50.part;
+  age_ms = other50.age_ms;
+  __isset = other50.__isset;
+}
+PartProof& PartProof::operator=(const PartProof& other51) {
+  part = other51.part;
+  age_ms = other51.age_ms;
+  __isset = other51.__isset;
+  return *this;
+}
+void PartProof::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartProof(";
+  out << "part=" << to_string(part);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+PartReport::~PartReport() noexcept {
+}
+
+
+void PartReport::__set_ends(const std::vector<AttemptEnd> & val) {
+  this->ends = val;
+}
+
+void PartReport::__set_proofs(const std::vector<PartProof> & val) {
+  this->proofs = val;
+}
+
+void PartReport::__set_proven_attempts(const int64_t val) {
+  this->proven_attempts = val;
+}
+
+void PartReport::__set_ended_attempts(const int64_t val) {
+  this->ended_attempts = val;
+}
+
+void PartReport::__set_refused(const std::vector<std::string> & val) {
+  this->refused = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ends.clear();
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->ends.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
+            {
+              xfer += this->ends[_i56].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->proofs.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->proofs.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += this->proofs[_i61].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.proofs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proven_attempts);
+          this->__isset.proven_attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended_attempts);
+          this->__isset.ended_attempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->refused.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += iprot->readString(this->refused[_i66]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartReport");
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
+    std::vector<AttemptEnd> ::const_iterator _iter67;
+    for (_iter67 = this->ends.begin(); _iter67 != this->ends.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
+    std::vector<PartProof> ::const_iterator _iter68;
+    for (_iter68 = this->proofs.begin(); _iter68 != this->proofs.end(); ++_iter68)
+    {
+      xfer += (*_iter68).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("proven_attempts", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->proven_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended_attempts", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->ended_attempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused.size()));
+    std::vector<std::string> ::const_iterator _iter69;
+    for (_iter69 = this->refused.begin(); _iter69 != this->refused.end(); ++_iter69)
+    {
+      xfer += oprot->writeString((*_iter69));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartReport &a, PartReport &b) {
+  using ::std::swap;
+  swap(a.ends, b.ends);
+  swap(a.proofs, b.proofs);
+  swap(a.proven_attempts, b.proven_attempts);
+  swap(a.ended_attempts, b.ended_attempts);
+  swap(a.refused, b.refused);
+  swap(a.__isset, b.__isset);
+}
+
+PartReport::PartReport(const PartReport& other70) {
+  ends = other70.ends;
+  proofs = other70.proofs;
+  proven_attempts = other70.proven_attempts;
+  ended_attempts = other70.ended_attempts;
+  refused = other70.refused;
+  __isset = other70.__isset;
+}
+PartReport& PartReport::operator=(const PartReport& other71) {
+  ends = other71.ends;
+  proofs = other71.proofs;
+  proven_attempts = other71.proven_attempts;
+  ended_attempts = other71.ended_attempts;
+  refused = other71.refused;
+  __isset = other71.__isset;
+  return *this;
+}
+void PartReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartReport(";
+  out << "ends=" << to_string(ends);
+  out << ", " << "proofs=" << to_string(proofs);
+  out << ", " << "proven_attempts=" << to_string(proven_attempts);
+  out << ", " << "ended_attempts=" << to_string(ended_attempts);
+  out << ", " << "refused=" << to_string(refused);
+  out << ")";
+}
+
+
+SuspectPart::~SuspectPart() noexcept {
+}
+
+
+void SuspectPart::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void SuspectPart::__set_ends(const int32_t val) {
+  this->ends = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SuspectPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ends);
+          this->__isset.ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SuspectPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SuspectPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ends);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SuspectPart &a, SuspectPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.ends, b.ends);
+  swap(a.__isset, b.__isset);
+}
+
+SuspectPart::SuspectPart(const SuspectPart& other72) {
+  part = other72.part;
+  ends = other72.ends;
+  __isset = other72.__isset;
+}
+SuspectPart& SuspectPart::operator=(const SuspectPart& other73) {
+  part = other73.part;
+  ends = other73.ends;
+  __isset = other73.__isset;
+  return *this;
+}
+void SuspectPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SuspectPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "ends=" << to_string(ends);
+  out << ")";
+}
+
+
+PartVerdict::~PartVerdict() noexcept {
+}
+
+
+void PartVerdict::__set_part(const std::string& val) {
+  this->part = val;
+}
+
+void PartVerdict::__set_state(const int16_t val) {
+  this->state = val;
+}
+
+void PartVerdict::__set_times(const int32_t val) {
+  this->times = val;
+}
+
+void PartVerdict::__set_trial_process(const std::string& val) {
+  this->trial_process = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartVerdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->part);
+          this->__isset.part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->state);
+          this->__isset.state = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->times);
+          this->__isset.times = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->trial_process);
+          this->__isset.trial_process = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartVerdict");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->state);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("times", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->times);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trial_process", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->trial_process);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartVerdict &a, PartVerdict &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.state, b.state);
+  swap(a.times, b.times);
+  swap(a.trial_process, b.trial_process);
+  swap(a.__isset, b.__isset);
+}
+
+PartVerdict::PartVerdict(const PartVerdict& other74) {
+  part = other74.part;
+  state = other74.state;
+  times = other74.times;
+  trial_process = other74.trial_process;
+  __isset = other74.__isset;
+}
+PartVerdict& PartVerdict::operator=(const PartVerdict& other75) {
+  part = other75.part;
+  state = other75.state;
+  times = other75.times;
+  trial_process = other75.trial_process;
+  __isset = other75.__isset;
+  return *this;
+}
+void PartVerdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartVerdict(";
+  out << "part=" << to_string(part);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "times=" << to_string(times);
+  out << ", " << "trial_process=" << to_string(trial_process);
+  out << ")";
+}
+
+
+PartVerdicts::~PartVerdicts() noexcept {
+}
+
+
+void PartVerdicts::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void PartVerdicts::__set_rows(const std::vector<PartVerdict> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const PartVerdicts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PartVerdicts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->rows.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->rows[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PartVerdicts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PartVerdicts");
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<PartVerdict> ::const_iterator _iter81;
+    for (_iter81 = this->rows.begin(); _iter81 != this->rows.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PartVerdicts &a, PartVerdicts &b) {
+  using ::std::swap;
+  swap(a.revision, b.revision);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+PartVerdicts::PartVerdicts(const PartVerdicts& other82) {
+  revision = other82.revision;
+  rows = other82.rows;
+  __isset = other82.__isset;
+}
+PartVerdicts& PartVerdicts::operator=(const PartVerdicts& other83) {
+  revision = other83.revision;
+  rows = other83.rows;
+  __isset = other83.__isset;
+  return *this;
+}
+void PartVerdicts::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PartVerdicts(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 MeshMessage::~MeshMessage() noexcept {
 }
 
@@ -2348,6 +3260,21 @@
   this->retries = val;
 __isset.retries = true;
 }
+
+void MeshMessage::__set_part_report(const PartReport& val) {
+  this->part_report = val;
+__isset.part_report = true;
+}
+
+void MeshMessage::__set_suspect_parts(const std::vector<SuspectPart> & val) {
+  this->suspect_parts = val;
+__isset.suspect_parts = true;
+}
+
+void MeshMessage::__set_part_verdicts(const PartVerdicts& val) {
+  this->part_verdicts = val;
+__isset.part_verdicts = true;
+}
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj)
 {
   obj.printTo(out);
@@ -2388,14 +3315,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size42;
-            ::apache::thrift::protocol::TType _etype45;
-            xfer += iprot->readListBegin(_etype45, _size42);
-            this->members.resize(_size42);
-            uint32_t _i46;
-            for (_i46 = 0; _i46 < _size42; ++_i46)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->members.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->members[_i46].read(iprot);
+              xfer += this->members[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2408,14 +3335,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size47;
-            ::apache::thrift::protocol::TType _etype50;
-            xfer += iprot->readListBegin(_etype50, _size47);
-            this->instances.resize(_size47);
-            uint32_t _i51;
-            for (_i51 = 0; _i51 < _size47; ++_i51)
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->instances.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
             {
-              xfer += this->instances[_i51].read(iprot);
+              xfer += this->instances[_i93].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2428,14 +3355,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->readings.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->readings.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->readings[_i56].read(iprot);
+              xfer += this->readings[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2456,14 +3383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->targets.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->targets.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->targets[_i61].read(iprot);
+              xfer += this->targets[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2476,14 +3403,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->sources.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->sources.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->sources[_i66].read(iprot);
+              xfer += this->sources[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2512,14 +3439,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->expected.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->expected.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->expected[_i71].read(iprot);
+              xfer += this->expected[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2540,14 +3467,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _etype75;
-            xfer += iprot->readListBegin(_etype75, _size72);
-            this->limits.resize(_size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->limits.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->limits[_i76].read(iprot);
+              xfer += this->limits[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2564,6 +3491,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->part_report.read(iprot);
+          this->__isset.part_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->suspect_parts.clear();
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->suspect_parts.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
+            {
+              xfer += this->suspect_parts[_i123].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.suspect_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->part_verdicts.read(iprot);
+          this->__isset.part_verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2590,10 +3553,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter77;
-      for (_iter77 = this->members.begin(); _iter77 != this->members.end(); ++_iter77)
+      std::vector<MeshMember> ::const_iterator _iter124;
+      for (_iter124 = this->members.begin(); _iter124 != this->members.end(); ++_iter124)
       {
-        xfer += (*_iter77).write(oprot);
+        xfer += (*_iter124).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2603,10 +3566,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter78;
-      for (_iter78 = this->instances.begin(); _iter78 != this->instances.end(); ++_iter78)
+      std::vector<InstanceRecord> ::const_iterator _iter125;
+      for (_iter125 = this->instances.begin(); _iter125 != this->instances.end(); ++_iter125)
       {
-        xfer += (*_iter78).write(oprot);
+        xfer += (*_iter125).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2616,10 +3579,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter79;
-      for (_iter79 = this->readings.begin(); _iter79 != this->readings.end(); ++_iter79)
+      std::vector<InstanceReading> ::const_iterator _iter126;
+      for (_iter126 = this->readings.begin(); _iter126 != this->readings.end(); ++_iter126)
       {
-        xfer += (*_iter79).write(oprot);
+        xfer += (*_iter126).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2634,10 +3597,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter80;
-      for (_iter80 = this->targets.begin(); _iter80 != this->targets.end(); ++_iter80)
+      std::vector<WeightsTarget> ::const_iterator _iter127;
+      for (_iter127 = this->targets.begin(); _iter127 != this->targets.end(); ++_iter127)
       {
-        xfer += (*_iter80).write(oprot);
+        xfer += (*_iter127).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2647,10 +3610,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter81;
-      for (_iter81 = this->sources.begin(); _iter81 != this->sources.end(); ++_iter81)
+      std::vector<ModelSource> ::const_iterator _iter128;
+      for (_iter128 = this->sources.begin(); _iter128 != this->sources.end(); ++_iter128)
       {
-        xfer += (*_iter81).write(oprot);
+        xfer += (*_iter128).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2670,10 +3633,10 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter82;
-      for (_iter82 = this->expected.begin(); _iter82 != this->expected.end(); ++_iter82)
+      std::vector<WeightsTarget> ::const_iterator _iter129;
+      for (_iter129 = this->expected.begin(); _iter129 != this->expected.end(); ++_iter129)
       {
-        xfer += (*_iter82).write(oprot);
+        xfer += (*_iter129).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2688,10 +3651,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<EndpointLimit> ::const_iterator _iter83;
-      for (_iter83 = this->limits.begin(); _iter83 != this->limits.end(); ++_iter83)
+      std::vector<EndpointLimit> ::const_iterator _iter130;
+      for (_iter130 = this->limits.begin(); _iter130 != this->limits.end(); ++_iter130)
       {
-        xfer += (*_iter83).write(oprot);
+        xfer += (*_iter130).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2702,6 +3665,29 @@
     xfer += this->retries.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.part_report) {
+    xfer += oprot->writeFieldBegin("part_report", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->part_report.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.suspect_parts) {
+    xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 15);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
+      std::vector<SuspectPart> ::const_iterator _iter131;
+      for (_iter131 = this->suspect_parts.begin(); _iter131 != this->suspect_parts.end(); ++_iter131)
+      {
+        xfer += (*_iter131).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.part_verdicts) {
+    xfer += oprot->writeFieldBegin("part_verdicts", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->part_verdicts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2722,40 +3708,49 @@
   swap(a.permits, b.permits);
   swap(a.limits, b.limits);
   swap(a.retries, b.retries);
+  swap(a.part_report, b.part_report);
+  swap(a.suspect_parts, b.suspect_parts);
+  swap(a.part_verdicts, b.part_verdicts);
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other84) {
-  hello = other84.hello;
-  members = other84.members;
-  instances = other84.instances;
-  readings = other84.readings;
-  service_config = other84.service_config;
-  targets = other84.targets;
-  sources = other84.sources;
-  agreement = other84.agreement;
-  join = other84.join;
-  expected = other84.expected;
-  permits = other84.permits;
-  limits = other84.limits;
-  retries = other84.retries;
-  __isset = other84.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other85) {
-  hello = other85.hello;
-  members = other85.members;
-  instances = other85.instances;
-  readings = other85.readings;
-  service_config = other85.service_config;
-  targets = other85.targets;
-  sources = other85.sources;
-  agreement = other85.agreement;
-  join = other85.join;
-  expected = other85.expected;
-  permits = other85.permits;
-  limits = other85.limits;
-  retries = other85.retries;
-  __isset = other85.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other132) {
+  hello = other132.hello;
+  members = other132.members;
+  instances = other132.instances;
+  readings = other132.readings;
+  service_config = other132.service_config;
+  targets = other132.targets;
+  sources = other132.sources;
+  agreement = other132.agreement;
+  join = other132.join;
+  expected = other132.expected;
+  permits = other132.permits;
+  limits = other132.limits;
+  retries = other132.retries;
+  part_report = other132.part_report;
+  suspect_parts = other132.suspect_parts;
+  part_verdicts = other132.part_verdicts;
+  __isset = other132.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other133) {
+  hello = other133.hello;
+  members = other133.members;
+  instances = other133.instances;
+  readings = other133.readings;
+  service_config = other133.service_config;
+  targets = other133.targets;
+  sources = other133.sources;
+  agreement = other133.agreement;
+  join = other133.join;
+  expected = other133.expected;
+  permits = other133.permits;
+  limits = other133.limits;
+  retries = other133.retries;
+  part_report = other133.part_report;
+  suspect_parts = other133.suspect_parts;
+  part_verdicts = other133.part_verdicts;
+  __isset = other133.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -2774,6 +3769,9 @@
   out << ", " << "permits="; (__isset.permits ? (out << to_string(permits)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "retries="; (__isset.retries ? (out << to_string(retries)) : (out << "<null>"));
+  out << ", " << "part_report="; (__isset.part_report ? (out << to_string(part_report)) : (out << "<null>"));
+  out << ", " << "suspect_parts="; (__isset.suspect_parts ? (out << to_string(suspect_parts)) : (out << "<null>"));
+  out << ", " << "part_verdicts="; (__isset.part_verdicts ? (out << to_string(part_verdicts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2796,6 +3794,11 @@
   this->retry_blocks = val;
 __isset.retry_blocks = true;
 }
+
+void ControlCommand::__set_part_verdict(const PartVerdict& val) {
+  this->part_verdict = val;
+__isset.part_verdict = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj)
 {
   obj.printTo(out);
@@ -2848,6 +3851,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->part_verdict.read(iprot);
+          this->__isset.part_verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2880,6 +3891,11 @@
     xfer += oprot->writeI32(this->retry_blocks);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.part_verdict) {
+    xfer += oprot->writeFieldBegin("part_verdict", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->part_verdict.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2890,20 +3906,23 @@
   swap(a.service_config, b.service_config);
   swap(a.target, b.target);
   swap(a.retry_blocks, b.retry_blocks);
+  swap(a.part_verdict, b.part_verdict);
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other86) {
-  service_config = other86.service_config;
-  target = other86.target;
-  retry_blocks = other86.retry_blocks;
-  __isset = other86.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other134) {
+  service_config = other134.service_config;
+  target = other134.target;
+  retry_blocks = other134.retry_blocks;
+  part_verdict = other134.part_verdict;
+  __isset = other134.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other87) {
-  service_config = other87.service_config;
-  target = other87.target;
-  retry_blocks = other87.retry_blocks;
-  __isset = other87.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other135) {
+  service_config = other135.service_config;
+  target = other135.target;
+  retry_blocks = other135.retry_blocks;
+  part_verdict = other135.part_verdict;
+  __isset = other135.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -2912,6 +3931,7 @@
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
   out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
+  out << ", " << "part_verdict="; (__isset.part_verdict ? (out << to_string(part_verdict)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2933,6 +3953,11 @@
   this->retry_blocks = val;
 __isset.retry_blocks = true;
 }
+
+void ControlSnapshot::__set_part_verdicts(const PartVerdicts& val) {
+  this->part_verdicts = val;
+__isset.part_verdicts = true;
+}
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
   obj.printTo(out);
@@ -2973,14 +3998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->targets.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size136;
+            ::apache::thrift::protocol::TType _etype139;
+            xfer += iprot->readListBegin(_etype139, _size136);
+            this->targets.resize(_size136);
+            uint32_t _i140;
+            for (_i140 = 0; _i140 < _size136; ++_i140)
             {
-              xfer += this->targets[_i92].read(iprot);
+              xfer += this->targets[_i140].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2997,6 +4022,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->part_verdicts.read(iprot);
+          this->__isset.part_verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3022,10 +4055,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter93;
-    for (_iter93 = this->targets.begin(); _iter93 != this->targets.end(); ++_iter93)
+    std::vector<WeightsTarget> ::const_iterator _iter141;
+    for (_iter141 = this->targets.begin(); _iter141 != this->targets.end(); ++_iter141)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3036,6 +4069,11 @@
     xfer += oprot->writeI32(this->retry_blocks);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.part_verdicts) {
+    xfer += oprot->writeFieldBegin("part_verdicts", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->part_verdicts.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3046,20 +4084,23 @@
   swap(a.service_config, b.service_config);
   swap(a.targets, b.targets);
   swap(a.retry_blocks, b.retry_blocks);
+  swap(a.part_verdicts, b.part_verdicts);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other94) {
-  service_config = other94.service_config;
-  targets = other94.targets;
-  retry_blocks = other94.retry_blocks;
-  __isset = other94.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other142) {
+  service_config = other142.service_config;
+  targets = other142.targets;
+  retry_blocks = other142.retry_blocks;
+  part_verdicts = other142.part_verdicts;
+  __isset = other142.__isset;
 }
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other95) {
-  service_config = other95.service_config;
-  targets = other95.targets;
-  retry_blocks = other95.retry_blocks;
-  __isset = other95.__isset;
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other143) {
+  service_config = other143.service_config;
+  targets = other143.targets;
+  retry_blocks = other143.retry_blocks;
+  part_verdicts = other143.part_verdicts;
+  __isset = other143.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -3068,6 +4109,7 @@
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
+  out << ", " << "part_verdicts="; (__isset.part_verdicts ? (out << to_string(part_verdicts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -46,6 +46,18 @@
 
 class Retries;
 
+class AttemptEnd;
+
+class PartProof;
+
+class PartReport;
+
+class SuspectPart;
+
+class PartVerdict;
+
+class PartVerdicts;
+
 class MeshMessage;
 
 class ControlCommand;
@@ -951,8 +963,352 @@
 
 std::ostream& operator<<(std::ostream& out, const Retries& obj);
 
+typedef struct _AttemptEnd__isset {
+  _AttemptEnd__isset() : engine(false), started_ms(false), age_ms(false), parts(false) {}
+  bool engine :1;
+  bool started_ms :1;
+  bool age_ms :1;
+  bool parts :1;
+} _AttemptEnd__isset;
+
+class AttemptEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  AttemptEnd(const AttemptEnd&);
+  AttemptEnd& operator=(const AttemptEnd&);
+  AttemptEnd() noexcept
+             : engine(),
+               started_ms(0),
+               age_ms(0) {
+  }
+
+  virtual ~AttemptEnd() noexcept;
+  std::string engine;
+  int64_t started_ms;
+  int32_t age_ms;
+  std::vector<std::string>  parts;
+
+  _AttemptEnd__isset __isset;
+
+  void __set_engine(const std::string& val);
+
+  void __set_started_ms(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_parts(const std::vector<std::string> & val);
+
+  bool operator == (const AttemptEnd & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const AttemptEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AttemptEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AttemptEnd &a, AttemptEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const AttemptEnd& obj);
+
+typedef struct _PartProof__isset {
+  _PartProof__isset() : part(false), age_ms(false) {}
+  bool part :1;
+  bool age_ms :1;
+} _PartProof__isset;
+
+class PartProof : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartProof(const PartProof&);
+  PartProof& operator=(const PartProof&);
+  PartProof() noexcept
+            : part(),
+              age_ms(0) {
+  }
+
+  virtual ~PartProof() noexcept;
+  std::string part;
+  int32_t age_ms;
+
+  _PartProof__isset __isset;
+
+  void __set_part(const std::string& val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const PartProof & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PartProof &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartProof & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartProof &a, PartProof &b);
+
+std::ostream& operator<<(std::ostream& out, const PartProof& obj);
+
+typedef struct _PartReport__isset {
+  _PartReport__isset() : ends(false), proofs(false), proven_attempts(false), ended_attempts(false), refused(false) {}
+  bool ends :1;
+  bool proofs :1;
+  bool proven_attempts :1;
+  bool ended_attempts :1;
+  bool refused :1;
+} _PartReport__isset;
+
+class PartReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartReport(const PartReport&);
+  PartReport& operator=(const PartReport&);
+  PartReport() noexcept
+             : proven_attempts(0),
+               ended_attempts(0) {
+  }
+
+  virtual ~PartReport() noexcept;
+  std::vector<AttemptEnd>  ends;
+  std::vector<PartProof>  proofs;
+  int64_t proven_attempts;
+  int64_t ended_attempts;
+  std::vector<std::string>  refused;
+
+  _PartReport__isset __isset;
+
+  void __set_ends(const std::vector<AttemptEnd> & val);
+
+  void __set_proofs(const std::vector<PartProof> & val);
+
+  void __set_proven_attempts(const int64_t val);
+
+  void __set_ended_attempts(const int64_t val);
+
+  void __set_refused(const std::vector<std::string> & val);
+
+  bool operator == (const PartReport & rhs) const
+  {
+    if (!(ends == rhs.ends))
+      return false;
+    if (!(proofs == rhs.proofs))
+      return false;
+    if (!(proven_attempts == rhs.proven_attempts))
+      return false;
+    if (!(ended_attempts == rhs.ended_attempts))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    return true;
+  }
+  bool operator != (const PartReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartReport &a, PartReport &b);
+
+std::ostream& operator<<(std::ostream& out, const PartReport& obj);
+
+typedef struct _SuspectPart__isset {
+  _SuspectPart__isset() : part(false), ends(false) {}
+  bool part :1;
+  bool ends :1;
+} _SuspectPart__isset;
+
+class SuspectPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  SuspectPart(const SuspectPart&);
+  SuspectPart& operator=(const SuspectPart&);
+  SuspectPart() noexcept
+              : part(),
+                ends(0) {
+  }
+
+  virtual ~SuspectPart() noexcept;
+  std::string part;
+  int32_t ends;
+
+  _SuspectPart__isset __isset;
+
+  void __set_part(const std::string& val);
+
+  void __set_ends(const int32_t val);
+
+  bool operator == (const SuspectPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const SuspectPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SuspectPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SuspectPart &a, SuspectPart &b);
+
+std::ostream& operator<<(std::ostream& out, const SuspectPart& obj);
+
+typedef struct _PartVerdict__isset {
+  _PartVerdict__isset() : part(false), state(false), times(false), trial_process(false) {}
+  bool part :1;
+  bool state :1;
+  bool times :1;
+  bool trial_process :1;
+} _PartVerdict__isset;
+
+class PartVerdict : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartVerdict(const PartVerdict&);
+  PartVerdict& operator=(const PartVerdict&);
+  PartVerdict() noexcept
+              : part(),
+                state(0),
+                times(0),
+                trial_process() {
+  }
+
+  virtual ~PartVerdict() noexcept;
+  std::string part;
+  int16_t state;
+  int32_t times;
+  std::string trial_process;
+
+  _PartVerdict__isset __isset;
+
+  void __set_part(const std::string& val);
+
+  void __set_state(const int16_t val);
+
+  void __set_times(const int32_t val);
+
+  void __set_trial_process(const std::string& val);
+
+  bool operator == (const PartVerdict & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(state == rhs.state))
+      return false;
+    if (!(times == rhs.times))
+      return false;
+    if (!(trial_process == rhs.trial_process))
+      return false;
+    return true;
+  }
+  bool operator != (const PartVerdict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartVerdict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartVerdict &a, PartVerdict &b);
+
+std::ostream& operator<<(std::ostream& out, const PartVerdict& obj);
+
+typedef struct _PartVerdicts__isset {
+  _PartVerdicts__isset() : revision(false), rows(false) {}
+  bool revision :1;
+  bool rows :1;
+} _PartVerdicts__isset;
+
+class PartVerdicts : public virtual ::apache::thrift::TBase {
+ public:
+
+  PartVerdicts(const PartVerdicts&);
+  PartVerdicts& operator=(const PartVerdicts&);
+  PartVerdicts() noexcept
+               : revision(0) {
+  }
+
+  virtual ~PartVerdicts() noexcept;
+  int64_t revision;
+  std::vector<PartVerdict>  rows;
+
+  _PartVerdicts__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_rows(const std::vector<PartVerdict> & val);
+
+  bool operator == (const PartVerdicts & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const PartVerdicts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PartVerdicts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PartVerdicts &a, PartVerdicts &b);
+
+std::ostream& operator<<(std::ostream& out, const PartVerdicts& obj);
+
 typedef struct _MeshMessage__isset {
-  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false) {}
+  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false), part_report(false), suspect_parts(false), part_verdicts(false) {}
   bool hello :1;
   bool members :1;
   bool instances :1;
@@ -966,6 +1322,9 @@
   bool permits :1;
   bool limits :1;
   bool retries :1;
+  bool part_report :1;
+  bool suspect_parts :1;
+  bool part_verdicts :1;
 } _MeshMessage__isset;
 
 class MeshMessage : public virtual ::apache::thrift::TBase {
@@ -990,6 +1349,9 @@
   Permits permits;
   std::vector<EndpointLimit>  limits;
   Retries retries;
+  PartReport part_report;
+  std::vector<SuspectPart>  suspect_parts;
+  PartVerdicts part_verdicts;
 
   _MeshMessage__isset __isset;
 
@@ -1019,6 +1381,12 @@
 
   void __set_retries(const Retries& val);
 
+  void __set_part_report(const PartReport& val);
+
+  void __set_suspect_parts(const std::vector<SuspectPart> & val);
+
+  void __set_part_verdicts(const PartVerdicts& val);
+
   bool operator == (const MeshMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -1073,6 +1441,18 @@
       return false;
     else if (__isset.retries && !(retries == rhs.retries))
       return false;
+    if (__isset.part_report != rhs.__isset.part_report)
+      return false;
+    else if (__isset.part_report && !(part_report == rhs.part_report))
+      return false;
+    if (__isset.suspect_parts != rhs.__isset.suspect_parts)
+      return false;
+    else if (__isset.suspect_parts && !(suspect_parts == rhs.suspect_parts))
+      return false;
+    if (__isset.part_verdicts != rhs.__isset.part_verdicts)
+      return false;
+    else if (__isset.part_verdicts && !(part_verdicts == rhs.part_verdicts))
+      return false;
     return true;
   }
   bool operator != (const MeshMessage &rhs) const {
@@ -1092,10 +1472,11 @@
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj);
 
 typedef struct _ControlCommand__isset {
-  _ControlCommand__isset() : service_config(false), target(false), retry_blocks(false) {}
+  _ControlCommand__isset() : service_config(false), target(false), retry_blocks(false), part_verdict(false) {}
   bool service_config :1;
   bool target :1;
   bool retry_blocks :1;
+  bool part_verdict :1;
 } _ControlCommand__isset;
 
 class ControlCommand : public virtual ::apache::thrift::TBase {
@@ -1111,6 +1492,7 @@
   ServiceConfigBody service_config;
   WeightsTarget target;
   int32_t retry_blocks;
+  PartVerdict part_verdict;
 
   _ControlCommand__isset __isset;
 
@@ -1120,6 +1502,8 @@
 
   void __set_retry_blocks(const int32_t val);
 
+  void __set_part_verdict(const PartVerdict& val);
+
   bool operator == (const ControlCommand & rhs) const
   {
     if (__isset.service_config != rhs.__isset.service_config)
@@ -1134,6 +1518,10 @@
       return false;
     else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
       return false;
+    if (__isset.part_verdict != rhs.__isset.part_verdict)
+      return false;
+    else if (__isset.part_verdict && !(part_verdict == rhs.part_verdict))
+      return false;
     return true;
   }
   bool operator != (const ControlCommand &rhs) const {
@@ -1153,10 +1541,11 @@
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj);
 
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : service_config(false), targets(false), retry_blocks(false) {}
+  _ControlSnapshot__isset() : service_config(false), targets(false), retry_blocks(false), part_verdicts(false) {}
   bool service_config :1;
   bool targets :1;
   bool retry_blocks :1;
+  bool part_verdicts :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -1172,6 +1561,7 @@
   ServiceConfigBody service_config;
   std::vector<WeightsTarget>  targets;
   int32_t retry_blocks;
+  PartVerdicts part_verdicts;
 
   _ControlSnapshot__isset __isset;
 
@@ -1181,6 +1571,8 @@
 
   void __set_retry_blocks(const int32_t val);
 
+  void __set_part_verdicts(const PartVerdicts& val);
+
   bool operator == (const ControlSnapshot & rhs) const
   {
     if (__isset.service_config != rhs.__isset.service_config)
@@ -1193,6 +1585,10 @@
       return false;
     else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
       return false;
+    if (__isset.part_verdicts != rhs.__isset.part_verdicts)
+      return false;
+    else if (__isset.part_verdicts && !(part_verdicts == rhs.part_verdicts))
+      return false;
     return true;
   }
   bool operator != (const ControlSnapshot &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -122,6 +122,45 @@
   7: list<RetryRow> rows
 }
 
+// An attempt that was at an engine, not proven yet, when the engine ended.
+struct AttemptEnd {
+  1: string engine
+  2: i64 started_ms
+  3: i32 age_ms
+  4: list<string> parts
+}
+
+struct PartProof {
+  1: string part
+  2: i32 age_ms
+}
+
+// Evidence of an ingress process on parts of prompts that may end engines.
+struct PartReport {
+  1: list<AttemptEnd> ends
+  2: list<PartProof> proofs
+  3: i64 proven_attempts
+  4: i64 ended_attempts
+  5: list<string> refused
+}
+
+struct SuspectPart {
+  1: string part
+  2: i32 ends
+}
+
+struct PartVerdict {
+  1: string part
+  2: i16 state
+  3: i32 times
+  4: string trial_process
+}
+
+struct PartVerdicts {
+  1: i64 revision
+  2: list<PartVerdict> rows
+}
+
 struct MeshMessage {
   1: optional MeshMember hello
   2: optional list<MeshMember> members
@@ -137,6 +176,10 @@
   11: optional Permits permits
   12: optional list<EndpointLimit> limits
   13: optional Retries retries
+  14: optional PartReport part_report
+  // All suspects of the process that leads.
+  15: optional list<SuspectPart> suspect_parts
+  16: optional PartVerdicts part_verdicts
 }
 
 // An entry of the control log.
@@ -145,10 +188,12 @@
   2: optional WeightsTarget target
   // Blocks of the retry budget that may be in use.
   3: optional i32 retry_blocks
+  4: optional PartVerdict part_verdict
 }
 
 struct ControlSnapshot {
   1: optional ServiceConfigBody service_config
   2: list<WeightsTarget> targets
   3: optional i32 retry_blocks
+  4: optional PartVerdicts part_verdicts
 }
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -1,5 +1,6 @@
 #include "control_api.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "platform/control_calls.h"
@@ -27,6 +28,18 @@
 // callers learn that one has stopped only from the next lookup response.
 constexpr int kMaxLookupTtlSeconds = 2;
 
+/// Part of prompts in a call "POST /parts/PART/lift"; empty if this is another call.
+std::string PartToLift(const net::HttpExchange& exchange) {
+  constexpr std::string_view kPrefix = "/parts/";
+  constexpr std::string_view kSuffix = "/lift";
+  const std::string path(exchange.path());
+  if (exchange.request().method() != net::http::verb::post || !path.starts_with(kPrefix) ||
+      !path.ends_with(kSuffix) || path.size() <= kPrefix.size() + kSuffix.size()) {
+    return {};
+  }
+  return path.substr(kPrefix.size(), path.size() - kPrefix.size() - kSuffix.size());
+}
+
 std::string ErrorBody(const std::string& message) {
   return nlohmann::json{{"error", message}}.dump();
 }
@@ -80,6 +93,8 @@
       break;
   }
   if (exchange.path() == "/debug/state") co_return co_await DumpState(exchange);
+  const auto lifted = PartToLift(exchange);
+  if (!lifted.empty()) co_return co_await LiftPart(exchange, lifted);
   const std::string body = ErrorBody("there is no such call");
   co_await exchange.Respond(404, body);
 }
@@ -231,6 +246,25 @@
   co_await exchange.Respond(200, body);
 }
 
+Task<void> ControlApi::LiftPart(net::HttpExchange& exchange, std::string part) {
+  if (!node_.log().CanServeReads(MonotonicNow())) co_return co_await RedirectToLeader(exchange);
+  const auto& verdicts = node_.log().state().part_verdicts.verdicts;
+  const bool known = std::any_of(verdicts.begin(), verdicts.end(),
+                                 [&](const auto& it) { return it.part == part; });
+  if (!known) {
+    const std::string body = ErrorBody("there is no verdict on this part");
+    co_await exchange.Respond(404, body);
+    co_return;
+  }
+  LogEvent(Event::kPromptPartJudged,
+           {{"part", part},
+            {"state", serving::kPartStates.Name(serving::PartState::kLifted)},
+            {"reason", serving::kVerdictReasons.Name(serving::VerdictReason::kOperator)}});
+  Command command;
+  command.part_verdict = serving::PartVerdict{part, serving::PartState::kLifted, 0, {}};
+  co_await Commit(exchange, std::move(command));
+}
+
 Task<void> ControlApi::DumpState(net::HttpExchange& exchange) {
   const TimePoint now = MonotonicNow();
   const auto& replica = node_.log().replica();
@@ -249,6 +283,14 @@
     retry_services[name] = {
         {"allowed", it.allowed}, {"available", it.available}, {"outstanding", it.outstanding}};
   }
+  nlohmann::json verdicts = nlohmann::json::object();
+  for (const auto& it : node_.log().state().part_verdicts.verdicts) {
+    verdicts[it.part] = {{"state", serving::kPartStates.Name(it.state)},
+                         {"times", it.times},
+                         {"trial_process", it.trial_process}};
+  }
+  nlohmann::json suspects = nlohmann::json::object();
+  for (const auto& it : node_.part_evidence().Suspects(now)) suspects[it.part] = it.ends;
   const nlohmann::json dump{{"process", settings_.mesh_address()},
                             {"role", agreement::kRoles.Name(replica.role())},
                             {"term", replica.term()},
@@ -263,6 +305,7 @@
                              {{"requests", permits.counters().requests},
                               {"granted", permits.counters().granted},
                               {"denied", permits.counters().denied}}},
+                            {"prompt_parts", {{"verdicts", verdicts}, {"suspects", suspects}}},
                             {"retries",
                              {{"services", retry_services},
                               {"inherited_blocks", retries.inherited_blocks()},
@@ -271,7 +314,8 @@
                               {"granted", retries.counters().granted},
                               {"denied", retries.counters().denied},
                               {"lost", retries.counters().lost}}}};
-  const std::string body = dump.dump();
+  // Ids of endpoints are their own words and may be no text.
+  const std::string body = dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   co_await exchange.Respond(200, body);
 }
 
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -7,6 +7,7 @@
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/codec/compact.h"
 #include "wagtailslip/codec/deflate.h"
+#include "wagtailslip/mesh/codec.h"
 #include "wagtailslip/process/events.h"
 
 namespace wagtailslip::control {
@@ -58,6 +59,8 @@
     w.__set_service_config(body);
   } else if (command.retry_blocks) {
     w.__set_retry_blocks(*command.retry_blocks);
+  } else if (command.part_verdict) {
+    w.__set_part_verdict(mesh::ToWire(*command.part_verdict));
   } else {
     wire::WeightsTarget target;
     target.model = command.model;
@@ -81,6 +84,7 @@
     command.named_utc_ms = w.target.named_utc_ms;
   }
   if (w.__isset.retry_blocks) command.retry_blocks = w.retry_blocks;
+  if (w.__isset.part_verdict) command.part_verdict = mesh::FromWire(w.part_verdict);
   return command;
 }
 
@@ -215,6 +219,16 @@
   done(committed);
 }
 
+void ControlLog::ApplyVerdict(const serving::PartVerdict& verdict) {
+  auto& list = state_.part_verdicts;
+  ++list.revision;
+  std::erase_if(list.verdicts, [&](const auto& it) { return it.part == verdict.part; });
+  if (verdict.state != serving::PartState::kLifted &&
+      list.verdicts.size() < serving::kMaxPartVerdicts) {
+    list.verdicts.push_back(verdict);
+  }
+}
+
 void ControlLog::ApplyCommand(const Command& command, TimePoint now) {
   // A committed command with an older or equal version has no effect.
   if (command.config_version > state_.config_version) {
@@ -224,6 +238,7 @@
              {{"version", command.config_version}, {"bytes", command.config_body.size()}});
   }
   if (command.retry_blocks) state_.retry_blocks = *command.retry_blocks;
+  if (command.part_verdict) ApplyVerdict(*command.part_verdict);
   if (command.weights_version > 0)
     ApplyTarget(command.model, command.weights_version, command.named_utc_ms, now);
 }
@@ -254,6 +269,7 @@
     ApplyTarget(it.model, it.version, it.named_utc_ms, now);
   }
   if (w.__isset.retry_blocks) state_.retry_blocks = w.retry_blocks;
+  if (w.__isset.part_verdicts) state_.part_verdicts = mesh::FromWire(w.part_verdicts);
 }
 
 void ControlLog::Propose(const Command& command, CommitCallback done, TimePoint) {
@@ -362,6 +378,7 @@
     w.__set_service_config(body);
   }
   w.__set_retry_blocks(state_.retry_blocks);
+  w.__set_part_verdicts(mesh::ToWire(state_.part_verdicts));
   for (const auto& [model, targets] : state_.targets) {
     for (const auto& target : targets) {
       wire::WeightsTarget it;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -101,6 +101,7 @@
   SendConfig(now);
   SendLimits(now);
   CommitRetryBlocks(now);
+  JudgeParts(now);
   RefreshSources(now);
   if (now >= next_join_at_) {
     next_join_at_ = now + kJoinPeriod;
@@ -205,6 +206,7 @@
     for (const auto& [id, it] : permit_allocator_.limits().observations()) {
       message.limits.push_back(mesh::ToWire(it, now));
     }
+    message.__set_part_verdicts(mesh::ToWire(log_->state().part_verdicts));
   }
   mesh_->Send(member.process, message);
 }
@@ -246,6 +248,7 @@
   if (message.__isset.retries && !message.retries.grant) {
     OnRetryReport(from, message.retries, now);
   }
+  if (message.__isset.part_report) OnPartReport(from, message.part_report, now);
   if (message.__isset.service_config) {
     // An ingress process reports the version that it has in force.
     config_syncs_[from.process].config_version = message.service_config.version;
@@ -324,6 +327,7 @@
 }
 
 void ControlNode::OnStateChange(TimePoint now) {
+  SyncVerdicts(now);
   SendTargets(now);
   SendConfig(now);
 }
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -24,6 +24,10 @@
 // A permit that the allocator still has arrives within a few milliseconds of asking.
 constexpr Duration kMaxRetryPermitWait = std::chrono::milliseconds(60);
 constexpr Duration kRetryPermitPollInterval = std::chrono::milliseconds(5);
+// Not one of the statuses after which callers come back: the same prompt would end another engine.
+constexpr unsigned kCondemnedStatus = 400;
+constexpr std::string_view kCondemnedPart = "condemned-prompt-part";
+constexpr std::string_view kSuspectPart = "suspect-prompt-part";
 constexpr Duration kDefaultLatencyObjective = std::chrono::milliseconds(300);
 
 }  // namespace
@@ -36,6 +40,10 @@
       received_at_(MonotonicNow()),
       caller_state_(std::make_shared<CallerState>()) {}
 
+Exchange::~Exchange() {
+  if (!trial_part_.empty()) node_.part_guard().EndTrial(trial_part_);
+}
+
 Duration Exchange::LatencyObjective() const {
   return route_->latency_objective > Duration::zero() ? route_->latency_objective
                                                       : kDefaultLatencyObjective;
@@ -179,6 +187,36 @@
   co_return pending->verdict;
 }
 
+bool Exchange::PartsAllowRepeat() const {
+  return engine_ == nullptr || attempt_proven_ || !history_.may_have_run ||
+         !node_.part_guard().Suspicious(request_.shared_prompt_parts, MonotonicNow());
+}
+
+Task<void> Exchange::RejectPart(std::string part) {
+  metrics_.Add(Counter::kRefusedByPart);
+  const std::string reason = std::string(kCondemnedPart) + ": " + part;
+  co_await Respond(kCondemnedStatus, reason);
+}
+
+Task<bool> Exchange::AdmitParts() {
+  if (engine_ == nullptr || request_.shared_prompt_parts.empty()) co_return true;
+  const auto decision = node_.AdmitParts(request_.shared_prompt_parts, received_at_);
+  switch (decision.kind) {
+    case serving::PartDecision::Kind::kFree:
+      co_return true;
+    case serving::PartDecision::Kind::kTrial:
+      trial_part_ = decision.part;
+      co_return true;
+    case serving::PartDecision::Kind::kWait:
+      co_await Refuse(kSuspectPart, decision.retry_after);
+      co_return false;
+    case serving::PartDecision::Kind::kCondemned:
+      co_await RejectPart(decision.part);
+      co_return false;
+  }
+  co_return true;
+}
+
 Task<void> Exchange::WaitForRetryPermit() {
   const TimePoint until = MonotonicNow() + kMaxRetryPermitWait;
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -295,6 +333,7 @@
     if (state->upstream != nullptr) state->upstream->Close();
   });
   node_.CountRequest(service_, received_at_);
+  if (!co_await AdmitParts()) co_return;
   while (true) {
     const auto verdict = co_await WaitForEndpoint();
     if (caller_state_->disconnected) {
@@ -317,6 +356,8 @@
       co_return;
     }
     auto placed = std::get<serving::PlacementResult>(verdict);
+    attempt_events_ = 0;
+    attempt_proven_ = false;
     const TimePoint attempt_started = MonotonicNow();
     response_pending_ = true;
     last_request_limit_.reset();
@@ -343,19 +384,32 @@
       tried_endpoints_.push_back(placed.id);
     }
     serving::RecordOutcome(history_, outcome);
+    if (engine_ != nullptr) co_await RecordPartEvidence(placed, outcome);
     TimePoint now = MonotonicNow();
-    if (serving::NeedsRetry(*route_, history_, outcome, deadline_ - now)) {
+    // A further engine may end under the request as well.
+    const bool may_repeat = PartsAllowRepeat();
+    if (may_repeat && serving::NeedsRetry(*route_, history_, outcome, deadline_ - now)) {
       co_await WaitForRetryPermit();
       now = MonotonicNow();
     }
     bool asked_for_retry = false;
     const NextStep step = serving::DecideNextStep(*route_, history_, outcome, deadline_ - now, [&] {
-      asked_for_retry = true;
+      asked_for_retry = may_repeat;
+      if (!may_repeat) return false;
       metrics_.Add(Counter::kRetries);
       return node_.TakeRetry(service_, now);
     });
     LogAttempt(placed, outcome, step, asked_for_retry, attempt_started, now);
-    if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) continue;
+    if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) {
+      const std::string condemned = node_.CondemnedPart(request_.shared_prompt_parts);
+      if (engine_ == nullptr || condemned.empty()) continue;
+      if (history_.may_have_run || history_.response_started) {
+        co_await Finish(serving::StepWithoutRetry(history_, outcome), outcome);
+      } else {
+        co_await RejectPart(condemned);
+      }
+      co_return;
+    }
     if (outcome == AttemptOutcome::kCallerDisconnected) caller_.CloseAfter();
     if (outcome == AttemptOutcome::kDelivered) {
       metrics_.Add(Counter::kComplete);
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -20,6 +20,9 @@
 class Exchange {
  public:
   Exchange(IngressNode& node, process::Metrics& metrics, net::HttpExchange& caller);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
   net::Task<void> Run();
 
  private:
@@ -53,6 +56,17 @@
   net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult& placed);
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
+  /// Judges the request by the parts of its prompt.
+  /// @return false if it may not be sent; the caller has been sent an error response then
+  net::Task<bool> AdmitParts();
+  /// Responds that a part of the prompt ends engines. Final: the request is the caller's to change.
+  net::Task<void> RejectPart(std::string part);
+  /// Records the attempt as evidence on the parts of the prompt, and finds out whether its engine
+  /// ended.
+  net::Task<void> RecordPartEvidence(serving::PlacementResult placed,
+                                     serving::AttemptOutcome outcome);
+  /// Whether the request may be sent again as far as the parts of its prompt are concerned.
+  bool PartsAllowRepeat() const;
   /// Waits for a retry permit if none is held and one may come at once.
   net::Task<void> WaitForRetryPermit();
   /// Records what a response reports about the endpoint itself: shutdown, pause and load.
@@ -72,6 +86,8 @@
   /// @return false if the event ids have a gap
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
                               const std::string& header_lines);
+  /// Records once per attempt that the engine can serve the prompt.
+  void MarkProven();
   /// Reports once per attempt that the response has started, or that the attempt ended without one.
   void ClearResponsePending(const std::string& endpoint);
   /// Reports the outcome of an attempt to endpoint selection.
@@ -132,6 +148,11 @@
   unsigned last_status_ = 0;
   /// Request limit that the last response named.
   std::optional<double> last_request_limit_;
+  /// Events of the current attempt, or its whole response: the engine can serve the prompt.
+  std::uint64_t attempt_events_ = 0;
+  bool attempt_proven_ = false;
+  /// Suspect part that this request tries; empty if none.
+  std::string trial_part_;
   /// The endpoint of the current attempt has not started its response.
   bool response_pending_ = false;
   std::string current_endpoint_;
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -19,6 +19,9 @@
 // about twice this time.
 constexpr Duration kStreamReadTimeout = std::chrono::milliseconds(1800);
 constexpr Duration kIdempotentReadTimeout = std::chrono::milliseconds(350);
+constexpr Duration kEndProbeTimeout = std::chrono::milliseconds(100);
+// The first event may still leave an engine that ends under the request.
+constexpr std::uint64_t kProvingEvents = 2;
 constexpr unsigned kMinRedirectStatus = 300;
 // Largest response that is buffered, equal to the default limit on caller requests. Bounds the
 // memory that a faulty endpoint can use by never ending its response.
@@ -63,19 +66,28 @@
   bool connected = true;
   const Duration timeout = std::min(kConnectTimeout, std::max(TimeLeft(), Duration(1)));
   const TimePoint connect_started = MonotonicNow();
+  bool refused = false;
   try {
     co_await upstream.Connect(net::ParseAddress(placed.address), timeout);
+  } catch (const net::TimeoutError&) {
+    connected = false;
   } catch (const net::NetError&) {
     // Nothing was sent, so another endpoint can safely be tried.
     connected = false;
+    refused = true;
   }
   const TimePoint now = MonotonicNow();
+  if (refused && engine_ != nullptr) {
+    node_.part_guard().OnEngineEnded(placed.address, placed.started_ms, now);
+  }
   node_.OnConnect(placed.id, now - connect_started, now);
   const std::string model = engine_ == nullptr ? std::string() : engine_->model;
   auto outcome = AttemptOutcome::kNotConnected;
   if (caller_state_->disconnected) {
     outcome = AttemptOutcome::kCallerDisconnected;
-  } else if (connected && !node_.MaySend(placed, model, now - connect_started, now)) {
+  } else if (connected &&
+             (!node_.MaySend(placed, model, now - connect_started, now) ||
+              (engine_ != nullptr && !node_.CondemnedPart(request_.shared_prompt_parts).empty()))) {
     outcome = AttemptOutcome::kEndpointIneligible;
   } else if (connected && TimeLeft() > Duration::zero()) {
     outcome = co_await Send(upstream, placed);
@@ -143,6 +155,35 @@
   co_return co_await ReadFullResponse(upstream, response, decoded);
 }
 
+void Exchange::MarkProven() {
+  if (attempt_proven_ || engine_ == nullptr) return;
+  attempt_proven_ = true;
+  node_.part_guard().OnProven(request_.shared_prompt_parts, MonotonicNow());
+}
+
+Task<void> Exchange::RecordPartEvidence(serving::PlacementResult placed, AttemptOutcome outcome) {
+  if (outcome == AttemptOutcome::kDelivered) MarkProven();
+  const bool broken =
+      outcome == AttemptOutcome::kNoValidResponse || outcome == AttemptOutcome::kStreamInterrupted;
+  if (!broken || attempt_proven_ || request_.shared_prompt_parts.empty()) co_return;
+  auto& guard = node_.part_guard();
+  const TimePoint broken_at = MonotonicNow();
+  guard.OnBroken({placed.address, placed.started_ms, broken_at, request_.shared_prompt_parts},
+                 broken_at);
+  if (guard.KnownEnded(placed.address, placed.started_ms)) co_return;
+  // An engine that has ended refuses connections; one that only broke off its response does not.
+  net::HttpConnection probe(co_await asio::this_coro::executor);
+  bool refused = false;
+  try {
+    co_await probe.Connect(net::ParseAddress(placed.address), kEndProbeTimeout);
+  } catch (const net::TimeoutError&) {
+    refused = false;
+  } catch (const net::NetError&) {
+    refused = true;
+  }
+  if (refused) guard.OnEngineEnded(placed.address, placed.started_ms, MonotonicNow());
+}
+
 void Exchange::RecordEndpointState(const serving::PlacementResult& placed,
                                    const platform::EndpointResponse& response) {
   const TimePoint now = MonotonicNow();
@@ -242,6 +283,8 @@
     if (!read.bytes || caller_state_->disconnected) break;
     const auto events = event_splitter_.Feed(*read.bytes);
     if (event_splitter_.overflow() || event_splitter_.malformed()) failed = true;
+    attempt_events_ += events.size();
+    if (attempt_events_ >= kProvingEvents) MarkProven();
     if (!events.empty()) {
       ClearResponsePending(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -82,6 +82,7 @@
     if (exchange.path() == "/metrics") {
       AddPermitCounts();
       AddRetryCounts();
+      AddPartCounts();
       body = metrics_.Text();
       co_return co_await exchange.Respond(200, body, headers, "text/plain; version=0.0.4");
     }
@@ -131,6 +132,23 @@
     retry_counts_ = counts;
   }
 
+  /// The same for what the guard of prompt parts has counted.
+  void AddPartCounts() {
+    using Counters = serving::PartGuard::Counters;
+    struct Row {
+      process::Counter counter;
+      std::uint64_t Counters::*value;
+    };
+    constexpr Row kRows[] = {{process::Counter::kHeldBackByPart, &Counters::held_back},
+                             {process::Counter::kPartTrials, &Counters::trials},
+                             {process::Counter::kAttemptsEnded, &Counters::ended_attempts}};
+    const Counters counts = node_.part_guard().counters();
+    for (const auto& [counter, value] : kRows) {
+      metrics_.Add(counter, counts.*value - part_counts_.*value);
+    }
+    part_counts_ = counts;
+  }
+
   std::string DumpState() const {
     nlohmann::json endpoints = nlohmann::json::object();
     for (const auto& [id, record] : node_.table().endpoints()) {
@@ -147,14 +165,21 @@
         retry_permits[it.name] = node_.retry_pool().Held(it.name, process::MonotonicNow());
       }
     }
+    nlohmann::json prompt_parts = nlohmann::json::object();
+    for (const auto& [part, it] : node_.part_guard().verdicts()) {
+      prompt_parts[part] = {{"state", serving::kPartStates.Name(it.state)},
+                            {"times", it.times},
+                            {"trial_process", it.trial_process}};
+    }
     return nlohmann::json{{"name", settings_.name},
                           {"ready", node_.Ready()},
                           {"config", node_.routes() ? node_.routes()->config().version : 0},
                           {"active", caller_server_->active()},
                           {"waiting", node_.waiting()},
                           {"retry_permits", retry_permits},
+                          {"prompt_parts", prompt_parts},
                           {"endpoints", endpoints}}
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   }
 
   void CheckStop() {
@@ -186,6 +211,7 @@
   /// Counts of the permit pool that are already in the metrics.
   serving::PermitPool::Counters permit_counts_;
   serving::RetryPool::Counters retry_counts_;
+  serving::PartGuard::Counters part_counts_;
   std::int64_t limits_config_version_ = 0;
   net::asio::steady_timer stop_timer_;
   TimePoint stop_at_{};
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -88,6 +88,7 @@
   if (admission_.waiting() > 0) DeliverVerdicts(now);
   AskForPermits(now);
   ReportRetries(now);
+  ReportParts(now);
   if (placement_.permits().uses_own_share(now) && !permit_allocator_lost_) {
     permit_allocator_lost_ = true;
     LogEvent(Event::kPermitAllocatorLost,
@@ -131,6 +132,7 @@
     for (const auto& it : message.instances) {
       const auto record = mesh::FromWire(it, now);
       if (table_.Apply(record, now) != serving::AnnouncementResult::kChanged) continue;
+      part_guard_.OnIncarnation(record.address, record.started_ms, now);
       LogEvent(Event::kServiceEndpointChanged,
                {{"endpoint", record.id},
                 {"service", record.service},
@@ -157,6 +159,26 @@
   if (message.__isset.limits) OnRelayedLimits(message.limits, now);
   if (message.__isset.permits && message.permits.grant) OnPermitGrant(from, message.permits, now);
   if (message.__isset.retries && message.retries.grant) OnRetryGrant(from, message.retries, now);
+  if (message.__isset.part_verdicts) {
+    auto list = mesh::FromWire(message.part_verdicts);
+    const std::int64_t revision = list.revision;
+    if (part_guard_.SetVerdicts(std::move(list))) {
+      nlohmann::json states = nlohmann::json::object();
+      for (const auto& [part, it] : part_guard_.verdicts()) {
+        states[part] = serving::kPartStates.Name(it.state);
+      }
+      LogEvent(Event::kPromptVerdictsInForce,
+               {{"revision", revision}, {"verdicts", states}, {"from", from.process}});
+    }
+  }
+  if (message.__isset.suspect_parts) {
+    std::vector<serving::SuspectPart> suspects;
+    for (const auto& it : message.suspect_parts) {
+      suspects.push_back({it.part, static_cast<std::uint32_t>(std::max(it.ends, 0))});
+    }
+    part_guard_.SetSuspects(std::move(suspects), now);
+    ReportParts(now);
+  }
   if (message.__isset.service_config) ApplyConfig(message.service_config);
 }
 
@@ -353,6 +375,22 @@
   ScheduleVerdictDelivery();
 }
 
+void IngressNode::ReportParts(TimePoint now) {
+  const auto processes = ControlProcesses();
+  part_guard_.SetIsolated(processes.empty());
+  const auto report = part_guard_.NextReport(ingress_count_, now);
+  if (!report) return;
+  for (const auto& it : report->ends) {
+    LogEvent(Event::kEngineEndedUnderPrompt, {{"engine", it.engine},
+                                              {"started_ms", it.started_ms},
+                                              {"age_ms", ToMilliseconds(now - it.at)},
+                                              {"prompt_parts", it.parts}});
+  }
+  wire::MeshMessage message;
+  message.__set_part_report(mesh::ToWire(*report, now));
+  mesh_->SendTo(processes, message);
+}
+
 bool IngressNode::TakeRetry(const std::string& service, TimePoint now) {
   const bool taken = retry_pool_.Take(service, now);
   ReportRetries(now);
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -219,6 +219,74 @@
   return grant;
 }
 
+wire::PartReport ToWire(const serving::PartReport& report, TimePoint now) {
+  wire::PartReport w;
+  for (const auto& it : report.ends) {
+    wire::AttemptEnd end;
+    end.engine = it.engine;
+    end.started_ms = it.started_ms;
+    end.age_ms = ClampedMilliseconds(now - it.at);
+    end.parts = it.parts;
+    w.ends.push_back(std::move(end));
+  }
+  for (const auto& it : report.proofs) {
+    wire::PartProof proof;
+    proof.part = it.part;
+    proof.age_ms = ClampedMilliseconds(now - it.at);
+    w.proofs.push_back(std::move(proof));
+  }
+  w.proven_attempts = static_cast<std::int64_t>(report.proven_attempts);
+  w.ended_attempts = static_cast<std::int64_t>(report.ended_attempts);
+  w.refused = report.refused;
+  return w;
+}
+
+serving::PartReport FromWire(const wire::PartReport& w, TimePoint now) {
+  serving::PartReport report;
+  for (const auto& it : w.ends) {
+    report.ends.push_back(
+        {it.engine, it.started_ms, now - std::chrono::milliseconds(Unsigned(it.age_ms)), it.parts});
+  }
+  for (const auto& it : w.proofs) {
+    report.proofs.push_back({it.part, now - std::chrono::milliseconds(Unsigned(it.age_ms))});
+  }
+  report.proven_attempts = static_cast<std::uint64_t>(std::max<std::int64_t>(w.proven_attempts, 0));
+  report.ended_attempts = static_cast<std::uint64_t>(std::max<std::int64_t>(w.ended_attempts, 0));
+  report.refused = w.refused;
+  return report;
+}
+
+wire::PartVerdict ToWire(const serving::PartVerdict& verdict) {
+  wire::PartVerdict w;
+  w.part = verdict.part;
+  w.state = static_cast<std::int16_t>(verdict.state);
+  w.times = static_cast<std::int32_t>(verdict.times);
+  w.trial_process = verdict.trial_process;
+  return w;
+}
+
+serving::PartVerdict FromWire(const wire::PartVerdict& w) {
+  const auto state = static_cast<serving::PartState>(w.state);
+  if (serving::kPartStates.Name(state) == "?") {
+    throw MeshError("unknown state of a prompt part in a mesh message");
+  }
+  return {w.part, state, Unsigned(w.times), w.trial_process};
+}
+
+wire::PartVerdicts ToWire(const serving::PartVerdictList& list) {
+  wire::PartVerdicts w;
+  w.revision = list.revision;
+  for (const auto& it : list.verdicts) w.rows.push_back(ToWire(it));
+  return w;
+}
+
+serving::PartVerdictList FromWire(const wire::PartVerdicts& w) {
+  serving::PartVerdictList list;
+  list.revision = w.revision;
+  for (const auto& it : w.rows) list.verdicts.push_back(FromWire(it));
+  return list;
+}
+
 wire::Permits ToWire(const serving::PermitGrant& grant) {
   wire::Permits w;
   w.grant = true;
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -29,6 +29,8 @@
   CPPUNIT_TEST(PermitRequestKeepsAgesAndClock);
   CPPUNIT_TEST(PermitGrantReturnsClock);
   CPPUNIT_TEST(RetryReportAndGrantKeepClocks);
+  CPPUNIT_TEST(PartReportKeepsAges);
+  CPPUNIT_TEST(PartVerdictsRejectUnknownStates);
   CPPUNIT_TEST(RejectsInvalidNumbers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -101,6 +103,43 @@
     CPPUNIT_ASSERT_THROW(RetryGrantFromWire(message.retries), MeshError);
   }
 
+  // Guards against ends and proofs that seem older or newer at a process with another clock: a
+  // proof clears the ends before it.
+  void PartReportKeepsAges() {
+    serving::PartReport report;
+    report.ends = {{"10.0.0.1:80", 42, kSenderNow - milliseconds(300), {"a", "b"}}};
+    report.proofs = {{"a", kSenderNow - seconds(2)}};
+    report.proven_attempts = 7;
+    report.ended_attempts = 2;
+    report.refused = {"c"};
+    wire::MeshMessage message;
+    message.__set_part_report(ToWire(report, kSenderNow));
+    const auto received = FromWire(Transmit(message).part_report, kReceiverNow);
+    const auto& end = received.ends.front();
+    CPPUNIT_ASSERT(end.engine == "10.0.0.1:80" && end.started_ms == 42);
+    CPPUNIT_ASSERT(end.at == kReceiverNow - milliseconds(300));
+    CPPUNIT_ASSERT(end.parts == std::vector<std::string>({"a", "b"}));
+    CPPUNIT_ASSERT(received.proofs.front().at == kReceiverNow - seconds(2));
+    CPPUNIT_ASSERT(received.proven_attempts == 7 && received.ended_attempts == 2);
+    CPPUNIT_ASSERT(received.refused == report.refused);
+  }
+
+  // Guards against a verdict of another release that is taken for one of this one.
+  void PartVerdictsRejectUnknownStates() {
+    const serving::PartVerdictList list{5,
+                                        {{"a", serving::PartState::kCondemned, 1, {}},
+                                         {"b", serving::PartState::kOnTrial, 3, "p"}}};
+    wire::MeshMessage message;
+    message.__set_part_verdicts(ToWire(list));
+    auto received = Transmit(message).part_verdicts;
+    const auto decoded = FromWire(received);
+    CPPUNIT_ASSERT(decoded.revision == 5 && decoded.verdicts.size() == 2);
+    CPPUNIT_ASSERT(decoded.verdicts[1].state == serving::PartState::kOnTrial);
+    CPPUNIT_ASSERT(decoded.verdicts[1].trial_process == "p" && decoded.verdicts[1].times == 3);
+    received.rows.front().state = 99;
+    CPPUNIT_ASSERT_THROW(FromWire(received), MeshError);
+  }
+
   // Guards against a message of a faulty process that grants billions of permits or withdraws a
   // limit.
   void RejectsInvalidNumbers() {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -326,6 +326,7 @@
                         {"a:800,b:410,c:250", {"a", "b"}},
                         {"a:800, b:410, a:3,c:250", {"a", "b"}},
                         {"a,,:7,b:x,c", {"a", "b"}},
+                        {"a/b:1,\xff:1,c\"d:1,e:1,f:1", {"e"}},
                         {std::string(65, 'a') + ":1,b:2,c:3", {"b"}}};
     for (const auto& row : rows) {
       net::HttpRequest request(net::http::verb::post, "/", 11);
