--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -82,6 +83,8 @@
   CPPUNIT_TEST(RejectsInvalidConfiguration);
   CPPUNIT_TEST(ParsesControlCalls);
   CPPUNIT_TEST(RejectsInvalidAnnouncements);
+  CPPUNIT_TEST(RejectsOddAnnouncements);
+  CPPUNIT_TEST(SurvivesDamagedMessages);
   CPPUNIT_TEST(DistinguishesCompleteFromPartialWeights);
   CPPUNIT_TEST(EncodesLoadCommands);
   CPPUNIT_TEST(SetsAndStripsRequestHeaders);
@@ -314,6 +317,91 @@
                          static_cast<std::ptrdiff_t>(forwarded.count("Last-Event-Id")));
   }
 
+  // Guards against an entry of another writer that ends the processes that read it, or that is used
+  // for requests: nested very deeply, with a number that is too large, or with a port out of range.
+  void RejectsOddAnnouncements() {
+    const auto nested = [](std::size_t levels, const char* open, const char* close) {
+      std::string text;
+      for (std::size_t i = 0; i < levels; ++i) text += open;
+      text += "1";
+      for (std::size_t i = 0; i < levels; ++i) text += close;
+      return text;
+    };
+    const std::string known = Announcement().dump();
+    const auto with = [&](const std::string& field, const std::string& value) {
+      json announcement = Announcement();
+      announcement.erase(field);
+      const std::string rest = announcement.dump();
+      return "{\"" + field + "\":" + value + "," + rest.substr(1);
+    };
+    const std::string odd[] = {
+        with("other", nested(100, "[", "]")),
+        with("other", nested(20000, "{\"a\":", "}")),
+        with("model-list", nested(1'000'000, "[", "]")),
+        with("other", "\"" + std::string(100'000, 'x') + "\""),
+        with("batch-slots", "4294967296"),
+        with("batch-slots", "1e400"),
+        with("sequence", "9223372036854775808"),
+        with("sequence", "1e30"),
+        with("born", "18446744073709551615"),
+        with("born", "9007199254740993"),
+        with("warmup-remaining-ms", "1e300"),
+        with("warmup-remaining-ms", "-1"),
+        with("address", "\"10.0.0.1:99999\""),
+        with("address", "\"10.0.0.1:0\""),
+        with("address", "\"10.0.0.1:-80\""),
+        with("address", "\"10.0.0.1\""),
+        with("address", "\"replica.example:80\""),
+        with("state", "\"\xff\""),
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), DecodeAnnouncement("i-1", known).id);
+    for (const auto& body : odd) {
+      CPPUNIT_ASSERT_THROW_MESSAGE(body.substr(0, 200), DecodeAnnouncement("i-1", body),
+                                   PlatformError);
+    }
+  }
+
+  // The same for messages of others that were damaged on their way or written by another release:
+  // what a process cannot read must be an error that it handles.
+  void SurvivesDamagedMessages() {
+    const std::string state = R"({"phase":"unified","model-list":[{"name":"m","version":3}],)"
+                              R"("layers":[{"source":0,"to":4,"version":3}],"busy":false,)"
+                              R"("sequence":2,"queued":1,"active":12,"pace":1.5,"born":17})";
+    const std::string digests = R"({"model-name":"m","version":2,"chunk-bytes":32768,)"
+                                R"("layers":16,"chunk-digests":["00ff"]})";
+    const std::string staged = R"({"held":[1,2,3]})";
+    const std::string target = R"({"model-name":"m","version":2})";
+    const std::pair<std::string, std::function<void(const std::string&)>> decoders[] = {
+        {Announcement().dump(), [](const auto& it) { DecodeAnnouncement("i-1", it); }},
+        {state, [](const auto& it) { DecodeEngineState(it); }},
+        {digests, [](const auto& it) { DecodeDigests(it); }},
+        {staged, [](const auto& it) { DecodeStagedList(it); }},
+        {target, [](const auto& it) { DecodeTargetWeights(it); }},
+        {ConfigFile().dump(), [](const auto& it) { DecodeServiceConfig(it); }},
+    };
+    const char* const splices[] = {"[",  "{\"a\":", "1e999", "-1", "18446744073709551615",
+                                   "\"", "null",    "\xff",  "[]", "99999999999999999999"};
+    std::minstd_rand random(7);
+    for (const auto& [sample, decode] : decoders) {
+      for (int run = 0; run < 4000; ++run) {
+        std::string text = sample;
+        for (auto n = random() % 3 + 1; n > 0; --n) {
+          const std::size_t at = random() % text.size();
+          const std::string splice = splices[random() % std::size(splices)];
+          const std::size_t repeated = random() % 20 == 0 ? 500 : 1;
+          std::string inserted;
+          for (std::size_t i = 0; i < repeated; ++i) inserted += splice;
+          text.replace(at, random() % 6, inserted);
+        }
+        try {
+          decode(text);
+        } catch (const Error&) {
+          continue;
+        }
+      }
+    }
+  }
+
   // Guards against blaming the last part, which is the request's own, and against lists that make
   // the system remember without bound.
   void DecodesPromptParts() {
