Refuse requests that are complete too late in a planned stop

It could happen here, too, to a request whose body ends after new connections are no longer accepted, while another request keeps the process running. Cause: the process decided when to accept connections, not whether a request can still end. Change: a request that is complete later than the accepting period and 200 ms gets a 503 at once; it has not run. Requests in progress are answered 100 ms before the exit at the latest. Conclusion: what is passed on in a planned stop has the time to end.

--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -28,6 +28,9 @@
 constexpr unsigned kCondemnedStatus = 400;
 constexpr std::string_view kCondemnedPart = "condemned-prompt-part";
 constexpr std::string_view kSuspectPart = "suspect-prompt-part";
+constexpr std::string_view kStopping = "stopping";
+// Another process can take the request at once.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 constexpr Duration kDefaultLatencyObjective = std::chrono::milliseconds(300);
 
 }  // namespace
@@ -57,7 +60,9 @@
   return account_ == nullptr ? route_->priority : account_->priority;
 }
 
-Duration Exchange::TimeLeft() const { return deadline_ - MonotonicNow(); }
+Duration Exchange::TimeLeft() const {
+  return std::min(deadline_, node_.answer_by()) - MonotonicNow();
+}
 
 Task<void> Exchange::Respond(unsigned status, std::string_view reason,
                              std::optional<Duration> retry_after) {
@@ -326,6 +331,9 @@
 Task<void> Exchange::Run() {
   metrics_.Add(Counter::kRequests);
   if (node_.draining()) caller_.CloseAfter();
+  if (!node_.AcceptsRequest(received_at_)) {
+    co_return co_await Refuse(kStopping, kStoppingRetryAfter);
+  }
   if (!co_await ResolveRoute()) co_return;
   caller_.WatchCaller([state = caller_state_] {
     state->disconnected = true;
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -58,7 +58,7 @@
   /// accepting connections, waits for the requests in progress, and ends the process.
   void BeginStop(TimePoint now) {
     stop_at_ = now;
-    node_.StopTakingCallers();
+    node_.StopTakingCallers(now);
     CheckStop();
   }
 
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -10,6 +10,7 @@
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
+#include "wagtailslip/serving/stop_plan.h"
 
 namespace wagtailslip::ingress {
 namespace {
@@ -22,6 +23,10 @@
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 constexpr std::size_t kMaxConfigBytes = std::size_t{32} * 1024 * 1024;
 constexpr Duration kIngressCountHoldTime = std::chrono::seconds(20);
+// Requests that began before a stopping process closed its idle connections may still arrive.
+constexpr Duration kRequestTransit = std::chrono::milliseconds(200);
+// An answer of a stopping process is sent this long before it exits.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(100);
 constexpr Duration kExpirePeriod = std::chrono::seconds(1);
 // Requests stop going to outdated weights this long before the propagation bound expires, because
 // an engine starts them only after its current pass. The margin is longer where requests wait for a
@@ -70,8 +75,11 @@
   tick_timer_.Start();
 }
 
-void IngressNode::StopTakingCallers() {
+void IngressNode::StopTakingCallers(TimePoint now) {
   draining_ = true;
+  const auto plan = serving::MakeStopPlan(settings_.bounds.stop_grace);
+  accept_until_ = now + plan.accept_period + kRequestTransit;
+  answer_by_ = now + plan.exit_after - kAnswerMargin;
   auto self = mesh_->self();
   self.accepting = false;
   mesh_->UpdateSelf(self);
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -40,7 +40,12 @@
 
   void Start();
   /// Tells the control processes to stop directing callers to this process.
-  void StopTakingCallers();
+  void StopTakingCallers(TimePoint now);
+  /// Whether a request that was read at this time can end before the process exits.
+  bool AcceptsRequest(TimePoint read_at) const { return read_at < accept_until_; }
+  /// Time by which all requests must be answered, because the process exits; the latest time while
+  /// it does not stop.
+  TimePoint answer_by() const { return answer_by_; }
   void Stop();
 
   /// Routes of the current configuration; null until the first one arrives.
@@ -208,6 +213,8 @@
   bool retry_allocator_lost_ = false;
   std::uint64_t last_id_ = 0;
   bool draining_ = false;
+  TimePoint accept_until_ = TimePoint::max();
+  TimePoint answer_by_ = TimePoint::max();
   bool delivery_scheduled_ = false;
   TimePoint next_expiry_{};
 };
--- a/tests/system/limited_replicas.cc
+++ b/tests/system/limited_replicas.cc
@@ -66,6 +66,11 @@
     const std::lock_guard lock(mutex_);
     arrivals_[plan.id].push_back(time);
   }
+  if (plan.service_time > Duration::zero()) {
+    asio::steady_timer timer(context_);
+    timer.expires_after(plan.service_time);
+    co_await timer.async_wait(asio::use_awaitable);
+  }
   net::HttpHeaders headers;
   headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   headers.emplace_back("Replica-Signature", plan.id);
--- a/tests/system/limited_replicas.h
+++ b/tests/system/limited_replicas.h
@@ -24,6 +24,8 @@
   std::string id;
   std::string address;
   std::vector<LimitStep> steps;
+  /// Time between a request and its answer.
+  Duration service_time{};
 
   /// The limit in force at a time after the start.
   std::optional<double> LimitAt(Duration time) const;
--- a/tests/system/request_limit_test.cc
+++ b/tests/system/request_limit_test.cc
@@ -117,7 +117,7 @@
     std::vector<ReplicaPlan> plans;
     for (const auto& row : kPlanRows) {
       plans.push_back(
-          {row.name, cluster.ReplicaAddress(static_cast<int>(plans.size())), row.steps});
+          {row.name, cluster.ReplicaAddress(static_cast<int>(plans.size())), row.steps, {}});
     }
     return plans;
   }
