Test the control log with disks that are full one after another

Cause: none found here. Change: RecoversOnceTheDiskHasRoom lets a disk be full at 58 places of a write and reopens the store twice; AcknowledgesAfterEachProcessWasDown has each of five processes fail and start again eight times in turn, three rounds, while changes go on. Figures: both pass on the code as it was: synced entries are kept, all five processes vote and hold the last change. Conclusion: it cannot happen in these ways.

--- a/tests/control_log_test.cc
+++ b/tests/control_log_test.cc
@@ -164,6 +164,7 @@
   CPPUNIT_TEST(ReplacesWipedProcessWithinCatchUpTime);
   CPPUNIT_TEST(IsolatedLeaderCannotServeReads);
   CPPUNIT_TEST(WeightsAgeSurvivesRestart);
+  CPPUNIT_TEST(AcknowledgesAfterEachProcessWasDown);
   CPPUNIT_TEST(RetryBlocksSurviveFullRestart);
   CPPUNIT_TEST(PartVerdictsSurviveFullRestart);
   CPPUNIT_TEST(RecoversConfigBeforeElection);
@@ -201,6 +202,41 @@
     }
   }
 
+  // Guards against changes that stay refused or unanswered once every process has been down for a
+  // while, one after the other, as processes are whose disks are full: they end at their first
+  // write and at each start until there is room.
+  void AcknowledgesAfterEachProcessWasDown() {
+    Cluster cluster("turns");
+    StartAll(cluster, 5);
+    std::int64_t version = 0;
+    const auto change = [&] {
+      ++version;
+      return cluster.ProposeConfig(version, "body " + std::to_string(version));
+    };
+    for (int round = 0; round < 3; ++round) {
+      for (int i = 1; i <= 5; ++i) {
+        cluster.Kill(i);
+        for (int n = 0; n < 8; ++n) {
+          cluster.Run(milliseconds(400));
+          change();
+          // Starts, takes part, and fails again at its first write.
+          cluster.Start(i, false);
+          cluster.Run(milliseconds(100));
+          cluster.Kill(i);
+        }
+        cluster.Start(i, false);
+        cluster.Run(seconds(1));
+      }
+    }
+    cluster.Run(seconds(3));
+    for (int n = 0; n < 20; ++n) CPPUNIT_ASSERT(change());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, cluster.voters());
+    cluster.Run(seconds(1));
+    for (int i = 1; i <= 5; ++i) {
+      CPPUNIT_ASSERT_EQUAL(version, cluster.node(i).state().config_version);
+    }
+  }
+
   // Guards against a leader that grants retries which its predecessor may have granted, because the
   // blocks in use were lost with a restart or in a snapshot.
   void RetryBlocksSurviveFullRestart() {
--- a/tests/log_store_test.cc
+++ b/tests/log_store_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(DetectsDamagedStateAndSnapshot);
   CPPUNIT_TEST(DetectsMissingFiles);
   CPPUNIT_TEST(FullDiskStopsTheStore);
+  CPPUNIT_TEST(RecoversOnceTheDiskHasRoom);
   CPPUNIT_TEST(SnapshotsRemoveSegments);
   CPPUNIT_TEST(TruncatesAcrossSegments);
   CPPUNIT_TEST(RetriesInterruptedCreation);
@@ -216,6 +217,45 @@
     CPPUNIT_ASSERT_EQUAL(std::string("kept"), entries[0].data);
   }
 
+  // Guards against a log that cannot be read or continued after its disk was full in the middle of
+  // a write, wherever the write stopped: synced entries are kept, and new ones are taken.
+  void RecoversOnceTheDiskHasRoom() {
+    rlimit unlimited{};
+    ::getrlimit(RLIMIT_FSIZE, &unlimited);
+    const auto previous = std::signal(SIGXFSZ, SIG_IGN);
+    for (rlim_t room = 0; room < 400; room += 7) {
+      fs::remove_all(folder_);
+      Index synced = 0;
+      {
+        LogStore store(Options());
+        rlimit full = unlimited;
+        full.rlim_cur = room;
+        ::setrlimit(RLIMIT_FSIZE, &full);
+        try {
+          for (Index index = 1; index <= 40; ++index) {
+            store.Append({CommandEntry(index, "entry " + std::to_string(index))});
+            store.Sync();
+            synced = index;
+            store.SaveHardState({index, agreement::ReplicaId{"b", 7}, index});
+          }
+        } catch (const DiskError&) {
+          // The process ends here.
+          CPPUNIT_ASSERT(synced < 40);
+        }
+        ::setrlimit(RLIMIT_FSIZE, &unlimited);
+      }
+      for (int restart = 0; restart < 2; ++restart) {
+        LogStore store(Options());
+        const auto entries = store.TakeState().entries;
+        CPPUNIT_ASSERT(entries.size() >= synced);
+        store.Append({CommandEntry(entries.size() + 1, "later")});
+        store.Sync();
+        synced = entries.size() + 1;
+      }
+    }
+    std::signal(SIGXFSZ, previous);
+  }
+
   void SnapshotsRemoveSegments() {
     {
       LogStore store(SmallSegmentOptions());
