Test a stream that ends with its connection and has no length

Change: a row of system_hostile_endpoints_test. Conclusion: whole streams without length are served, those that end in an event count as broken off.

--- a/tests/system/hostile_endpoints_test.cc
+++ b/tests/system/hostile_endpoints_test.cc
@@ -155,6 +155,8 @@
     {"whole", Routes::kAll, Effect::kServes, [](const Context& c) { return Keeps(Whole(c)); }},
     {"no length, closed", Routes::kPlain, Effect::kServes,
      [](const Context& c) { return Closes(kOk + OwnFields(c) + Type(c) + "\r\n" + PlainBody(c)); }},
+    {"stream without length, closed after its last event", Routes::kStreams, Effect::kServes,
+     [](const Context& c) { return Closes(kOk + OwnFields(c) + Type(c) + "\r\n" + WholeBody(c)); }},
     {"interim answers before the answer", Routes::kAll, Effect::kServes,
      [](const Context& c) {
        return Keeps("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
