Hold retry permits before the first request of a process

Callers' first requests after a start of an ingress process, and those of services with few requests, were not repeated: system_hostile_endpoints_test, a case in the first second (refused with not-run), and five cases that waited for a silent endpoint because no permit was held. Cause: the process asked for permits when it had its first request, and a reserve below one permit was none; a first denial ended the wait although the allocator then opens a further part.

--- a/include/wagtailslip/serving/retry_pool.h
+++ b/include/wagtailslip/serving/retry_pool.h
@@ -27,6 +27,8 @@
 
   explicit RetryPool(RetryLimits limits) : limits_(limits) {}
 
+  /// Holds permits for a service from now on, before its first request.
+  void AddService(const std::string& service) { services_.try_emplace(service); }
   /// Counts a caller's request to a service.
   void OnRequest(const std::string& service, TimePoint now);
   /// Takes one permit.
@@ -65,8 +67,8 @@
     bool missed = false;
     /// Permits that the last report asked for.
     std::uint32_t asked = 0;
-    /// The last reply granted less than was asked for.
-    bool denied = false;
+    /// Number of last replies that granted less than was asked for.
+    std::uint32_t denials = 0;
     /// Requests by interval, most recent last, and the number of the last one.
     std::deque<std::uint32_t> requests;
     std::int64_t last_interval = 0;
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -21,8 +21,9 @@
 // Admission decides by the latest start; a verdict that is missing this long after it is treated as
 // lost.
 constexpr Duration kVerdictTimeoutMargin = std::chrono::milliseconds(400);
-// A permit that the allocator still has arrives within a few milliseconds of asking.
-constexpr Duration kMaxRetryPermitWait = std::chrono::milliseconds(60);
+// A permit that the allocator still has arrives within a few milliseconds of asking, or after a
+// commit of the control processes.
+constexpr Duration kMaxRetryPermitWait = std::chrono::milliseconds(150);
 constexpr Duration kRetryPermitPollInterval = std::chrono::milliseconds(5);
 // Not one of the statuses after which callers come back: the same prompt would end another engine.
 constexpr unsigned kCondemnedStatus = 400;
@@ -227,7 +228,8 @@
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   asio::steady_timer timer(executor);
   for (TimePoint now = MonotonicNow(); now < until; now = MonotonicNow()) {
-    if (node_.MayRetry(service_, now) || !node_.AskForRetryPermit(service_, now)) co_return;
+    if (node_.retry_pool().CanTake(service_, now)) co_return;
+    if (!node_.AskForRetryPermit(service_, now)) co_return;
     timer.expires_after(kRetryPermitPollInterval);
     net::error_code ec;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -222,6 +222,10 @@
     LogEvent(Event::kServiceConfigRefused, {{"version", body.version}, {"error", e.what()}});
     return;
   }
+  for (const auto& it : routes_->config().services) {
+    if (it.origin.empty()) retry_pool_.AddService(it.name);
+  }
+  ReportRetries(MonotonicNow());
   LogEvent(Event::kServiceConfigInForce,
            {{"version", body.version}, {"routes", routes_->config().routes.size()}});
   auto self = mesh_->self();
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -82,9 +82,9 @@
   /// Asks the allocator for a retry permit.
   /// @return whether one may come at once
   bool AskForRetryPermit(const std::string& service, TimePoint now);
-  /// Whether TakeRetry would succeed now.
+  /// Whether TakeRetry would succeed now, or after a short wait.
   bool MayRetry(const std::string& service, TimePoint now) const {
-    return retry_pool_.CanTake(service, now);
+    return retry_pool_.CanTake(service, now) || retry_pool_.MayComeSoon(service, now);
   }
   const serving::RetryPool& retry_pool() const { return retry_pool_; }
   /// Whether a request to an engine may be sent, judged by the parts of its prompt.
--- a/src/serving/retry_allocator.cc
+++ b/src/serving/retry_allocator.cc
@@ -11,8 +11,10 @@
 constexpr double kGrantedShare = 0.84;
 // Share of the limits that processes hold in calm, so that single failures need no message.
 constexpr double kReserveShare = 0.125;
+// Largest share of the limits that processes hold if each of them holds one permit.
+constexpr double kMaxSingleReserves = 0.5;
 // Blocks that are open in calm; few failures then need no commit.
-constexpr int kMinOpenBlocks = 2;
+constexpr int kMinOpenBlocks = 4;
 // Time after which blocks that are not needed are closed.
 constexpr Duration kCloseDelay = std::chrono::seconds(2);
 // A dead process's permits are lost for this long and a window, so it is short; a process reports
@@ -109,7 +111,10 @@
   holding.expires_at = now + kPermitLifetime;
   if (denied > 0) needed_ = std::max(needed_, BlocksNeeded(service, denied, now));
   const auto holders = static_cast<double>(std::max<std::size_t>(senders_.size(), 1));
-  reply.reserve = static_cast<std::uint32_t>(kReserveShare * service.ledger.Allowed(now) / holders);
+  const double allowed = service.ledger.Allowed(now);
+  reply.reserve = static_cast<std::uint32_t>(kReserveShare * allowed / holders);
+  // Where the limit is low, a process still holds one as long as all of them together leave some.
+  if (reply.reserve == 0 && holders <= kMaxSingleReserves * allowed) reply.reserve = 1;
   return reply;
 }
 
--- a/src/serving/retry_pool.cc
+++ b/src/serving/retry_pool.cc
@@ -14,7 +14,7 @@
 constexpr Duration kMaxAskInterval = std::chrono::milliseconds(400);
 // The same while the allocator has no more permits: they return as the window moves on.
 constexpr Duration kDeniedAskIntervalPerProcess = std::chrono::milliseconds(5);
-constexpr Duration kMinDeniedAskInterval = std::chrono::milliseconds(100);
+constexpr Duration kMinDeniedAskInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaxDeniedAskInterval = std::chrono::milliseconds(800);
 // A report without a reply for this long goes to all control processes.
 constexpr Duration kReplyTimeout = std::chrono::milliseconds(250);
@@ -98,7 +98,8 @@
 bool RetryPool::MayComeSoon(const std::string& service, TimePoint now) const {
   if (unanswered_since_ && now - *unanswered_since_ >= kReplyTimeout) return false;
   const auto it = services_.find(service);
-  return it != services_.end() && !it->second.denied && !allocator_.empty();
+  // After one denial the allocator may have opened a further part of the limit.
+  return it != services_.end() && it->second.denials < 2 && !allocator_.empty();
 }
 
 void RetryPool::DropExpired(Service& service, TimePoint now) {
@@ -144,7 +145,8 @@
   const Duration since = now - last_report_at_;
   const bool short_of_permits =
       std::any_of(services_.begin(), services_.end(), [&](const auto& it) {
-        return Short(it.second) && since >= (it.second.denied ? denied_ask_interval : ask_interval);
+        return Short(it.second) &&
+               since >= (it.second.denials > 0 ? denied_ask_interval : ask_interval);
       });
   if (now < next_regular_report_ && !short_of_permits) return std::nullopt;
   RetryReport report;
@@ -187,7 +189,7 @@
     if (it == services_.end()) continue;
     Service& service = it->second;
     DropExpired(service, now);
-    service.denied = row.granted < service.asked;
+    service.denials = row.granted < service.asked ? service.denials + 1 : 0;
     // A first reserve is no reason to wait for the next regular report.
     if (row.reserve > 0 && service.reserve == 0) next_regular_report_ = now + kMinAskInterval;
     service.reserve = row.reserve;
