--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -94,59 +94,43 @@
     co_await exchange.Respond(404, body, headers, "text/plain");
   }
 
-  /// Adds to the metrics what the permit pool has counted since the last call.
+  /// Adds to the metrics what a part of the process has counted since the last call.
+  template <typename Counters, std::size_t N>
+  void AddCounts(const std::pair<process::Counter, std::uint64_t Counters::*> (&rows)[N],
+                 const Counters& counts, Counters& counted) {
+    for (const auto& [counter, value] : rows) metrics_.Add(counter, counts.*value - counted.*value);
+    counted = counts;
+  }
+
   void AddPermitCounts() {
     using Counters = serving::PermitPool::Counters;
-    struct Row {
-      process::Counter counter;
-      std::uint64_t Counters::*value;
-    };
-    constexpr Row kRows[] = {{process::Counter::kPermitsGranted, &Counters::granted},
-                             {process::Counter::kPermitsTaken, &Counters::taken},
-                             {process::Counter::kPermitsReturned, &Counters::returned},
-                             {process::Counter::kPermitsExpired, &Counters::expired},
-                             {process::Counter::kPermitsOwnShare, &Counters::own_share}};
-    const Counters counts = node_.placement().permits().counters();
-    for (const auto& [counter, value] : kRows) {
-      metrics_.Add(counter, counts.*value - permit_counts_.*value);
-    }
-    permit_counts_ = counts;
+    constexpr std::pair<process::Counter, std::uint64_t Counters::*> kRows[] = {
+        {process::Counter::kPermitsGranted, &Counters::granted},
+        {process::Counter::kPermitsTaken, &Counters::taken},
+        {process::Counter::kPermitsReturned, &Counters::returned},
+        {process::Counter::kPermitsExpired, &Counters::expired},
+        {process::Counter::kPermitsOwnShare, &Counters::own_share}};
+    AddCounts(kRows, node_.placement().permits().counters(), permit_counts_);
   }
 
-  /// Adds to the metrics what the retry pool has counted since the last call.
   void AddRetryCounts() {
     using Counters = serving::RetryPool::Counters;
-    struct Row {
-      process::Counter counter;
-      std::uint64_t Counters::*value;
-    };
-    constexpr Row kRows[] = {{process::Counter::kRetryPermitsGranted, &Counters::granted},
-                             {process::Counter::kRetryPermitsUsed, &Counters::used},
-                             {process::Counter::kRetryPermitsExpired, &Counters::expired},
-                             {process::Counter::kRetriesOwnShare, &Counters::own_share},
-                             {process::Counter::kRetriesDenied, &Counters::denied}};
-    const Counters counts = node_.retry_pool().counters();
-    for (const auto& [counter, value] : kRows) {
-      metrics_.Add(counter, counts.*value - retry_counts_.*value);
-    }
-    retry_counts_ = counts;
+    constexpr std::pair<process::Counter, std::uint64_t Counters::*> kRows[] = {
+        {process::Counter::kRetryPermitsGranted, &Counters::granted},
+        {process::Counter::kRetryPermitsUsed, &Counters::used},
+        {process::Counter::kRetryPermitsExpired, &Counters::expired},
+        {process::Counter::kRetriesOwnShare, &Counters::own_share},
+        {process::Counter::kRetriesDenied, &Counters::denied}};
+    AddCounts(kRows, node_.retry_pool().counters(), retry_counts_);
   }
 
-  /// The same for what the guard of prompt parts has counted.
   void AddPartCounts() {
     using Counters = serving::PartGuard::Counters;
-    struct Row {
-      process::Counter counter;
-      std::uint64_t Counters::*value;
-    };
-    constexpr Row kRows[] = {{process::Counter::kHeldBackByPart, &Counters::held_back},
-                             {process::Counter::kPartTrials, &Counters::trials},
-                             {process::Counter::kAttemptsEnded, &Counters::ended_attempts}};
-    const Counters counts = node_.part_guard().counters();
-    for (const auto& [counter, value] : kRows) {
-      metrics_.Add(counter, counts.*value - part_counts_.*value);
-    }
-    part_counts_ = counts;
+    constexpr std::pair<process::Counter, std::uint64_t Counters::*> kRows[] = {
+        {process::Counter::kHeldBackByPart, &Counters::held_back},
+        {process::Counter::kPartTrials, &Counters::trials},
+        {process::Counter::kAttemptsEnded, &Counters::ended_attempts}};
+    AddCounts(kRows, node_.part_guard().counters(), part_counts_);
   }
 
   std::string DumpState() const {
@@ -208,7 +192,7 @@
   process::Metrics metrics_;
   std::unique_ptr<net::HttpServer> caller_server_;
   std::vector<std::unique_ptr<net::HttpServer>> operator_servers_;
-  /// Counts of the permit pool that are already in the metrics.
+  /// Counts that are already in the metrics.
   serving::PermitPool::Counters permit_counts_;
   serving::RetryPool::Counters retry_counts_;
   serving::PartGuard::Counters part_counts_;
--- a/src/serving/part_evidence.cc
+++ b/src/serving/part_evidence.cc
@@ -175,7 +175,7 @@
     }
   }
   if (best == nullptr) return {};
-  const std::string condemned = *best;
+  std::string condemned = *best;
   SetCondemned(condemned);
   return condemned;
 }
--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -201,6 +201,14 @@
   return "127.64." + std::to_string(range) + "." + std::to_string(index);
 }
 
+void Cluster::SetConfig(const Json& config) const {
+  WaitFor("the configuration is acknowledged", [&] {
+    return std::any_of(controls_.begin(), controls_.end(), [&](const std::string& it) {
+      return Send(Address(it), verb::post, "/config/replace", config.dump()).status == 200;
+    });
+  });
+}
+
 std::string Cluster::ReplicaAddress(int number) const {
   return HostOf(kReplicaHost + number % kReplicaHosts) + ":" +
          std::to_string(kReplicaPort + number / kReplicaHosts);
--- a/tests/system/cluster.h
+++ b/tests/system/cluster.h
@@ -59,6 +59,8 @@
   /// does, each at a loopback address of its own.
   /// @param bounds bounds in the settings of the processes; those left out have their defaults
   void StartDeployment(int controls, int ingresses, const Json& bounds = Json::object());
+  /// Sends a configuration to the control processes until one acknowledges it.
+  void SetConfig(const Json& config) const;
   /// Address of a stand-in of a replica beside the processes of StartDeployment.
   std::string ReplicaAddress(int number) const;
   /// Starts sidecar "w<number>" for the stand-in of an engine at EngineAddress.
--- a/tests/system/request_limit_test.cc
+++ b/tests/system/request_limit_test.cc
@@ -135,14 +135,7 @@
                          {"max-attempts", 2},
                          {"public", true}}}},
                       {"backends", {{{"name", "orders"}, {"max-connections", 100}}}}};
-    cluster.WaitFor("the configuration is acknowledged", [&] {
-      for (const auto& it : cluster.controls()) {
-        if (Send(cluster.Address(it), verb::post, "/config/replace", config.dump()).status == 200) {
-          return true;
-        }
-      }
-      return false;
-    });
+    cluster.SetConfig(config);
   }
 
   static void WaitServed(const Cluster& cluster) {
