Forget old ends before a part is condemned, and keep suspects where verdicts have no room

A part judged guilty while all 64 verdicts were taken was neither refused nor a suspect any more. Change: old ends are discarded before each judgement; no part is judged while there is no room. Figures: ForgetsOldEnds fails without the first change, by the call it adds; part_guard_test passes.

--- a/include/wagtailslip/serving/part_verdicts.h
+++ b/include/wagtailslip/serving/part_verdicts.h
@@ -70,8 +70,6 @@
   std::optional<VerdictChange> NextChange(const std::vector<std::string>& processes, TimePoint now);
   /// The change after an engine ended under the part, or after a proof.
   static std::optional<VerdictChange> AfterTrial(const PartVerdict& verdict, bool passed);
-  /// The verdict on a part that is condemned now.
-  std::optional<VerdictChange> Condemn(const std::string& part) const;
   const PartVerdict* Find(const std::string& part) const;
 
  private:
--- a/src/control/control_parts.cc
+++ b/src/control/control_parts.cc
@@ -58,12 +58,15 @@
     sent_suspects_.clear();
     return;
   }
-  for (auto part = part_evidence_.Condemn(now); !part.empty(); part = part_evidence_.Condemn(now)) {
-    if (const auto change = verdict_review_.Condemn(part)) CommitVerdict(*change, now);
+  // While there is no room for verdicts, guilty parts stay suspects.
+  while (judged_parts_.size() + open_verdicts_.size() < serving::kMaxPartVerdicts) {
+    const std::string part = part_evidence_.Condemn(now);
+    if (part.empty()) break;
+    const serving::PartVerdict verdict{part, serving::PartState::kCondemned, 1, {}};
+    CommitVerdict({verdict, serving::VerdictReason::kEngineEnds}, now);
   }
   if (now >= next_part_review_at_) {
     next_part_review_at_ = now + kReviewPeriod;
-    part_evidence_.Expire(now);
     const auto change = verdict_review_.NextChange(LinkedProcesses({MemberKind::kIngress}), now);
     if (change) CommitVerdict(*change, now);
     const auto open = open_verdicts_;
--- a/src/serving/part_evidence.cc
+++ b/src/serving/part_evidence.cc
@@ -162,6 +162,8 @@
 }
 
 std::string PartEvidence::Condemn(TimePoint now) {
+  // A process that did not judge for long still has old ends.
+  Expire(now);
   const std::string* best = nullptr;
   auto best_rank = std::tuple<std::size_t, std::uint32_t, std::size_t>{};
   for (const auto& [id, part] : parts_) {
--- a/src/serving/part_verdicts.cc
+++ b/src/serving/part_verdicts.cc
@@ -71,9 +71,4 @@
   return VerdictChange{next, passed ? VerdictReason::kTrialPassed : VerdictReason::kTrialFailed};
 }
 
-std::optional<VerdictChange> VerdictReview::Condemn(const std::string& part) const {
-  if (entries_.contains(part) || entries_.size() >= kMaxPartVerdicts) return std::nullopt;
-  return VerdictChange{{part, PartState::kCondemned, 1, {}}, VerdictReason::kEngineEnds};
-}
-
 }  // namespace wagtailslip::serving
--- a/tests/part_guard_test.cc
+++ b/tests/part_guard_test.cc
@@ -461,6 +461,7 @@
 class PartGuardTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PartGuardTest);
   CPPUNIT_TEST(CondemnsOnEnoughEvidenceOnly);
+  CPPUNIT_TEST(ForgetsOldEnds);
   CPPUNIT_TEST(ProofClearsAPart);
   CPPUNIT_TEST(ExplainsTheEndsOfOthers);
   CPPUNIT_TEST(BoundsItsMemory);
@@ -480,6 +481,13 @@
     }
   }
 
+  // Guards against a process that condemns by ends of long ago when it begins to lead.
+  void ForgetsOldEnds() {
+    auto evidence = EvidenceWith(20, milliseconds(400), 500, 2);
+    CPPUNIT_ASSERT_EQUAL(std::string(), evidence.Condemn(kStart + minutes(2)));
+    CPPUNIT_ASSERT(evidence.Suspects(kStart + minutes(2)).empty());
+  }
+
   // Guards against condemning a part whose requests complete elsewhere.
   void ProofClearsAPart() {
     auto evidence = EvidenceWith(20, milliseconds(400), 500, 2);
