--- a/include/wagtailslip/serving/part_guard.h
+++ b/include/wagtailslip/serving/part_guard.h
@@ -52,7 +52,6 @@
 class PartGuard {
  public:
   struct Counters {
-    std::uint64_t refused = 0;
     std::uint64_t held_back = 0;
     std::uint64_t trials = 0;
     std::uint64_t ended_attempts = 0;
--- a/src/serving/part_guard.cc
+++ b/src/serving/part_guard.cc
@@ -67,7 +67,6 @@
                               std::size_t processes, TimePoint now) {
   const std::string condemned = Condemned(parts, self);
   if (!condemned.empty()) {
-    ++counters_.refused;
     const auto [it, added] = refused_.try_emplace(condemned, TimePoint{});
     if (now - it->second >= kRefusedInterval || added) {
       it->second = now;
