Log the key of requests whose attempts have no valid response

Change: lines 4007 of such attempts give `request_key`, a hash of account, method, path with query and body, for services with and without engines.

--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -61,6 +61,15 @@
   return account_ == nullptr ? route_->priority : account_->priority;
 }
 
+std::string Exchange::RequestKey() const {
+  const auto& request = caller_.request();
+  const auto method = request.method_string();
+  const auto target = request.target();
+  const std::string account = AccountName();
+  return serving::RequestKey(
+      {account, {method.data(), method.size()}, {target.data(), target.size()}, request.body()});
+}
+
 Duration Exchange::TimeLeft() const {
   return std::min(deadline_, node_.answer_by()) - MonotonicNow();
 }
@@ -282,9 +291,10 @@
                         {"longest_pause_ms", ToMilliseconds(max_event_gap_)},
                         {"ms", ToMilliseconds(now - received_at_)}};
   if (last_request_limit_) fields["limit"] = *last_request_limit_;
-  // The attempts that may have ended their engine.
-  if (engine_ != nullptr && outcome == AttemptOutcome::kNoValidResponse) {
-    fields["prompt_parts"] = request_.shared_prompt_parts;
+  // The attempts that may have ended their endpoint.
+  if (outcome == AttemptOutcome::kNoValidResponse) {
+    fields["request_key"] = RequestKey();
+    if (engine_ != nullptr) fields["prompt_parts"] = request_.shared_prompt_parts;
   }
   if (asked_for_retry) {
     fields["retry_permits"] = node_.retry_pool().Held(service_, now);
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -11,6 +11,7 @@
 #include "wagtailslip/process/metrics.h"
 #include "wagtailslip/serving/attempt_policy.h"
 #include "wagtailslip/serving/event_stream.h"
+#include "wagtailslip/serving/request_key.h"
 
 namespace wagtailslip::ingress {
 
@@ -110,6 +111,7 @@
   /// Name of the client account; empty on routes that need none.
   std::string AccountName() const;
   std::uint32_t Priority() const;
+  std::string RequestKey() const;
   Duration LatencyObjective() const;
   Duration TimeLeft() const;
   /// Time from the arrival of the request to the first event; -1 if there was none.
