--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -119,6 +119,16 @@
   return served_;
 }
 
+std::vector<TimePoint> WeightsEngine::crash_requests() const {
+  const std::lock_guard lock(mutex_);
+  return crash_requests_;
+}
+
+std::vector<TimePoint> WeightsEngine::crashes() const {
+  const std::lock_guard lock(mutex_);
+  return crashes_;
+}
+
 void WeightsEngine::SetStaged(std::uint32_t chunk, std::string bytes) {
   const std::lock_guard lock(mutex_);
   Staged& staged = staged_[chunk];
@@ -364,7 +374,28 @@
   co_await exchange.Respond(*status, body);
 }
 
+Task<void> WeightsEngine::Crash() {
+  co_await Sleep(options_.crash_delay);
+  {
+    const std::lock_guard lock(mutex_);
+    if (down_) co_return;
+    crashes_.push_back(Now());
+    Down();
+  }
+  co_await Sleep(options_.restart_delay);
+  Up(true);
+}
+
 Task<void> WeightsEngine::HandleRequest(net::HttpExchange& exchange) {
+  if (!options_.crash_body.empty() && exchange.request().body() == options_.crash_body) {
+    {
+      const std::lock_guard lock(mutex_);
+      crash_requests_.push_back(Now());
+    }
+    asio::co_spawn(context_, Crash(), asio::detached);
+    co_await Sleep(options_.crash_delay);
+    throw net::NetError("the process has ended");
+  }
   net::HttpHeaders headers;
   headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   std::int64_t version = 0;
@@ -381,7 +412,7 @@
     }
   }
   const std::string body = "{}";
-  if (version == 0) {
+  if (version == 0 && !options_.plain) {
     headers.emplace_back("Not-Executed", "1");
     co_await exchange.Respond(503, body, headers);
     co_return;
--- a/tests/system/weights_engine.h
+++ b/tests/system/weights_engine.h
@@ -91,6 +91,13 @@
   TakeTime take_time = TakeTime::kOnAcceptance;
   /// Time that the requests need which run when a load command arrives.
   Duration drain_time{};
+  /// The process serves a plain service and needs no weights.
+  bool plain = false;
+  /// Body of a request that ends the process when it begins to run; empty if there is none.
+  std::string crash_body;
+  /// Time from such a request to the end, and from the end to the next start.
+  Duration crash_delay = std::chrono::milliseconds(50);
+  Duration restart_delay = std::chrono::milliseconds(800);
 };
 
 /// Stand-in of an engine on the users' platform, on a thread of its own. It announces itself,
@@ -127,6 +134,9 @@
   bool holds_damaged_layers() const;
   std::vector<TakenLoad> loads() const;
   std::vector<ServedRequest> served() const;
+  /// Times at which requests with the crash body arrived, and those of the ends among them.
+  std::vector<TimePoint> crash_requests() const;
+  std::vector<TimePoint> crashes() const;
   Duration Elapsed() const;
   const std::string& id() const { return options_.id; }
 
@@ -149,6 +159,8 @@
   void StartServer();
   net::Task<void> Handle(net::HttpExchange& exchange);
   net::Task<void> HandleRequest(net::HttpExchange& exchange);
+  /// Ends the process under a request, and starts it again later.
+  net::Task<void> Crash();
   net::Task<void> Announce();
   net::Task<void> ApplyLater(Duration delay, std::function<void()> effect);
   /// Load command as its body names it.
@@ -185,6 +197,8 @@
   std::int64_t commands_ = 0;
   std::vector<TakenLoad> loads_;
   std::vector<ServedRequest> served_;
+  std::vector<TimePoint> crash_requests_;
+  std::vector<TimePoint> crashes_;
   net::asio::io_context context_;
   std::unique_ptr<net::HttpServer> server_;
   std::thread thread_;
