Close inherited descriptors in the processes of system tests

Cause: sockets of stand-ins that run in a test are inherited by the processes that the test starts later. A stand-in that ends and starts again then has two listening sockets, of which the inherited one accepts nothing, so that about half of its connections get no answer. Change: posix_spawn closes all descriptors but the standard ones. Conclusion: a fault of the harness; the random test of staged weights ends and starts engines in the same way.

--- a/tests/system/cluster.cc
+++ b/tests/system/cluster.cc
@@ -298,6 +298,9 @@
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // Sockets of stand-ins that run in the test would stay open in the process after the test has
+  // closed them.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::vector<char*> argv;
   for (auto& it : process.command) argv.push_back(it.data());
   argv.push_back(nullptr);
