--- a/benchmark/incident_benchmark.cc
+++ b/benchmark/incident_benchmark.cc
@@ -1,5 +1,5 @@
-// Cost of the retry budget and of the judgement of prompt parts: processor time and bytes for an
-// ingress process, and for the control process that leads. Prints CSV.
+// Cost of the retry budget and of the judgement of what ends endpoints: processor time and bytes
+// for an ingress process, and for the control process that leads. Prints CSV.
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -10,8 +10,9 @@
 #include "gen/mesh_types.h"
 #include "wagtailslip/codec/compact.h"
 #include "wagtailslip/mesh/codec.h"
-#include "wagtailslip/serving/part_evidence.h"
-#include "wagtailslip/serving/part_guard.h"
+#include "wagtailslip/serving/crash_guard.h"
+#include "wagtailslip/serving/crash_judge.h"
+#include "wagtailslip/serving/request_key.h"
 #include "wagtailslip/serving/retry_allocator.h"
 #include "wagtailslip/serving/retry_pool.h"
 
@@ -79,57 +80,82 @@
   Print((std::string("retries, leader, ") + subject).c_str(), processes, allocator_us, bytes);
 }
 
-/// Requests that each bring a new part, of which some are at engines that end.
-void MeasureParts(std::size_t processes, int parts_per_second, int ends_per_second) {
-  std::vector<serving::PartGuard> guards(processes);
-  serving::PartEvidence evidence;
+constexpr int kTargetRequestsPerSecond = 6800;
+
+/// Requests that each bring a new part and a new body, of which some are at endpoints that end.
+void MeasureCrashes(std::size_t processes, int ends_per_second, std::size_t body_bytes) {
+  std::vector<serving::CrashGuard> guards(processes);
+  serving::CrashJudge judge;
+  const std::string filler(body_bytes, 'x');
   double guard_us = 0;
-  double evidence_us = 0;
+  double judge_us = 0;
   double bytes = 0;
   const auto ticks = seconds(kSeconds) / kTick;
-  std::uint64_t part = 0;
+  std::uint64_t number = 0;
   double due = 0;
   double ends_due = 0;
   for (int tick = 0; tick < ticks; ++tick) {
     const TimePoint now = kStart + kTick * tick;
-    due += ToSeconds(kTick) * parts_per_second;
+    due += ToSeconds(kTick) * kTargetRequestsPerSecond;
     ends_due += ToSeconds(kTick) * ends_per_second;
     guard_us += CpuMicroseconds([&] {
       for (; due >= 1; --due) {
-        serving::PartGuard& guard = guards[part % processes];
-        const std::vector<std::string> parts{"first", "part-" + std::to_string(++part)};
-        guard.Admit(parts, "self", processes, now);
-        if (ends_due >= 1) {
+        serving::CrashGuard& guard = guards[number % processes];
+        const std::string target = "/m/" + std::to_string(++number);
+        const serving::RequestIdentity identity{"account", "POST", target, filler};
+        std::vector<serving::CrashSubject> subjects{
+            {serving::SubjectKind::kPromptPart, "first"},
+            {serving::SubjectKind::kPromptPart, "part-" + std::to_string(number)}};
+        const bool ends = ends_due >= 1;
+        if (guard.TracksRequest(serving::RequestPrehash(identity)) || ends) {
+          subjects.push_back({serving::SubjectKind::kRequest, serving::RequestKey(identity)});
+        }
+        guard.Admit(subjects, processes, now);
+        if (ends) {
           --ends_due;
-          const std::string engine = "10.0.0.1:" + std::to_string(part % 60000);
-          guard.OnBroken({engine, 1, now, parts}, now);
-          guard.OnEngineEnded(engine, 1, now);
+          const std::string endpoint = "10.0.0.1:" + std::to_string(number % 60000);
+          guard.OnBroken({endpoint, 1, now, subjects, "m", true}, now);
+          guard.OnEndpointEnded(endpoint, 1, now);
         } else {
-          guard.OnProven(parts, now);
+          guard.OnProven(subjects, "m", now);
         }
       }
     });
     for (auto& guard : guards) {
-      std::optional<serving::PartReport> report;
+      std::optional<serving::CrashReport> report;
       guard_us += CpuMicroseconds([&] { report = guard.NextReport(processes, now); });
       if (!report) continue;
       bytes += static_cast<double>(codec::EncodeCompact(mesh::ToWire(*report, now)).size());
-      evidence_us += CpuMicroseconds([&] {
-        evidence.AddTotals(report->proven_attempts, report->ended_attempts, now);
-        for (const auto& it : report->ends) evidence.AddEnd(it, now);
-        for (const auto& it : report->proofs) evidence.AddProof(it.part, it.at, now);
+      judge_us += CpuMicroseconds([&] {
+        judge.OnReport(*report, "p#1", now);
+        judge.NextChanges({"p#1"}, now);
       });
     }
-    evidence_us += CpuMicroseconds([&] {
-      evidence.Condemn(now);
-      if (tick % 50 == 0) evidence.Expire(now);
-      evidence.Suspects(now);
-    });
+    judge_us += CpuMicroseconds([&] { judge.NextChanges({"p#1"}, now); });
   }
   const auto n = static_cast<double>(processes);
-  const std::string load = ends_per_second > 0 ? "engines end" : "calm";
-  Print(("parts, ingress, " + load).c_str(), processes, guard_us / n, bytes / n);
-  Print(("parts, control, " + load).c_str(), processes, evidence_us, bytes);
+  const std::string load =
+      std::to_string(body_bytes) + " B bodies, " + (ends_per_second > 0 ? "endpoints end" : "calm");
+  Print(("crashes, ingress, " + load).c_str(), processes, guard_us / n, bytes / n);
+  Print(("crashes, control, " + load).c_str(), processes, judge_us, bytes);
+}
+
+/// Keys of all requests, as if each had evidence.
+void MeasureKeys(std::size_t processes, std::size_t body_bytes) {
+  const std::string body(body_bytes, 'x');
+  constexpr int kKeys = 100;
+  std::size_t digits = 0;
+  const double us = CpuMicroseconds([&] {
+    for (int i = 0; i < kKeys; ++i) {
+      const std::string target = "/m/" + std::to_string(i);
+      digits += serving::RequestKey({"account", "POST", target, body}).size();
+    }
+  });
+  const double per_second =
+      static_cast<double>(kTargetRequestsPerSecond) / static_cast<double>(processes);
+  if (digits == 0) return;
+  Print(("crashes, ingress, keys of all requests, " + std::to_string(body_bytes) + " B").c_str(),
+        processes, us / kKeys * per_second * kSeconds, 0);
 }
 
 }  // namespace
@@ -140,7 +166,10 @@
   for (const std::size_t processes : {4, 360}) {
     wagtailslip::MeasureRetries("calm", processes, 0);
     wagtailslip::MeasureRetries("storm", processes, 0.8);
-    wagtailslip::MeasureParts(processes, 1000, 0);
-    wagtailslip::MeasureParts(processes, 1000, 20);
+    wagtailslip::MeasureCrashes(processes, 0, 1000);
+    wagtailslip::MeasureCrashes(processes, 20, 1000);
+    wagtailslip::MeasureCrashes(processes, 20, 1000000);
+    wagtailslip::MeasureKeys(processes, 1000);
+    wagtailslip::MeasureKeys(processes, 1000000);
   }
 }
--- a/include/wagtailslip/mesh/codec.h
+++ b/include/wagtailslip/mesh/codec.h
@@ -2,9 +2,9 @@
 
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/mesh/member.h"
+#include "wagtailslip/serving/crash_judge.h"
+#include "wagtailslip/serving/crash_verdicts.h"
 #include "wagtailslip/serving/instance_table.h"
-#include "wagtailslip/serving/part_guard.h"
-#include "wagtailslip/serving/part_verdicts.h"
 #include "wagtailslip/serving/permits.h"
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/retry_permits.h"
@@ -16,10 +16,11 @@
 class EndpointLimit;
 class MeshMessage;
 class Permits;
-class PartReport;
-class PartVerdict;
-class PartVerdicts;
+class CrashReport;
+class CrashVerdict;
+class CrashVerdicts;
 class Retries;
+class SuspectSubject;
 }  // namespace wagtailslip::wire
 
 namespace wagtailslip::mesh {
@@ -55,14 +56,17 @@
 /// @throws MeshError if a number is negative or too large
 serving::RetryGrant RetryGrantFromWire(const wire::Retries& retries);
 
-wire::PartReport ToWire(const serving::PartReport& report, TimePoint now);
-/// @throws MeshError if an age is negative
-serving::PartReport FromWire(const wire::PartReport& report, TimePoint now);
-wire::PartVerdict ToWire(const serving::PartVerdict& verdict);
-/// @throws MeshError if the state is unknown
-serving::PartVerdict FromWire(const wire::PartVerdict& verdict);
-wire::PartVerdicts ToWire(const serving::PartVerdictList& list);
-serving::PartVerdictList FromWire(const wire::PartVerdicts& list);
+wire::CrashReport ToWire(const serving::CrashReport& report, TimePoint now);
+/// @throws MeshError if an age is negative, or a kind or an outcome is unknown
+serving::CrashReport FromWire(const wire::CrashReport& report, TimePoint now);
+wire::SuspectSubject ToWire(const serving::SuspectSubject& suspect);
+/// @throws MeshError if the kind is unknown
+serving::SuspectSubject FromWire(const wire::SuspectSubject& suspect);
+wire::CrashVerdict ToWire(const serving::CrashVerdict& verdict);
+/// @throws MeshError if the state or the kind is unknown
+serving::CrashVerdict FromWire(const wire::CrashVerdict& verdict);
+wire::CrashVerdicts ToWire(const serving::CrashVerdictList& list);
+serving::CrashVerdictList FromWire(const wire::CrashVerdicts& list);
 
 wire::Permits ToWire(const serving::PermitGrant& grant);
 serving::PermitGrant PermitGrantFromWire(const wire::Permits& permits);
--- a/include/wagtailslip/mesh/member.h
+++ b/include/wagtailslip/mesh/member.h
@@ -35,6 +35,8 @@
   /// Distinguishes restarts of the process.
   std::int64_t incarnation = 0;
 
+  /// Id of the process in this incarnation.
+  std::string Run() const { return process + "#" + std::to_string(incarnation); }
   bool operator==(const Member&) const = default;
 };
 
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -43,8 +43,11 @@
   kHeldBackByPart,
   kPartTrials,
   kAttemptsEnded,
+  kRefusedByRequestKey,
+  kHeldBackByRequestKey,
+  kRequestTrials,
 };
-inline constexpr std::size_t kCounterCount = 30;
+inline constexpr std::size_t kCounterCount = 33;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -75,7 +78,10 @@
       {Counter::kRefusedByPart, "requests_refused_by_prompt_part_total"},
       {Counter::kHeldBackByPart, "requests_held_back_by_prompt_part_total"},
       {Counter::kPartTrials, "prompt_part_trials_total"},
-      {Counter::kAttemptsEnded, "attempts_ended_with_engine_total"}}}};
+      {Counter::kAttemptsEnded, "attempts_ended_with_engine_total"},
+      {Counter::kRefusedByRequestKey, "requests_refused_by_request_key_total"},
+      {Counter::kHeldBackByRequestKey, "requests_held_back_by_request_key_total"},
+      {Counter::kRequestTrials, "request_trials_total"}}}};
 
 /// Latency histograms of a process in milliseconds.
 enum class Latency { kRequest, kFirstByte, kQueue, kCommit };
--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -105,6 +105,8 @@
   bool late = false;
   /// The request waits in the queue, so this is not its first query.
   bool queued = false;
+  /// The endpoint may end under the request, so that few other requests should be there.
+  bool prefer_idle = false;
 };
 
 /// The endpoint chosen for a request.
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -2284,8 +2284,8 @@
 }
 
 
-void AttemptEnd::__set_engine(const std::string& val) {
-  this->engine = val;
+void AttemptEnd::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
 }
 
 void AttemptEnd::__set_started_ms(const int64_t val) {
@@ -2299,6 +2299,19 @@
 void AttemptEnd::__set_parts(const std::vector<std::string> & val) {
   this->parts = val;
 }
+
+void AttemptEnd::__set_request(const std::string& val) {
+  this->request = val;
+__isset.request = true;
+}
+
+void AttemptEnd::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void AttemptEnd::__set_unconfirmed(const bool val) {
+  this->unconfirmed = val;
+}
 std::ostream& operator<<(std::ostream& out, const AttemptEnd& obj)
 {
   obj.printTo(out);
@@ -2329,8 +2342,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->engine);
-          this->__isset.engine = true;
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2371,6 +2384,447 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->unconfirmed);
+          this->__isset.unconfirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AttemptEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AttemptEnd");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->parts.begin(); _iter47 != this->parts.end(); ++_iter47)
+    {
+      xfer += oprot->writeString((*_iter47));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.request) {
+    xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->request);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unconfirmed", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->unconfirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AttemptEnd &a, AttemptEnd &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.started_ms, b.started_ms);
+  swap(a.age_ms, b.age_ms);
+  swap(a.parts, b.parts);
+  swap(a.request, b.request);
+  swap(a.service_name, b.service_name);
+  swap(a.unconfirmed, b.unconfirmed);
+  swap(a.__isset, b.__isset);
+}
+
+AttemptEnd::AttemptEnd(const AttemptEnd& other48) {
+  endpoint = other48.endpoint;
+  started_ms = other48.started_ms;
+  age_ms = other48.age_ms;
+  parts = other48.parts;
+  request = other48.request;
+  service_name = other48.service_name;
+  unconfirmed = other48.unconfirmed;
+  __isset = other48.__isset;
+}
+AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other49) {
+  endpoint = other49.endpoint;
+  started_ms = other49.started_ms;
+  age_ms = other49.age_ms;
+  parts = other49.parts;
+  request = other49.request;
+  service_name = other49.service_name;
+  unconfirmed = other49.unconfirmed;
+  __isset = other49.__isset;
+  return *this;
+}
+void AttemptEnd::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AttemptEnd(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "started_ms=" << to_string(started_ms);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "unconfirmed=" << to_string(unconfirmed);
+  out << ")";
+}
+
+
+Subject::~Subject() noexcept {
+}
+
+
+void Subject::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void Subject::__set_kind(const int16_t val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const Subject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Subject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Subject::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Subject");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 2);
+  xfer += oprot->writeI16(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Subject &a, Subject &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.kind, b.kind);
+  swap(a.__isset, b.__isset);
+}
+
+Subject::Subject(const Subject& other50) {
+  id = other50.id;
+  kind = other50.kind;
+  __isset = other50.__isset;
+}
+Subject& Subject::operator=(const Subject& other51) {
+  id = other51.id;
+  kind = other51.kind;
+  __isset = other51.__isset;
+  return *this;
+}
+void Subject::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Subject(";
+  out << "id=" << to_string(id);
+  out << ", " << "kind=" << to_string(kind);
+  out << ")";
+}
+
+
+SubjectProof::~SubjectProof() noexcept {
+}
+
+
+void SubjectProof::__set_id(const std::string& val) {
+  this->id = val;
+}
+
+void SubjectProof::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void SubjectProof::__set_kind(const int16_t val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const SubjectProof& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SubjectProof::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SubjectProof::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SubjectProof");
+
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SubjectProof &a, SubjectProof &b) {
+  using ::std::swap;
+  swap(a.id, b.id);
+  swap(a.age_ms, b.age_ms);
+  swap(a.kind, b.kind);
+  swap(a.__isset, b.__isset);
+}
+
+SubjectProof::SubjectProof(const SubjectProof& other52) {
+  id = other52.id;
+  age_ms = other52.age_ms;
+  kind = other52.kind;
+  __isset = other52.__isset;
+}
+SubjectProof& SubjectProof::operator=(const SubjectProof& other53) {
+  id = other53.id;
+  age_ms = other53.age_ms;
+  kind = other53.kind;
+  __isset = other53.__isset;
+  return *this;
+}
+void SubjectProof::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SubjectProof(";
+  out << "id=" << to_string(id);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "kind=" << to_string(kind);
+  out << ")";
+}
+
+
+ServiceAttempts::~ServiceAttempts() noexcept {
+}
+
+
+void ServiceAttempts::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void ServiceAttempts::__set_proven(const int64_t val) {
+  this->proven = val;
+}
+
+void ServiceAttempts::__set_ended(const int64_t val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const ServiceAttempts& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ServiceAttempts::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->proven);
+          this->__isset.proven = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended);
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2383,33 +2837,21 @@
   return xfer;
 }
 
-uint32_t AttemptEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ServiceAttempts::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("AttemptEnd");
-
-  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->engine);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ServiceAttempts");
 
-  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->proven);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
-    std::vector<std::string> ::const_iterator _iter47;
-    for (_iter47 = this->parts.begin(); _iter47 != this->parts.end(); ++_iter47)
-    {
-      xfer += oprot->writeString((*_iter47));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ended);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2417,60 +2859,60 @@
   return xfer;
 }
 
-void swap(AttemptEnd &a, AttemptEnd &b) {
+void swap(ServiceAttempts &a, ServiceAttempts &b) {
   using ::std::swap;
-  swap(a.engine, b.engine);
-  swap(a.started_ms, b.started_ms);
-  swap(a.age_ms, b.age_ms);
-  swap(a.parts, b.parts);
+  swap(a.service_name, b.service_name);
+  swap(a.proven, b.proven);
+  swap(a.ended, b.ended);
   swap(a.__isset, b.__isset);
 }
 
-AttemptEnd::AttemptEnd(const AttemptEnd& other48) {
-  engine = other48.engine;
-  started_ms = other48.started_ms;
-  age_ms = other48.age_ms;
-  parts = other48.parts;
-  __isset = other48.__isset;
+ServiceAttempts::ServiceAttempts(const ServiceAttempts& other54) {
+  service_name = other54.service_name;
+  proven = other54.proven;
+  ended = other54.ended;
+  __isset = other54.__isset;
 }
-AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other49) {
-  engine = other49.engine;
-  started_ms = other49.started_ms;
-  age_ms = other49.age_ms;
-  parts = other49.parts;
-  __isset = other49.__isset;
+ServiceAttempts& ServiceAttempts::operator=(const ServiceAttempts& other55) {
+  service_name = other55.service_name;
+  proven = other55.proven;
+  ended = other55.ended;
+  __isset = other55.__isset;
   return *this;
 }
-void AttemptEnd::printTo(std::ostream& out) const {
+void ServiceAttempts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "AttemptEnd(";
-  out << "engine=" << to_string(engine);
-  out << ", " << "started_ms=" << to_string(started_ms);
-  out << ", " << "age_ms=" << to_string(age_ms);
-  out << ", " << "parts=" << to_string(parts);
+  out << "ServiceAttempts(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "proven=" << to_string(proven);
+  out << ", " << "ended=" << to_string(ended);
   out << ")";
 }
 
 
-PartProof::~PartProof() noexcept {
+TrialEnd::~TrialEnd() noexcept {
 }
 
 
-void PartProof::__set_part(const std::string& val) {
-  this->part = val;
+void TrialEnd::__set_subject(const Subject& val) {
+  this->subject = val;
 }
 
-void PartProof::__set_age_ms(const int32_t val) {
-  this->age_ms = val;
+void TrialEnd::__set_revision(const int64_t val) {
+  this->revision = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartProof& obj)
+
+void TrialEnd::__set_outcome(const int16_t val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const TrialEnd& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartProof::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t TrialEnd::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2492,17 +2934,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->part);
-          this->__isset.part = true;
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->subject.read(iprot);
+          this->__isset.subject = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->age_ms);
-          this->__isset.age_ms = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->outcome);
+          this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2519,17 +2969,21 @@
   return xfer;
 }
 
-uint32_t PartProof::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t TrialEnd::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartProof");
+  xfer += oprot->writeStructBegin("TrialEnd");
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->subject.write(oprot);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->outcome);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2537,64 +2991,76 @@
   return xfer;
 }
 
-void swap(PartProof &a, PartProof &b) {
+void swap(TrialEnd &a, TrialEnd &b) {
   using ::std::swap;
-  swap(a.part, b.part);
-  swap(a.age_ms, b.age_ms);
+  swap(a.subject, b.subject);
+  swap(a.revision, b.revision);
+  swap(a.outcome, b.outcome);
   swap(a.__isset, b.__isset);
 }
 
-PartProof::PartProof(const PartProof& other50) {
-  part = other50.part;
-  age_ms = other50.age_ms;
-  __isset = other50.__isset;
+TrialEnd::TrialEnd(const TrialEnd& other56) {
+  subject = other56.subject;
+  revision = other56.revision;
+  outcome = other56.outcome;
+  __isset = other56.__isset;
 }
-PartProof& PartProof::operator=(const PartProof& other51) {
-  part = other51.part;
-  age_ms = other51.age_ms;
-  __isset = other51.__isset;
+TrialEnd& TrialEnd::operator=(const TrialEnd& other57) {
+  subject = other57.subject;
+  revision = other57.revision;
+  outcome = other57.outcome;
+  __isset = other57.__isset;
   return *this;
 }
-void PartProof::printTo(std::ostream& out) const {
+void TrialEnd::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartProof(";
-  out << "part=" << to_string(part);
-  out << ", " << "age_ms=" << to_string(age_ms);
+  out << "TrialEnd(";
+  out << "subject=" << to_string(subject);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "outcome=" << to_string(outcome);
   out << ")";
 }
 
 
-PartReport::~PartReport() noexcept {
+CrashReport::~CrashReport() noexcept {
 }
 
 
-void PartReport::__set_ends(const std::vector<AttemptEnd> & val) {
+void CrashReport::__set_ends(const std::vector<AttemptEnd> & val) {
   this->ends = val;
 }
 
-void PartReport::__set_proofs(const std::vector<PartProof> & val) {
+void CrashReport::__set_proofs(const std::vector<SubjectProof> & val) {
   this->proofs = val;
 }
 
-void PartReport::__set_proven_attempts(const int64_t val) {
-  this->proven_attempts = val;
+void CrashReport::__set_refused(const std::vector<std::string> & val) {
+  this->refused = val;
 }
 
-void PartReport::__set_ended_attempts(const int64_t val) {
-  this->ended_attempts = val;
+void CrashReport::__set_attempts(const std::vector<ServiceAttempts> & val) {
+  this->attempts = val;
 }
 
-void PartReport::__set_refused(const std::vector<std::string> & val) {
-  this->refused = val;
+void CrashReport::__set_refused_requests(const std::vector<std::string> & val) {
+  this->refused_requests = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartReport& obj)
+
+void CrashReport::__set_asks(const std::vector<std::string> & val) {
+  this->asks = val;
+}
+
+void CrashReport::__set_trial_ends(const std::vector<TrialEnd> & val) {
+  this->trial_ends = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2619,14 +3085,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->ends.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->ends.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->ends[_i56].read(iprot);
+              xfer += this->ends[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2639,14 +3105,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proofs.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->proofs.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->proofs.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->proofs[_i61].read(iprot);
+              xfer += this->proofs[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2655,38 +3121,102 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proven_attempts);
-          this->__isset.proven_attempts = true;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->refused.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->refused.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += iprot->readString(this->refused[_i72]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.refused = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->ended_attempts);
-          this->__isset.ended_attempts = true;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->attempts.clear();
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->attempts.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
+            {
+              xfer += this->attempts[_i77].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.attempts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 7:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->refused.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->refused.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            this->refused_requests.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->refused_requests.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += iprot->readString(this->refused[_i66]);
+              xfer += iprot->readString(this->refused_requests[_i82]);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.refused = true;
+          this->__isset.refused_requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->asks.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
+            {
+              xfer += iprot->readString(this->asks[_i87]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->trial_ends.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->trial_ends.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              xfer += this->trial_ends[_i92].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.trial_ends = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2703,18 +3233,18 @@
   return xfer;
 }
 
-uint32_t PartReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartReport");
+  xfer += oprot->writeStructBegin("CrashReport");
 
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<AttemptEnd> ::const_iterator _iter67;
-    for (_iter67 = this->ends.begin(); _iter67 != this->ends.end(); ++_iter67)
+    std::vector<AttemptEnd> ::const_iterator _iter93;
+    for (_iter93 = this->ends.begin(); _iter93 != this->ends.end(); ++_iter93)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2723,30 +3253,70 @@
   xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
-    std::vector<PartProof> ::const_iterator _iter68;
-    for (_iter68 = this->proofs.begin(); _iter68 != this->proofs.end(); ++_iter68)
+    std::vector<SubjectProof> ::const_iterator _iter94;
+    for (_iter94 = this->proofs.begin(); _iter94 != this->proofs.end(); ++_iter94)
+    {
+      xfer += (*_iter94).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused.size()));
+    std::vector<std::string> ::const_iterator _iter95;
+    for (_iter95 = this->refused.begin(); _iter95 != this->refused.end(); ++_iter95)
     {
-      xfer += (*_iter68).write(oprot);
+      xfer += oprot->writeString((*_iter95));
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proven_attempts", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->proven_attempts);
+  xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
+    std::vector<ServiceAttempts> ::const_iterator _iter96;
+    for (_iter96 = this->attempts.begin(); _iter96 != this->attempts.end(); ++_iter96)
+    {
+      xfer += (*_iter96).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("ended_attempts", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->ended_attempts);
+  xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused_requests.size()));
+    std::vector<std::string> ::const_iterator _iter97;
+    for (_iter97 = this->refused_requests.begin(); _iter97 != this->refused_requests.end(); ++_iter97)
+    {
+      xfer += oprot->writeString((*_iter97));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 5);
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused.size()));
-    std::vector<std::string> ::const_iterator _iter69;
-    for (_iter69 = this->refused.begin(); _iter69 != this->refused.end(); ++_iter69)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->asks.size()));
+    std::vector<std::string> ::const_iterator _iter98;
+    for (_iter98 = this->asks.begin(); _iter98 != this->asks.end(); ++_iter98)
+    {
+      xfer += oprot->writeString((*_iter98));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trial_ends", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->trial_ends.size()));
+    std::vector<TrialEnd> ::const_iterator _iter99;
+    for (_iter99 = this->trial_ends.begin(); _iter99 != this->trial_ends.end(); ++_iter99)
     {
-      xfer += oprot->writeString((*_iter69));
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2757,64 +3327,76 @@
   return xfer;
 }
 
-void swap(PartReport &a, PartReport &b) {
+void swap(CrashReport &a, CrashReport &b) {
   using ::std::swap;
   swap(a.ends, b.ends);
   swap(a.proofs, b.proofs);
-  swap(a.proven_attempts, b.proven_attempts);
-  swap(a.ended_attempts, b.ended_attempts);
   swap(a.refused, b.refused);
+  swap(a.attempts, b.attempts);
+  swap(a.refused_requests, b.refused_requests);
+  swap(a.asks, b.asks);
+  swap(a.trial_ends, b.trial_ends);
   swap(a.__isset, b.__isset);
 }
 
-PartReport::PartReport(const PartReport& other70) {
-  ends = other70.ends;
-  proofs = other70.proofs;
-  proven_attempts = other70.proven_attempts;
-  ended_attempts = other70.ended_attempts;
-  refused = other70.refused;
-  __isset = other70.__isset;
-}
-PartReport& PartReport::operator=(const PartReport& other71) {
-  ends = other71.ends;
-  proofs = other71.proofs;
-  proven_attempts = other71.proven_attempts;
-  ended_attempts = other71.ended_attempts;
-  refused = other71.refused;
-  __isset = other71.__isset;
+CrashReport::CrashReport(const CrashReport& other100) {
+  ends = other100.ends;
+  proofs = other100.proofs;
+  refused = other100.refused;
+  attempts = other100.attempts;
+  refused_requests = other100.refused_requests;
+  asks = other100.asks;
+  trial_ends = other100.trial_ends;
+  __isset = other100.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other101) {
+  ends = other101.ends;
+  proofs = other101.proofs;
+  refused = other101.refused;
+  attempts = other101.attempts;
+  refused_requests = other101.refused_requests;
+  asks = other101.asks;
+  trial_ends = other101.trial_ends;
+  __isset = other101.__isset;
   return *this;
 }
-void PartReport::printTo(std::ostream& out) const {
+void CrashReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartReport(";
+  out << "CrashReport(";
   out << "ends=" << to_string(ends);
   out << ", " << "proofs=" << to_string(proofs);
-  out << ", " << "proven_attempts=" << to_string(proven_attempts);
-  out << ", " << "ended_attempts=" << to_string(ended_attempts);
   out << ", " << "refused=" << to_string(refused);
+  out << ", " << "attempts=" << to_string(attempts);
+  out << ", " << "refused_requests=" << to_string(refused_requests);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "trial_ends=" << to_string(trial_ends);
   out << ")";
 }
 
 
-SuspectPart::~SuspectPart() noexcept {
+SuspectSubject::~SuspectSubject() noexcept {
 }
 
 
-void SuspectPart::__set_part(const std::string& val) {
-  this->part = val;
+void SuspectSubject::__set_id(const std::string& val) {
+  this->id = val;
 }
 
-void SuspectPart::__set_ends(const int32_t val) {
+void SuspectSubject::__set_ends(const int32_t val) {
   this->ends = val;
 }
-std::ostream& operator<<(std::ostream& out, const SuspectPart& obj)
+
+void SuspectSubject::__set_kind(const int16_t val) {
+  this->kind = val;
+}
+std::ostream& operator<<(std::ostream& out, const SuspectSubject& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SuspectPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SuspectSubject::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2837,8 +3419,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->part);
-          this->__isset.part = true;
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2851,6 +3433,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2863,78 +3453,102 @@
   return xfer;
 }
 
-uint32_t SuspectPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SuspectSubject::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SuspectPart");
+  xfer += oprot->writeStructBegin("SuspectSubject");
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_I32, 2);
   xfer += oprot->writeI32(this->ends);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 3);
+  xfer += oprot->writeI16(this->kind);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(SuspectPart &a, SuspectPart &b) {
+void swap(SuspectSubject &a, SuspectSubject &b) {
   using ::std::swap;
-  swap(a.part, b.part);
+  swap(a.id, b.id);
   swap(a.ends, b.ends);
+  swap(a.kind, b.kind);
   swap(a.__isset, b.__isset);
 }
 
-SuspectPart::SuspectPart(const SuspectPart& other72) {
-  part = other72.part;
-  ends = other72.ends;
-  __isset = other72.__isset;
+SuspectSubject::SuspectSubject(const SuspectSubject& other102) {
+  id = other102.id;
+  ends = other102.ends;
+  kind = other102.kind;
+  __isset = other102.__isset;
 }
-SuspectPart& SuspectPart::operator=(const SuspectPart& other73) {
-  part = other73.part;
-  ends = other73.ends;
-  __isset = other73.__isset;
+SuspectSubject& SuspectSubject::operator=(const SuspectSubject& other103) {
+  id = other103.id;
+  ends = other103.ends;
+  kind = other103.kind;
+  __isset = other103.__isset;
   return *this;
 }
-void SuspectPart::printTo(std::ostream& out) const {
+void SuspectSubject::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SuspectPart(";
-  out << "part=" << to_string(part);
+  out << "SuspectSubject(";
+  out << "id=" << to_string(id);
   out << ", " << "ends=" << to_string(ends);
+  out << ", " << "kind=" << to_string(kind);
   out << ")";
 }
 
 
-PartVerdict::~PartVerdict() noexcept {
+CrashVerdict::~CrashVerdict() noexcept {
 }
 
 
-void PartVerdict::__set_part(const std::string& val) {
-  this->part = val;
+void CrashVerdict::__set_id(const std::string& val) {
+  this->id = val;
 }
 
-void PartVerdict::__set_state(const int16_t val) {
+void CrashVerdict::__set_state(const int16_t val) {
   this->state = val;
 }
 
-void PartVerdict::__set_times(const int32_t val) {
+void CrashVerdict::__set_times(const int32_t val) {
   this->times = val;
 }
 
-void PartVerdict::__set_trial_process(const std::string& val) {
+void CrashVerdict::__set_trial_process(const std::string& val) {
   this->trial_process = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartVerdict& obj)
+
+void CrashVerdict::__set_kind(const int16_t val) {
+  this->kind = val;
+}
+
+void CrashVerdict::__set_trials(const int32_t val) {
+  this->trials = val;
+}
+
+void CrashVerdict::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void CrashVerdict::__set_held(const bool val) {
+  this->held = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashVerdict& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2957,8 +3571,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->part);
-          this->__isset.part = true;
+          xfer += iprot->readString(this->id);
+          this->__isset.id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2987,6 +3601,38 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I16) {
+          xfer += iprot->readI16(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trials);
+          this->__isset.trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->held);
+          this->__isset.held = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2999,13 +3645,13 @@
   return xfer;
 }
 
-uint32_t PartVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartVerdict");
+  xfer += oprot->writeStructBegin("CrashVerdict");
 
-  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->part);
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("state", ::apache::thrift::protocol::T_I16, 2);
@@ -3020,65 +3666,97 @@
   xfer += oprot->writeString(this->trial_process);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I16, 5);
+  xfer += oprot->writeI16(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("held", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->held);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
 }
 
-void swap(PartVerdict &a, PartVerdict &b) {
+void swap(CrashVerdict &a, CrashVerdict &b) {
   using ::std::swap;
-  swap(a.part, b.part);
+  swap(a.id, b.id);
   swap(a.state, b.state);
   swap(a.times, b.times);
   swap(a.trial_process, b.trial_process);
+  swap(a.kind, b.kind);
+  swap(a.trials, b.trials);
+  swap(a.revision, b.revision);
+  swap(a.held, b.held);
   swap(a.__isset, b.__isset);
 }
 
-PartVerdict::PartVerdict(const PartVerdict& other74) {
-  part = other74.part;
-  state = other74.state;
-  times = other74.times;
-  trial_process = other74.trial_process;
-  __isset = other74.__isset;
-}
-PartVerdict& PartVerdict::operator=(const PartVerdict& other75) {
-  part = other75.part;
-  state = other75.state;
-  times = other75.times;
-  trial_process = other75.trial_process;
-  __isset = other75.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other104) {
+  id = other104.id;
+  state = other104.state;
+  times = other104.times;
+  trial_process = other104.trial_process;
+  kind = other104.kind;
+  trials = other104.trials;
+  revision = other104.revision;
+  held = other104.held;
+  __isset = other104.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other105) {
+  id = other105.id;
+  state = other105.state;
+  times = other105.times;
+  trial_process = other105.trial_process;
+  kind = other105.kind;
+  trials = other105.trials;
+  revision = other105.revision;
+  held = other105.held;
+  __isset = other105.__isset;
   return *this;
 }
-void PartVerdict::printTo(std::ostream& out) const {
+void CrashVerdict::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartVerdict(";
-  out << "part=" << to_string(part);
+  out << "CrashVerdict(";
+  out << "id=" << to_string(id);
   out << ", " << "state=" << to_string(state);
   out << ", " << "times=" << to_string(times);
   out << ", " << "trial_process=" << to_string(trial_process);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "trials=" << to_string(trials);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "held=" << to_string(held);
   out << ")";
 }
 
 
-PartVerdicts::~PartVerdicts() noexcept {
+CrashVerdicts::~CrashVerdicts() noexcept {
 }
 
 
-void PartVerdicts::__set_revision(const int64_t val) {
+void CrashVerdicts::__set_revision(const int64_t val) {
   this->revision = val;
 }
 
-void PartVerdicts::__set_rows(const std::vector<PartVerdict> & val) {
+void CrashVerdicts::__set_rows(const std::vector<CrashVerdict> & val) {
   this->rows = val;
 }
-std::ostream& operator<<(std::ostream& out, const PartVerdicts& obj)
+std::ostream& operator<<(std::ostream& out, const CrashVerdicts& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PartVerdicts::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashVerdicts::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3111,14 +3789,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->rows.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->rows.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->rows[_i80].read(iprot);
+              xfer += this->rows[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3139,10 +3817,10 @@
   return xfer;
 }
 
-uint32_t PartVerdicts::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashVerdicts::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PartVerdicts");
+  xfer += oprot->writeStructBegin("CrashVerdicts");
 
   xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
   xfer += oprot->writeI64(this->revision);
@@ -3151,10 +3829,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<PartVerdict> ::const_iterator _iter81;
-    for (_iter81 = this->rows.begin(); _iter81 != this->rows.end(); ++_iter81)
+    std::vector<CrashVerdict> ::const_iterator _iter111;
+    for (_iter111 = this->rows.begin(); _iter111 != this->rows.end(); ++_iter111)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3165,27 +3843,27 @@
   return xfer;
 }
 
-void swap(PartVerdicts &a, PartVerdicts &b) {
+void swap(CrashVerdicts &a, CrashVerdicts &b) {
   using ::std::swap;
   swap(a.revision, b.revision);
   swap(a.rows, b.rows);
   swap(a.__isset, b.__isset);
 }
 
-PartVerdicts::PartVerdicts(const PartVerdicts& other82) {
-  revision = other82.revision;
-  rows = other82.rows;
-  __isset = other82.__isset;
+CrashVerdicts::CrashVerdicts(const CrashVerdicts& other112) {
+  revision = other112.revision;
+  rows = other112.rows;
+  __isset = other112.__isset;
 }
-PartVerdicts& PartVerdicts::operator=(const PartVerdicts& other83) {
-  revision = other83.revision;
-  rows = other83.rows;
-  __isset = other83.__isset;
+CrashVerdicts& CrashVerdicts::operator=(const CrashVerdicts& other113) {
+  revision = other113.revision;
+  rows = other113.rows;
+  __isset = other113.__isset;
   return *this;
 }
-void PartVerdicts::printTo(std::ostream& out) const {
+void CrashVerdicts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PartVerdicts(";
+  out << "CrashVerdicts(";
   out << "revision=" << to_string(revision);
   out << ", " << "rows=" << to_string(rows);
   out << ")";
@@ -3261,19 +3939,19 @@
 __isset.retries = true;
 }
 
-void MeshMessage::__set_part_report(const PartReport& val) {
-  this->part_report = val;
-__isset.part_report = true;
+void MeshMessage::__set_crash_report(const CrashReport& val) {
+  this->crash_report = val;
+__isset.crash_report = true;
 }
 
-void MeshMessage::__set_suspect_parts(const std::vector<SuspectPart> & val) {
-  this->suspect_parts = val;
-__isset.suspect_parts = true;
+void MeshMessage::__set_suspects(const std::vector<SuspectSubject> & val) {
+  this->suspects = val;
+__isset.suspects = true;
 }
 
-void MeshMessage::__set_part_verdicts(const PartVerdicts& val) {
-  this->part_verdicts = val;
-__isset.part_verdicts = true;
+void MeshMessage::__set_crash_verdicts(const CrashVerdicts& val) {
+  this->crash_verdicts = val;
+__isset.crash_verdicts = true;
 }
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj)
 {
@@ -3315,14 +3993,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->members.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->members.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->members[_i88].read(iprot);
+              xfer += this->members[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3335,14 +4013,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size89;
-            ::apache::thrift::protocol::TType _etype92;
-            xfer += iprot->readListBegin(_etype92, _size89);
-            this->instances.resize(_size89);
-            uint32_t _i93;
-            for (_i93 = 0; _i93 < _size89; ++_i93)
+            uint32_t _size119;
+            ::apache::thrift::protocol::TType _etype122;
+            xfer += iprot->readListBegin(_etype122, _size119);
+            this->instances.resize(_size119);
+            uint32_t _i123;
+            for (_i123 = 0; _i123 < _size119; ++_i123)
             {
-              xfer += this->instances[_i93].read(iprot);
+              xfer += this->instances[_i123].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3355,14 +4033,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->readings.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size124;
+            ::apache::thrift::protocol::TType _etype127;
+            xfer += iprot->readListBegin(_etype127, _size124);
+            this->readings.resize(_size124);
+            uint32_t _i128;
+            for (_i128 = 0; _i128 < _size124; ++_i128)
             {
-              xfer += this->readings[_i98].read(iprot);
+              xfer += this->readings[_i128].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3383,14 +4061,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->targets.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->targets.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->targets[_i103].read(iprot);
+              xfer += this->targets[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3403,14 +4081,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->sources.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->sources.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->sources[_i108].read(iprot);
+              xfer += this->sources[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3439,14 +4117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->expected.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size139;
+            ::apache::thrift::protocol::TType _etype142;
+            xfer += iprot->readListBegin(_etype142, _size139);
+            this->expected.resize(_size139);
+            uint32_t _i143;
+            for (_i143 = 0; _i143 < _size139; ++_i143)
             {
-              xfer += this->expected[_i113].read(iprot);
+              xfer += this->expected[_i143].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3467,14 +4145,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->limits.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->limits.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->limits[_i118].read(iprot);
+              xfer += this->limits[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3493,8 +4171,8 @@
         break;
       case 14:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->part_report.read(iprot);
-          this->__isset.part_report = true;
+          xfer += this->crash_report.read(iprot);
+          this->__isset.crash_report = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3502,27 +4180,27 @@
       case 15:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->suspect_parts.clear();
-            uint32_t _size119;
-            ::apache::thrift::protocol::TType _etype122;
-            xfer += iprot->readListBegin(_etype122, _size119);
-            this->suspect_parts.resize(_size119);
-            uint32_t _i123;
-            for (_i123 = 0; _i123 < _size119; ++_i123)
+            this->suspects.clear();
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->suspects.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += this->suspect_parts[_i123].read(iprot);
+              xfer += this->suspects[_i153].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.suspect_parts = true;
+          this->__isset.suspects = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 16:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->part_verdicts.read(iprot);
-          this->__isset.part_verdicts = true;
+          xfer += this->crash_verdicts.read(iprot);
+          this->__isset.crash_verdicts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3553,10 +4231,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter124;
-      for (_iter124 = this->members.begin(); _iter124 != this->members.end(); ++_iter124)
+      std::vector<MeshMember> ::const_iterator _iter154;
+      for (_iter154 = this->members.begin(); _iter154 != this->members.end(); ++_iter154)
       {
-        xfer += (*_iter124).write(oprot);
+        xfer += (*_iter154).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3566,10 +4244,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter125;
-      for (_iter125 = this->instances.begin(); _iter125 != this->instances.end(); ++_iter125)
+      std::vector<InstanceRecord> ::const_iterator _iter155;
+      for (_iter155 = this->instances.begin(); _iter155 != this->instances.end(); ++_iter155)
       {
-        xfer += (*_iter125).write(oprot);
+        xfer += (*_iter155).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3579,10 +4257,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter126;
-      for (_iter126 = this->readings.begin(); _iter126 != this->readings.end(); ++_iter126)
+      std::vector<InstanceReading> ::const_iterator _iter156;
+      for (_iter156 = this->readings.begin(); _iter156 != this->readings.end(); ++_iter156)
       {
-        xfer += (*_iter126).write(oprot);
+        xfer += (*_iter156).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3597,10 +4275,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter127;
-      for (_iter127 = this->targets.begin(); _iter127 != this->targets.end(); ++_iter127)
+      std::vector<WeightsTarget> ::const_iterator _iter157;
+      for (_iter157 = this->targets.begin(); _iter157 != this->targets.end(); ++_iter157)
       {
-        xfer += (*_iter127).write(oprot);
+        xfer += (*_iter157).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3610,10 +4288,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter128;
-      for (_iter128 = this->sources.begin(); _iter128 != this->sources.end(); ++_iter128)
+      std::vector<ModelSource> ::const_iterator _iter158;
+      for (_iter158 = this->sources.begin(); _iter158 != this->sources.end(); ++_iter158)
       {
-        xfer += (*_iter128).write(oprot);
+        xfer += (*_iter158).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3633,10 +4311,10 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter129;
-      for (_iter129 = this->expected.begin(); _iter129 != this->expected.end(); ++_iter129)
+      std::vector<WeightsTarget> ::const_iterator _iter159;
+      for (_iter159 = this->expected.begin(); _iter159 != this->expected.end(); ++_iter159)
       {
-        xfer += (*_iter129).write(oprot);
+        xfer += (*_iter159).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3651,10 +4329,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<EndpointLimit> ::const_iterator _iter130;
-      for (_iter130 = this->limits.begin(); _iter130 != this->limits.end(); ++_iter130)
+      std::vector<EndpointLimit> ::const_iterator _iter160;
+      for (_iter160 = this->limits.begin(); _iter160 != this->limits.end(); ++_iter160)
       {
-        xfer += (*_iter130).write(oprot);
+        xfer += (*_iter160).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3665,27 +4343,27 @@
     xfer += this->retries.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.part_report) {
-    xfer += oprot->writeFieldBegin("part_report", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->part_report.write(oprot);
+  if (this->__isset.crash_report) {
+    xfer += oprot->writeFieldBegin("crash_report", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->crash_report.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.suspect_parts) {
-    xfer += oprot->writeFieldBegin("suspect_parts", ::apache::thrift::protocol::T_LIST, 15);
+  if (this->__isset.suspects) {
+    xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
     {
-      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspect_parts.size()));
-      std::vector<SuspectPart> ::const_iterator _iter131;
-      for (_iter131 = this->suspect_parts.begin(); _iter131 != this->suspect_parts.end(); ++_iter131)
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
+      std::vector<SuspectSubject> ::const_iterator _iter161;
+      for (_iter161 = this->suspects.begin(); _iter161 != this->suspects.end(); ++_iter161)
       {
-        xfer += (*_iter131).write(oprot);
+        xfer += (*_iter161).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.part_verdicts) {
-    xfer += oprot->writeFieldBegin("part_verdicts", ::apache::thrift::protocol::T_STRUCT, 16);
-    xfer += this->part_verdicts.write(oprot);
+  if (this->__isset.crash_verdicts) {
+    xfer += oprot->writeFieldBegin("crash_verdicts", ::apache::thrift::protocol::T_STRUCT, 16);
+    xfer += this->crash_verdicts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3708,49 +4386,49 @@
   swap(a.permits, b.permits);
   swap(a.limits, b.limits);
   swap(a.retries, b.retries);
-  swap(a.part_report, b.part_report);
-  swap(a.suspect_parts, b.suspect_parts);
-  swap(a.part_verdicts, b.part_verdicts);
+  swap(a.crash_report, b.crash_report);
+  swap(a.suspects, b.suspects);
+  swap(a.crash_verdicts, b.crash_verdicts);
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other132) {
-  hello = other132.hello;
-  members = other132.members;
-  instances = other132.instances;
-  readings = other132.readings;
-  service_config = other132.service_config;
-  targets = other132.targets;
-  sources = other132.sources;
-  agreement = other132.agreement;
-  join = other132.join;
-  expected = other132.expected;
-  permits = other132.permits;
-  limits = other132.limits;
-  retries = other132.retries;
-  part_report = other132.part_report;
-  suspect_parts = other132.suspect_parts;
-  part_verdicts = other132.part_verdicts;
-  __isset = other132.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other133) {
-  hello = other133.hello;
-  members = other133.members;
-  instances = other133.instances;
-  readings = other133.readings;
-  service_config = other133.service_config;
-  targets = other133.targets;
-  sources = other133.sources;
-  agreement = other133.agreement;
-  join = other133.join;
-  expected = other133.expected;
-  permits = other133.permits;
-  limits = other133.limits;
-  retries = other133.retries;
-  part_report = other133.part_report;
-  suspect_parts = other133.suspect_parts;
-  part_verdicts = other133.part_verdicts;
-  __isset = other133.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other162) {
+  hello = other162.hello;
+  members = other162.members;
+  instances = other162.instances;
+  readings = other162.readings;
+  service_config = other162.service_config;
+  targets = other162.targets;
+  sources = other162.sources;
+  agreement = other162.agreement;
+  join = other162.join;
+  expected = other162.expected;
+  permits = other162.permits;
+  limits = other162.limits;
+  retries = other162.retries;
+  crash_report = other162.crash_report;
+  suspects = other162.suspects;
+  crash_verdicts = other162.crash_verdicts;
+  __isset = other162.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other163) {
+  hello = other163.hello;
+  members = other163.members;
+  instances = other163.instances;
+  readings = other163.readings;
+  service_config = other163.service_config;
+  targets = other163.targets;
+  sources = other163.sources;
+  agreement = other163.agreement;
+  join = other163.join;
+  expected = other163.expected;
+  permits = other163.permits;
+  limits = other163.limits;
+  retries = other163.retries;
+  crash_report = other163.crash_report;
+  suspects = other163.suspects;
+  crash_verdicts = other163.crash_verdicts;
+  __isset = other163.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -3769,9 +4447,9 @@
   out << ", " << "permits="; (__isset.permits ? (out << to_string(permits)) : (out << "<null>"));
   out << ", " << "limits="; (__isset.limits ? (out << to_string(limits)) : (out << "<null>"));
   out << ", " << "retries="; (__isset.retries ? (out << to_string(retries)) : (out << "<null>"));
-  out << ", " << "part_report="; (__isset.part_report ? (out << to_string(part_report)) : (out << "<null>"));
-  out << ", " << "suspect_parts="; (__isset.suspect_parts ? (out << to_string(suspect_parts)) : (out << "<null>"));
-  out << ", " << "part_verdicts="; (__isset.part_verdicts ? (out << to_string(part_verdicts)) : (out << "<null>"));
+  out << ", " << "crash_report="; (__isset.crash_report ? (out << to_string(crash_report)) : (out << "<null>"));
+  out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "crash_verdicts="; (__isset.crash_verdicts ? (out << to_string(crash_verdicts)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3795,9 +4473,9 @@
 __isset.retry_blocks = true;
 }
 
-void ControlCommand::__set_part_verdict(const PartVerdict& val) {
-  this->part_verdict = val;
-__isset.part_verdict = true;
+void ControlCommand::__set_crash_verdict(const CrashVerdict& val) {
+  this->crash_verdict = val;
+__isset.crash_verdict = true;
 }
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj)
 {
@@ -3853,8 +4531,8 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->part_verdict.read(iprot);
-          this->__isset.part_verdict = true;
+          xfer += this->crash_verdict.read(iprot);
+          this->__isset.crash_verdict = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3891,9 +4569,9 @@
     xfer += oprot->writeI32(this->retry_blocks);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.part_verdict) {
-    xfer += oprot->writeFieldBegin("part_verdict", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->part_verdict.write(oprot);
+  if (this->__isset.crash_verdict) {
+    xfer += oprot->writeFieldBegin("crash_verdict", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->crash_verdict.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3906,23 +4584,23 @@
   swap(a.service_config, b.service_config);
   swap(a.target, b.target);
   swap(a.retry_blocks, b.retry_blocks);
-  swap(a.part_verdict, b.part_verdict);
+  swap(a.crash_verdict, b.crash_verdict);
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other134) {
-  service_config = other134.service_config;
-  target = other134.target;
-  retry_blocks = other134.retry_blocks;
-  part_verdict = other134.part_verdict;
-  __isset = other134.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other164) {
+  service_config = other164.service_config;
+  target = other164.target;
+  retry_blocks = other164.retry_blocks;
+  crash_verdict = other164.crash_verdict;
+  __isset = other164.__isset;
 }
-ControlCommand& ControlCommand::operator=(const ControlCommand& other135) {
-  service_config = other135.service_config;
-  target = other135.target;
-  retry_blocks = other135.retry_blocks;
-  part_verdict = other135.part_verdict;
-  __isset = other135.__isset;
+ControlCommand& ControlCommand::operator=(const ControlCommand& other165) {
+  service_config = other165.service_config;
+  target = other165.target;
+  retry_blocks = other165.retry_blocks;
+  crash_verdict = other165.crash_verdict;
+  __isset = other165.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -3931,7 +4609,7 @@
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
   out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
-  out << ", " << "part_verdict="; (__isset.part_verdict ? (out << to_string(part_verdict)) : (out << "<null>"));
+  out << ", " << "crash_verdict="; (__isset.crash_verdict ? (out << to_string(crash_verdict)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3954,9 +4632,9 @@
 __isset.retry_blocks = true;
 }
 
-void ControlSnapshot::__set_part_verdicts(const PartVerdicts& val) {
-  this->part_verdicts = val;
-__isset.part_verdicts = true;
+void ControlSnapshot::__set_crash_verdicts(const CrashVerdicts& val) {
+  this->crash_verdicts = val;
+__isset.crash_verdicts = true;
 }
 std::ostream& operator<<(std::ostream& out, const ControlSnapshot& obj)
 {
@@ -3998,14 +4676,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size136;
-            ::apache::thrift::protocol::TType _etype139;
-            xfer += iprot->readListBegin(_etype139, _size136);
-            this->targets.resize(_size136);
-            uint32_t _i140;
-            for (_i140 = 0; _i140 < _size136; ++_i140)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->targets.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->targets[_i140].read(iprot);
+              xfer += this->targets[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4024,8 +4702,8 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->part_verdicts.read(iprot);
-          this->__isset.part_verdicts = true;
+          xfer += this->crash_verdicts.read(iprot);
+          this->__isset.crash_verdicts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4055,10 +4733,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter141;
-    for (_iter141 = this->targets.begin(); _iter141 != this->targets.end(); ++_iter141)
+    std::vector<WeightsTarget> ::const_iterator _iter171;
+    for (_iter171 = this->targets.begin(); _iter171 != this->targets.end(); ++_iter171)
     {
-      xfer += (*_iter141).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4069,9 +4747,9 @@
     xfer += oprot->writeI32(this->retry_blocks);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.part_verdicts) {
-    xfer += oprot->writeFieldBegin("part_verdicts", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->part_verdicts.write(oprot);
+  if (this->__isset.crash_verdicts) {
+    xfer += oprot->writeFieldBegin("crash_verdicts", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->crash_verdicts.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -4084,23 +4762,23 @@
   swap(a.service_config, b.service_config);
   swap(a.targets, b.targets);
   swap(a.retry_blocks, b.retry_blocks);
-  swap(a.part_verdicts, b.part_verdicts);
+  swap(a.crash_verdicts, b.crash_verdicts);
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other142) {
-  service_config = other142.service_config;
-  targets = other142.targets;
-  retry_blocks = other142.retry_blocks;
-  part_verdicts = other142.part_verdicts;
-  __isset = other142.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other172) {
+  service_config = other172.service_config;
+  targets = other172.targets;
+  retry_blocks = other172.retry_blocks;
+  crash_verdicts = other172.crash_verdicts;
+  __isset = other172.__isset;
 }
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other143) {
-  service_config = other143.service_config;
-  targets = other143.targets;
-  retry_blocks = other143.retry_blocks;
-  part_verdicts = other143.part_verdicts;
-  __isset = other143.__isset;
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other173) {
+  service_config = other173.service_config;
+  targets = other173.targets;
+  retry_blocks = other173.retry_blocks;
+  crash_verdicts = other173.crash_verdicts;
+  __isset = other173.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
@@ -4109,7 +4787,7 @@
   out << "service_config="; (__isset.service_config ? (out << to_string(service_config)) : (out << "<null>"));
   out << ", " << "targets=" << to_string(targets);
   out << ", " << "retry_blocks="; (__isset.retry_blocks ? (out << to_string(retry_blocks)) : (out << "<null>"));
-  out << ", " << "part_verdicts="; (__isset.part_verdicts ? (out << to_string(part_verdicts)) : (out << "<null>"));
+  out << ", " << "crash_verdicts="; (__isset.crash_verdicts ? (out << to_string(crash_verdicts)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -48,15 +48,21 @@
 
 class AttemptEnd;
 
-class PartProof;
+class Subject;
 
-class PartReport;
+class SubjectProof;
 
-class SuspectPart;
+class ServiceAttempts;
 
-class PartVerdict;
+class TrialEnd;
 
-class PartVerdicts;
+class CrashReport;
+
+class SuspectSubject;
+
+class CrashVerdict;
+
+class CrashVerdicts;
 
 class MeshMessage;
 
@@ -964,11 +970,14 @@
 std::ostream& operator<<(std::ostream& out, const Retries& obj);
 
 typedef struct _AttemptEnd__isset {
-  _AttemptEnd__isset() : engine(false), started_ms(false), age_ms(false), parts(false) {}
-  bool engine :1;
+  _AttemptEnd__isset() : endpoint(false), started_ms(false), age_ms(false), parts(false), request(false), service_name(false), unconfirmed(false) {}
+  bool endpoint :1;
   bool started_ms :1;
   bool age_ms :1;
   bool parts :1;
+  bool request :1;
+  bool service_name :1;
+  bool unconfirmed :1;
 } _AttemptEnd__isset;
 
 class AttemptEnd : public virtual ::apache::thrift::TBase {
@@ -977,20 +986,26 @@
   AttemptEnd(const AttemptEnd&);
   AttemptEnd& operator=(const AttemptEnd&);
   AttemptEnd() noexcept
-             : engine(),
+             : endpoint(),
                started_ms(0),
-               age_ms(0) {
+               age_ms(0),
+               request(),
+               service_name(),
+               unconfirmed(0) {
   }
 
   virtual ~AttemptEnd() noexcept;
-  std::string engine;
+  std::string endpoint;
   int64_t started_ms;
   int32_t age_ms;
   std::vector<std::string>  parts;
+  std::string request;
+  std::string service_name;
+  bool unconfirmed;
 
   _AttemptEnd__isset __isset;
 
-  void __set_engine(const std::string& val);
+  void __set_endpoint(const std::string& val);
 
   void __set_started_ms(const int64_t val);
 
@@ -998,9 +1013,15 @@
 
   void __set_parts(const std::vector<std::string> & val);
 
+  void __set_request(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_unconfirmed(const bool val);
+
   bool operator == (const AttemptEnd & rhs) const
   {
-    if (!(engine == rhs.engine))
+    if (!(endpoint == rhs.endpoint))
       return false;
     if (!(started_ms == rhs.started_ms))
       return false;
@@ -1008,6 +1029,14 @@
       return false;
     if (!(parts == rhs.parts))
       return false;
+    if (__isset.request != rhs.__isset.request)
+      return false;
+    else if (__isset.request && !(request == rhs.request))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(unconfirmed == rhs.unconfirmed))
+      return false;
     return true;
   }
   bool operator != (const AttemptEnd &rhs) const {
@@ -1026,45 +1055,102 @@
 
 std::ostream& operator<<(std::ostream& out, const AttemptEnd& obj);
 
-typedef struct _PartProof__isset {
-  _PartProof__isset() : part(false), age_ms(false) {}
-  bool part :1;
+typedef struct _Subject__isset {
+  _Subject__isset() : id(false), kind(false) {}
+  bool id :1;
+  bool kind :1;
+} _Subject__isset;
+
+class Subject : public virtual ::apache::thrift::TBase {
+ public:
+
+  Subject(const Subject&);
+  Subject& operator=(const Subject&);
+  Subject() noexcept
+          : id(),
+            kind(0) {
+  }
+
+  virtual ~Subject() noexcept;
+  std::string id;
+  int16_t kind;
+
+  _Subject__isset __isset;
+
+  void __set_id(const std::string& val);
+
+  void __set_kind(const int16_t val);
+
+  bool operator == (const Subject & rhs) const
+  {
+    if (!(id == rhs.id))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    return true;
+  }
+  bool operator != (const Subject &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Subject & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Subject &a, Subject &b);
+
+std::ostream& operator<<(std::ostream& out, const Subject& obj);
+
+typedef struct _SubjectProof__isset {
+  _SubjectProof__isset() : id(false), age_ms(false), kind(false) {}
+  bool id :1;
   bool age_ms :1;
-} _PartProof__isset;
+  bool kind :1;
+} _SubjectProof__isset;
 
-class PartProof : public virtual ::apache::thrift::TBase {
+class SubjectProof : public virtual ::apache::thrift::TBase {
  public:
 
-  PartProof(const PartProof&);
-  PartProof& operator=(const PartProof&);
-  PartProof() noexcept
-            : part(),
-              age_ms(0) {
+  SubjectProof(const SubjectProof&);
+  SubjectProof& operator=(const SubjectProof&);
+  SubjectProof() noexcept
+               : id(),
+                 age_ms(0),
+                 kind(0) {
   }
 
-  virtual ~PartProof() noexcept;
-  std::string part;
+  virtual ~SubjectProof() noexcept;
+  std::string id;
   int32_t age_ms;
+  int16_t kind;
 
-  _PartProof__isset __isset;
+  _SubjectProof__isset __isset;
 
-  void __set_part(const std::string& val);
+  void __set_id(const std::string& val);
 
   void __set_age_ms(const int32_t val);
 
-  bool operator == (const PartProof & rhs) const
+  void __set_kind(const int16_t val);
+
+  bool operator == (const SubjectProof & rhs) const
   {
-    if (!(part == rhs.part))
+    if (!(id == rhs.id))
       return false;
     if (!(age_ms == rhs.age_ms))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
     return true;
   }
-  bool operator != (const PartProof &rhs) const {
+  bool operator != (const SubjectProof &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PartProof & ) const;
+  bool operator < (const SubjectProof & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1072,67 +1158,190 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PartProof &a, PartProof &b);
+void swap(SubjectProof &a, SubjectProof &b);
+
+std::ostream& operator<<(std::ostream& out, const SubjectProof& obj);
 
-std::ostream& operator<<(std::ostream& out, const PartProof& obj);
+typedef struct _ServiceAttempts__isset {
+  _ServiceAttempts__isset() : service_name(false), proven(false), ended(false) {}
+  bool service_name :1;
+  bool proven :1;
+  bool ended :1;
+} _ServiceAttempts__isset;
+
+class ServiceAttempts : public virtual ::apache::thrift::TBase {
+ public:
+
+  ServiceAttempts(const ServiceAttempts&);
+  ServiceAttempts& operator=(const ServiceAttempts&);
+  ServiceAttempts() noexcept
+                  : service_name(),
+                    proven(0),
+                    ended(0) {
+  }
+
+  virtual ~ServiceAttempts() noexcept;
+  std::string service_name;
+  int64_t proven;
+  int64_t ended;
+
+  _ServiceAttempts__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_proven(const int64_t val);
 
-typedef struct _PartReport__isset {
-  _PartReport__isset() : ends(false), proofs(false), proven_attempts(false), ended_attempts(false), refused(false) {}
+  void __set_ended(const int64_t val);
+
+  bool operator == (const ServiceAttempts & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(proven == rhs.proven))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const ServiceAttempts &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ServiceAttempts & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ServiceAttempts &a, ServiceAttempts &b);
+
+std::ostream& operator<<(std::ostream& out, const ServiceAttempts& obj);
+
+typedef struct _TrialEnd__isset {
+  _TrialEnd__isset() : subject(false), revision(false), outcome(false) {}
+  bool subject :1;
+  bool revision :1;
+  bool outcome :1;
+} _TrialEnd__isset;
+
+class TrialEnd : public virtual ::apache::thrift::TBase {
+ public:
+
+  TrialEnd(const TrialEnd&);
+  TrialEnd& operator=(const TrialEnd&);
+  TrialEnd() noexcept
+           : revision(0),
+             outcome(0) {
+  }
+
+  virtual ~TrialEnd() noexcept;
+  Subject subject;
+  int64_t revision;
+  int16_t outcome;
+
+  _TrialEnd__isset __isset;
+
+  void __set_subject(const Subject& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_outcome(const int16_t val);
+
+  bool operator == (const TrialEnd & rhs) const
+  {
+    if (!(subject == rhs.subject))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const TrialEnd &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TrialEnd & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TrialEnd &a, TrialEnd &b);
+
+std::ostream& operator<<(std::ostream& out, const TrialEnd& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : ends(false), proofs(false), refused(false), attempts(false), refused_requests(false), asks(false), trial_ends(false) {}
   bool ends :1;
   bool proofs :1;
-  bool proven_attempts :1;
-  bool ended_attempts :1;
   bool refused :1;
-} _PartReport__isset;
+  bool attempts :1;
+  bool refused_requests :1;
+  bool asks :1;
+  bool trial_ends :1;
+} _CrashReport__isset;
 
-class PartReport : public virtual ::apache::thrift::TBase {
+class CrashReport : public virtual ::apache::thrift::TBase {
  public:
 
-  PartReport(const PartReport&);
-  PartReport& operator=(const PartReport&);
-  PartReport() noexcept
-             : proven_attempts(0),
-               ended_attempts(0) {
+  CrashReport(const CrashReport&);
+  CrashReport& operator=(const CrashReport&);
+  CrashReport() noexcept {
   }
 
-  virtual ~PartReport() noexcept;
+  virtual ~CrashReport() noexcept;
   std::vector<AttemptEnd>  ends;
-  std::vector<PartProof>  proofs;
-  int64_t proven_attempts;
-  int64_t ended_attempts;
+  std::vector<SubjectProof>  proofs;
   std::vector<std::string>  refused;
+  std::vector<ServiceAttempts>  attempts;
+  std::vector<std::string>  refused_requests;
+  std::vector<std::string>  asks;
+  std::vector<TrialEnd>  trial_ends;
 
-  _PartReport__isset __isset;
+  _CrashReport__isset __isset;
 
   void __set_ends(const std::vector<AttemptEnd> & val);
 
-  void __set_proofs(const std::vector<PartProof> & val);
+  void __set_proofs(const std::vector<SubjectProof> & val);
 
-  void __set_proven_attempts(const int64_t val);
+  void __set_refused(const std::vector<std::string> & val);
 
-  void __set_ended_attempts(const int64_t val);
+  void __set_attempts(const std::vector<ServiceAttempts> & val);
 
-  void __set_refused(const std::vector<std::string> & val);
+  void __set_refused_requests(const std::vector<std::string> & val);
+
+  void __set_asks(const std::vector<std::string> & val);
 
-  bool operator == (const PartReport & rhs) const
+  void __set_trial_ends(const std::vector<TrialEnd> & val);
+
+  bool operator == (const CrashReport & rhs) const
   {
     if (!(ends == rhs.ends))
       return false;
     if (!(proofs == rhs.proofs))
       return false;
-    if (!(proven_attempts == rhs.proven_attempts))
+    if (!(refused == rhs.refused))
       return false;
-    if (!(ended_attempts == rhs.ended_attempts))
+    if (!(attempts == rhs.attempts))
       return false;
-    if (!(refused == rhs.refused))
+    if (!(refused_requests == rhs.refused_requests))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(trial_ends == rhs.trial_ends))
       return false;
     return true;
   }
-  bool operator != (const PartReport &rhs) const {
+  bool operator != (const CrashReport &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PartReport & ) const;
+  bool operator < (const CrashReport & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1140,49 +1349,56 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PartReport &a, PartReport &b);
+void swap(CrashReport &a, CrashReport &b);
 
-std::ostream& operator<<(std::ostream& out, const PartReport& obj);
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
 
-typedef struct _SuspectPart__isset {
-  _SuspectPart__isset() : part(false), ends(false) {}
-  bool part :1;
+typedef struct _SuspectSubject__isset {
+  _SuspectSubject__isset() : id(false), ends(false), kind(false) {}
+  bool id :1;
   bool ends :1;
-} _SuspectPart__isset;
+  bool kind :1;
+} _SuspectSubject__isset;
 
-class SuspectPart : public virtual ::apache::thrift::TBase {
+class SuspectSubject : public virtual ::apache::thrift::TBase {
  public:
 
-  SuspectPart(const SuspectPart&);
-  SuspectPart& operator=(const SuspectPart&);
-  SuspectPart() noexcept
-              : part(),
-                ends(0) {
+  SuspectSubject(const SuspectSubject&);
+  SuspectSubject& operator=(const SuspectSubject&);
+  SuspectSubject() noexcept
+                 : id(),
+                   ends(0),
+                   kind(0) {
   }
 
-  virtual ~SuspectPart() noexcept;
-  std::string part;
+  virtual ~SuspectSubject() noexcept;
+  std::string id;
   int32_t ends;
+  int16_t kind;
 
-  _SuspectPart__isset __isset;
+  _SuspectSubject__isset __isset;
 
-  void __set_part(const std::string& val);
+  void __set_id(const std::string& val);
 
   void __set_ends(const int32_t val);
 
-  bool operator == (const SuspectPart & rhs) const
+  void __set_kind(const int16_t val);
+
+  bool operator == (const SuspectSubject & rhs) const
   {
-    if (!(part == rhs.part))
+    if (!(id == rhs.id))
       return false;
     if (!(ends == rhs.ends))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
     return true;
   }
-  bool operator != (const SuspectPart &rhs) const {
+  bool operator != (const SuspectSubject &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const SuspectPart & ) const;
+  bool operator < (const SuspectSubject & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1190,39 +1406,51 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(SuspectPart &a, SuspectPart &b);
+void swap(SuspectSubject &a, SuspectSubject &b);
 
-std::ostream& operator<<(std::ostream& out, const SuspectPart& obj);
+std::ostream& operator<<(std::ostream& out, const SuspectSubject& obj);
 
-typedef struct _PartVerdict__isset {
-  _PartVerdict__isset() : part(false), state(false), times(false), trial_process(false) {}
-  bool part :1;
+typedef struct _CrashVerdict__isset {
+  _CrashVerdict__isset() : id(false), state(false), times(false), trial_process(false), kind(false), trials(false), revision(false), held(false) {}
+  bool id :1;
   bool state :1;
   bool times :1;
   bool trial_process :1;
-} _PartVerdict__isset;
+  bool kind :1;
+  bool trials :1;
+  bool revision :1;
+  bool held :1;
+} _CrashVerdict__isset;
 
-class PartVerdict : public virtual ::apache::thrift::TBase {
+class CrashVerdict : public virtual ::apache::thrift::TBase {
  public:
 
-  PartVerdict(const PartVerdict&);
-  PartVerdict& operator=(const PartVerdict&);
-  PartVerdict() noexcept
-              : part(),
-                state(0),
-                times(0),
-                trial_process() {
+  CrashVerdict(const CrashVerdict&);
+  CrashVerdict& operator=(const CrashVerdict&);
+  CrashVerdict() noexcept
+               : id(),
+                 state(0),
+                 times(0),
+                 trial_process(),
+                 kind(0),
+                 trials(0),
+                 revision(0),
+                 held(0) {
   }
 
-  virtual ~PartVerdict() noexcept;
-  std::string part;
+  virtual ~CrashVerdict() noexcept;
+  std::string id;
   int16_t state;
   int32_t times;
   std::string trial_process;
+  int16_t kind;
+  int32_t trials;
+  int64_t revision;
+  bool held;
 
-  _PartVerdict__isset __isset;
+  _CrashVerdict__isset __isset;
 
-  void __set_part(const std::string& val);
+  void __set_id(const std::string& val);
 
   void __set_state(const int16_t val);
 
@@ -1230,9 +1458,17 @@
 
   void __set_trial_process(const std::string& val);
 
-  bool operator == (const PartVerdict & rhs) const
+  void __set_kind(const int16_t val);
+
+  void __set_trials(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_held(const bool val);
+
+  bool operator == (const CrashVerdict & rhs) const
   {
-    if (!(part == rhs.part))
+    if (!(id == rhs.id))
       return false;
     if (!(state == rhs.state))
       return false;
@@ -1240,13 +1476,21 @@
       return false;
     if (!(trial_process == rhs.trial_process))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(trials == rhs.trials))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(held == rhs.held))
+      return false;
     return true;
   }
-  bool operator != (const PartVerdict &rhs) const {
+  bool operator != (const CrashVerdict &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PartVerdict & ) const;
+  bool operator < (const CrashVerdict & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1254,36 +1498,36 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PartVerdict &a, PartVerdict &b);
+void swap(CrashVerdict &a, CrashVerdict &b);
 
-std::ostream& operator<<(std::ostream& out, const PartVerdict& obj);
+std::ostream& operator<<(std::ostream& out, const CrashVerdict& obj);
 
-typedef struct _PartVerdicts__isset {
-  _PartVerdicts__isset() : revision(false), rows(false) {}
+typedef struct _CrashVerdicts__isset {
+  _CrashVerdicts__isset() : revision(false), rows(false) {}
   bool revision :1;
   bool rows :1;
-} _PartVerdicts__isset;
+} _CrashVerdicts__isset;
 
-class PartVerdicts : public virtual ::apache::thrift::TBase {
+class CrashVerdicts : public virtual ::apache::thrift::TBase {
  public:
 
-  PartVerdicts(const PartVerdicts&);
-  PartVerdicts& operator=(const PartVerdicts&);
-  PartVerdicts() noexcept
-               : revision(0) {
+  CrashVerdicts(const CrashVerdicts&);
+  CrashVerdicts& operator=(const CrashVerdicts&);
+  CrashVerdicts() noexcept
+                : revision(0) {
   }
 
-  virtual ~PartVerdicts() noexcept;
+  virtual ~CrashVerdicts() noexcept;
   int64_t revision;
-  std::vector<PartVerdict>  rows;
+  std::vector<CrashVerdict>  rows;
 
-  _PartVerdicts__isset __isset;
+  _CrashVerdicts__isset __isset;
 
   void __set_revision(const int64_t val);
 
-  void __set_rows(const std::vector<PartVerdict> & val);
+  void __set_rows(const std::vector<CrashVerdict> & val);
 
-  bool operator == (const PartVerdicts & rhs) const
+  bool operator == (const CrashVerdicts & rhs) const
   {
     if (!(revision == rhs.revision))
       return false;
@@ -1291,11 +1535,11 @@
       return false;
     return true;
   }
-  bool operator != (const PartVerdicts &rhs) const {
+  bool operator != (const CrashVerdicts &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PartVerdicts & ) const;
+  bool operator < (const CrashVerdicts & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1303,12 +1547,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PartVerdicts &a, PartVerdicts &b);
+void swap(CrashVerdicts &a, CrashVerdicts &b);
 
-std::ostream& operator<<(std::ostream& out, const PartVerdicts& obj);
+std::ostream& operator<<(std::ostream& out, const CrashVerdicts& obj);
 
 typedef struct _MeshMessage__isset {
-  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false), part_report(false), suspect_parts(false), part_verdicts(false) {}
+  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false), crash_report(false), suspects(false), crash_verdicts(false) {}
   bool hello :1;
   bool members :1;
   bool instances :1;
@@ -1322,9 +1566,9 @@
   bool permits :1;
   bool limits :1;
   bool retries :1;
-  bool part_report :1;
-  bool suspect_parts :1;
-  bool part_verdicts :1;
+  bool crash_report :1;
+  bool suspects :1;
+  bool crash_verdicts :1;
 } _MeshMessage__isset;
 
 class MeshMessage : public virtual ::apache::thrift::TBase {
@@ -1349,9 +1593,9 @@
   Permits permits;
   std::vector<EndpointLimit>  limits;
   Retries retries;
-  PartReport part_report;
-  std::vector<SuspectPart>  suspect_parts;
-  PartVerdicts part_verdicts;
+  CrashReport crash_report;
+  std::vector<SuspectSubject>  suspects;
+  CrashVerdicts crash_verdicts;
 
   _MeshMessage__isset __isset;
 
@@ -1381,11 +1625,11 @@
 
   void __set_retries(const Retries& val);
 
-  void __set_part_report(const PartReport& val);
+  void __set_crash_report(const CrashReport& val);
 
-  void __set_suspect_parts(const std::vector<SuspectPart> & val);
+  void __set_suspects(const std::vector<SuspectSubject> & val);
 
-  void __set_part_verdicts(const PartVerdicts& val);
+  void __set_crash_verdicts(const CrashVerdicts& val);
 
   bool operator == (const MeshMessage & rhs) const
   {
@@ -1441,17 +1685,17 @@
       return false;
     else if (__isset.retries && !(retries == rhs.retries))
       return false;
-    if (__isset.part_report != rhs.__isset.part_report)
+    if (__isset.crash_report != rhs.__isset.crash_report)
       return false;
-    else if (__isset.part_report && !(part_report == rhs.part_report))
+    else if (__isset.crash_report && !(crash_report == rhs.crash_report))
       return false;
-    if (__isset.suspect_parts != rhs.__isset.suspect_parts)
+    if (__isset.suspects != rhs.__isset.suspects)
       return false;
-    else if (__isset.suspect_parts && !(suspect_parts == rhs.suspect_parts))
+    else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
-    if (__isset.part_verdicts != rhs.__isset.part_verdicts)
+    if (__isset.crash_verdicts != rhs.__isset.crash_verdicts)
       return false;
-    else if (__isset.part_verdicts && !(part_verdicts == rhs.part_verdicts))
+    else if (__isset.crash_verdicts && !(crash_verdicts == rhs.crash_verdicts))
       return false;
     return true;
   }
@@ -1472,11 +1716,11 @@
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj);
 
 typedef struct _ControlCommand__isset {
-  _ControlCommand__isset() : service_config(false), target(false), retry_blocks(false), part_verdict(false) {}
+  _ControlCommand__isset() : service_config(false), target(false), retry_blocks(false), crash_verdict(false) {}
   bool service_config :1;
   bool target :1;
   bool retry_blocks :1;
-  bool part_verdict :1;
+  bool crash_verdict :1;
 } _ControlCommand__isset;
 
 class ControlCommand : public virtual ::apache::thrift::TBase {
@@ -1492,7 +1736,7 @@
   ServiceConfigBody service_config;
   WeightsTarget target;
   int32_t retry_blocks;
-  PartVerdict part_verdict;
+  CrashVerdict crash_verdict;
 
   _ControlCommand__isset __isset;
 
@@ -1502,7 +1746,7 @@
 
   void __set_retry_blocks(const int32_t val);
 
-  void __set_part_verdict(const PartVerdict& val);
+  void __set_crash_verdict(const CrashVerdict& val);
 
   bool operator == (const ControlCommand & rhs) const
   {
@@ -1518,9 +1762,9 @@
       return false;
     else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
       return false;
-    if (__isset.part_verdict != rhs.__isset.part_verdict)
+    if (__isset.crash_verdict != rhs.__isset.crash_verdict)
       return false;
-    else if (__isset.part_verdict && !(part_verdict == rhs.part_verdict))
+    else if (__isset.crash_verdict && !(crash_verdict == rhs.crash_verdict))
       return false;
     return true;
   }
@@ -1541,11 +1785,11 @@
 std::ostream& operator<<(std::ostream& out, const ControlCommand& obj);
 
 typedef struct _ControlSnapshot__isset {
-  _ControlSnapshot__isset() : service_config(false), targets(false), retry_blocks(false), part_verdicts(false) {}
+  _ControlSnapshot__isset() : service_config(false), targets(false), retry_blocks(false), crash_verdicts(false) {}
   bool service_config :1;
   bool targets :1;
   bool retry_blocks :1;
-  bool part_verdicts :1;
+  bool crash_verdicts :1;
 } _ControlSnapshot__isset;
 
 class ControlSnapshot : public virtual ::apache::thrift::TBase {
@@ -1561,7 +1805,7 @@
   ServiceConfigBody service_config;
   std::vector<WeightsTarget>  targets;
   int32_t retry_blocks;
-  PartVerdicts part_verdicts;
+  CrashVerdicts crash_verdicts;
 
   _ControlSnapshot__isset __isset;
 
@@ -1571,7 +1815,7 @@
 
   void __set_retry_blocks(const int32_t val);
 
-  void __set_part_verdicts(const PartVerdicts& val);
+  void __set_crash_verdicts(const CrashVerdicts& val);
 
   bool operator == (const ControlSnapshot & rhs) const
   {
@@ -1585,9 +1829,9 @@
       return false;
     else if (__isset.retry_blocks && !(retry_blocks == rhs.retry_blocks))
       return false;
-    if (__isset.part_verdicts != rhs.__isset.part_verdicts)
+    if (__isset.crash_verdicts != rhs.__isset.crash_verdicts)
       return false;
-    else if (__isset.part_verdicts && !(part_verdicts == rhs.part_verdicts))
+    else if (__isset.crash_verdicts && !(crash_verdicts == rhs.crash_verdicts))
       return false;
     return true;
   }
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -122,43 +122,80 @@
   7: list<RetryRow> rows
 }
 
-// An attempt that was at an engine, not proven yet, when the engine ended.
+// An attempt that was at an endpoint, not proven yet, when the endpoint ended.
 struct AttemptEnd {
-  1: string engine
+  1: string endpoint
   2: i64 started_ms
   3: i32 age_ms
   4: list<string> parts
+  // Key of the request.
+  5: optional string request
+  6: string service_name
+  // The endpoint could not be reached to find out whether it ended.
+  7: bool unconfirmed
 }
 
-struct PartProof {
-  1: string part
+// What of a request may be the cause of ends; the kind is a serving::SubjectKind.
+struct Subject {
+  1: string id
+  2: i16 kind
+}
+
+struct SubjectProof {
+  1: string id
   2: i32 age_ms
+  3: i16 kind
 }
 
-// Evidence of an ingress process on parts of prompts that may end engines.
-struct PartReport {
+// Attempts at a service since the last report.
+struct ServiceAttempts {
+  1: string service_name
+  2: i64 proven
+  3: i64 ended
+}
+
+struct TrialEnd {
+  1: Subject subject
+  2: i64 revision
+  3: i16 outcome
+}
+
+// Evidence of an ingress process on what may end endpoints.
+struct CrashReport {
   1: list<AttemptEnd> ends
-  2: list<PartProof> proofs
-  3: i64 proven_attempts
-  4: i64 ended_attempts
+  2: list<SubjectProof> proofs
+  // 3 and 4 were attempts over all services.
+  // Parts of prompts.
   5: list<string> refused
+  6: list<ServiceAttempts> attempts
+  7: list<string> refused_requests
+  // Requests that the process could try.
+  8: list<string> asks
+  9: list<TrialEnd> trial_ends
 }
 
-struct SuspectPart {
-  1: string part
+struct SuspectSubject {
+  1: string id
   2: i32 ends
+  3: i16 kind
 }
 
-struct PartVerdict {
-  1: string part
+struct CrashVerdict {
+  1: string id
   2: i16 state
   3: i32 times
   4: string trial_process
+  5: i16 kind
+  6: i32 trials
+  7: i64 revision
+  // The state is serving::VerdictState::kHeld. Earlier releases know only the states before it; for
+  // them `state` says that the subject is condemned.
+  8: bool held
 }
 
-struct PartVerdicts {
+struct CrashVerdicts {
   1: i64 revision
-  2: list<PartVerdict> rows
+  2: list<CrashVerdict> rows
 }
 
 struct MeshMessage {
@@ -176,10 +213,10 @@
   11: optional Permits permits
   12: optional list<EndpointLimit> limits
   13: optional Retries retries
-  14: optional PartReport part_report
+  14: optional CrashReport crash_report
   // All suspects of the process that leads.
-  15: optional list<SuspectPart> suspect_parts
-  16: optional PartVerdicts part_verdicts
+  15: optional list<SuspectSubject> suspects
+  16: optional CrashVerdicts crash_verdicts
 }
 
 // An entry of the control log.
@@ -188,12 +225,12 @@
   2: optional WeightsTarget target
   // Blocks of the retry budget that may be in use.
   3: optional i32 retry_blocks
-  4: optional PartVerdict part_verdict
+  4: optional CrashVerdict crash_verdict
 }
 
 struct ControlSnapshot {
   1: optional ServiceConfigBody service_config
   2: list<WeightsTarget> targets
   3: optional i32 retry_blocks
-  4: optional PartVerdicts part_verdicts
+  4: optional CrashVerdicts crash_verdicts
 }
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -28,16 +28,21 @@
 // callers learn that one has stopped only from the next lookup response.
 constexpr int kMaxLookupTtlSeconds = 2;
 
-/// Part of prompts in a call "POST /parts/PART/lift"; empty if this is another call.
-std::string PartToLift(const net::HttpExchange& exchange) {
-  constexpr std::string_view kPrefix = "/parts/";
+/// Subject in a call "POST /parts/ID/lift" or "POST /requests/ID/lift"; nothing if this is another
+/// call.
+std::optional<serving::CrashSubject> SubjectToLift(const net::HttpExchange& exchange) {
+  constexpr std::pair<std::string_view, serving::SubjectKind> kPrefixes[] = {
+      {"/parts/", serving::SubjectKind::kPromptPart},
+      {"/requests/", serving::SubjectKind::kRequest}};
   constexpr std::string_view kSuffix = "/lift";
   const std::string path(exchange.path());
-  if (exchange.request().method() != net::http::verb::post || !path.starts_with(kPrefix) ||
-      !path.ends_with(kSuffix) || path.size() <= kPrefix.size() + kSuffix.size()) {
-    return {};
+  if (exchange.request().method() != net::http::verb::post || !path.ends_with(kSuffix)) return {};
+  for (const auto& [prefix, kind] : kPrefixes) {
+    const std::size_t fixed = prefix.size() + kSuffix.size();
+    if (!path.starts_with(prefix) || path.size() <= fixed) continue;
+    return serving::CrashSubject{kind, path.substr(prefix.size(), path.size() - fixed)};
   }
-  return path.substr(kPrefix.size(), path.size() - kPrefix.size() - kSuffix.size());
+  return {};
 }
 
 std::string ErrorBody(const std::string& message) {
@@ -93,8 +98,9 @@
       break;
   }
   if (exchange.path() == "/debug/state") co_return co_await DumpState(exchange);
-  const auto lifted = PartToLift(exchange);
-  if (!lifted.empty()) co_return co_await LiftPart(exchange, lifted);
+  if (const auto lifted = SubjectToLift(exchange)) {
+    co_return co_await LiftVerdict(exchange, *lifted);
+  }
   const std::string body = ErrorBody("there is no such call");
   co_await exchange.Respond(404, body);
 }
@@ -246,22 +252,22 @@
   co_await exchange.Respond(200, body);
 }
 
-Task<void> ControlApi::LiftPart(net::HttpExchange& exchange, std::string part) {
+Task<void> ControlApi::LiftVerdict(net::HttpExchange& exchange, serving::CrashSubject subject) {
   if (!node_.log().CanServeReads(MonotonicNow())) co_return co_await RedirectToLeader(exchange);
-  const auto& verdicts = node_.log().state().part_verdicts.verdicts;
-  const bool known = std::any_of(verdicts.begin(), verdicts.end(),
-                                 [&](const auto& it) { return it.part == part; });
-  if (!known) {
-    const std::string body = ErrorBody("there is no verdict on this part");
+  const auto* verdict = node_.log().state().crash_verdicts.Find(subject);
+  if (verdict == nullptr) {
+    const std::string body = ErrorBody("there is no verdict on this subject");
     co_await exchange.Respond(404, body);
     co_return;
   }
-  LogEvent(Event::kPromptPartJudged,
-           {{"part", part},
-            {"state", serving::kPartStates.Name(serving::PartState::kLifted)},
+  LogEvent(Event::kCrashSubjectJudged,
+           {{"kind", serving::kSubjectKinds.Name(subject.kind)},
+            {"subject", subject.id},
+            {"state", serving::kVerdictStates.Name(serving::VerdictState::kLifted)},
             {"reason", serving::kVerdictReasons.Name(serving::VerdictReason::kOperator)}});
   Command command;
-  command.part_verdict = serving::PartVerdict{part, serving::PartState::kLifted, 0, {}};
+  command.crash_verdict =
+      serving::CrashVerdict{subject, serving::VerdictState::kLifted, 0, {}, 0, verdict->revision};
   co_await Commit(exchange, std::move(command));
 }
 
@@ -283,37 +289,46 @@
     retry_services[name] = {
         {"allowed", it.allowed}, {"available", it.available}, {"outstanding", it.outstanding}};
   }
-  nlohmann::json verdicts = nlohmann::json::object();
-  for (const auto& it : node_.log().state().part_verdicts.verdicts) {
-    verdicts[it.part] = {{"state", serving::kPartStates.Name(it.state)},
-                         {"times", it.times},
-                         {"trial_process", it.trial_process}};
+  std::map<serving::SubjectKind, nlohmann::json> subjects;
+  for (const auto& it : serving::kSubjectPolicies) {
+    subjects[it.kind] = {{"verdicts", nlohmann::json::object()},
+                         {"suspects", nlohmann::json::object()}};
+  }
+  for (const auto& it : node_.log().state().crash_verdicts.verdicts) {
+    subjects[it.subject.kind]["verdicts"][it.subject.id] = {
+        {"state", serving::kVerdictStates.Name(it.state)},
+        {"times", it.times},
+        {"trials", it.trials},
+        {"trial_process", it.trial_process}};
+  }
+  for (const auto& it : node_.crash_judge().evidence().Suspects(now)) {
+    subjects[it.subject.kind]["suspects"][it.subject.id] = it.ends;
+  }
+  nlohmann::json dump{{"process", settings_.mesh_address()},
+                      {"role", agreement::kRoles.Name(replica.role())},
+                      {"term", replica.term()},
+                      {"leader", node_.log().Leader()},
+                      {"commit", replica.commit_index()},
+                      {"members", members},
+                      {"current", node_.log().CanServeReads(now)},
+                      {"config_version", node_.log().state().config_version},
+                      {"ingress", node_.IngressAddresses()},
+                      {"limits", limits},
+                      {"permits",
+                       {{"requests", permits.counters().requests},
+                        {"granted", permits.counters().granted},
+                        {"denied", permits.counters().denied}}},
+                      {"retries",
+                       {{"services", retry_services},
+                        {"inherited_blocks", retries.inherited_blocks()},
+                        {"open_blocks", retries.open_blocks()},
+                        {"reports", retries.counters().reports},
+                        {"granted", retries.counters().granted},
+                        {"denied", retries.counters().denied},
+                        {"lost", retries.counters().lost}}}};
+  for (const auto& it : serving::kSubjectPolicies) {
+    dump[std::string(it.dump_name)] = subjects[it.kind];
   }
-  nlohmann::json suspects = nlohmann::json::object();
-  for (const auto& it : node_.part_evidence().Suspects(now)) suspects[it.part] = it.ends;
-  const nlohmann::json dump{{"process", settings_.mesh_address()},
-                            {"role", agreement::kRoles.Name(replica.role())},
-                            {"term", replica.term()},
-                            {"leader", node_.log().Leader()},
-                            {"commit", replica.commit_index()},
-                            {"members", members},
-                            {"current", node_.log().CanServeReads(now)},
-                            {"config_version", node_.log().state().config_version},
-                            {"ingress", node_.IngressAddresses()},
-                            {"limits", limits},
-                            {"permits",
-                             {{"requests", permits.counters().requests},
-                              {"granted", permits.counters().granted},
-                              {"denied", permits.counters().denied}}},
-                            {"prompt_parts", {{"verdicts", verdicts}, {"suspects", suspects}}},
-                            {"retries",
-                             {{"services", retry_services},
-                              {"inherited_blocks", retries.inherited_blocks()},
-                              {"open_blocks", retries.open_blocks()},
-                              {"reports", retries.counters().reports},
-                              {"granted", retries.counters().granted},
-                              {"denied", retries.counters().denied},
-                              {"lost", retries.counters().lost}}}};
   // Ids of endpoints are their own words and may be no text.
   const std::string body = dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   co_await exchange.Respond(200, body);
--- a/src/control/control_api.h
+++ b/src/control/control_api.h
@@ -26,7 +26,7 @@
   net::Task<void> Leave(net::HttpExchange& exchange, const std::string& endpoint);
   net::Task<void> Lookup(net::HttpExchange& exchange);
   /// Lifts the verdict on a part of prompts for an operator.
-  net::Task<void> LiftPart(net::HttpExchange& exchange, std::string part);
+  net::Task<void> LiftVerdict(net::HttpExchange& exchange, serving::CrashSubject subject);
   net::Task<void> DumpState(net::HttpExchange& exchange);
   /// Proposes a command and responds once it is committed, or with 503 if the outcome is unknown.
   net::Task<void> Commit(net::HttpExchange& exchange, Command command);
--- a/src/control/control_log.cc
+++ b/src/control/control_log.cc
@@ -59,8 +59,8 @@
     w.__set_service_config(body);
   } else if (command.retry_blocks) {
     w.__set_retry_blocks(*command.retry_blocks);
-  } else if (command.part_verdict) {
-    w.__set_part_verdict(mesh::ToWire(*command.part_verdict));
+  } else if (command.crash_verdict) {
+    w.__set_crash_verdict(mesh::ToWire(*command.crash_verdict));
   } else {
     wire::WeightsTarget target;
     target.model = command.model;
@@ -84,7 +84,7 @@
     command.named_utc_ms = w.target.named_utc_ms;
   }
   if (w.__isset.retry_blocks) command.retry_blocks = w.retry_blocks;
-  if (w.__isset.part_verdict) command.part_verdict = mesh::FromWire(w.part_verdict);
+  if (w.__isset.crash_verdict) command.crash_verdict = mesh::FromWire(w.crash_verdict);
   return command;
 }
 
@@ -219,16 +219,6 @@
   done(committed);
 }
 
-void ControlLog::ApplyVerdict(const serving::PartVerdict& verdict) {
-  auto& list = state_.part_verdicts;
-  ++list.revision;
-  std::erase_if(list.verdicts, [&](const auto& it) { return it.part == verdict.part; });
-  if (verdict.state != serving::PartState::kLifted &&
-      list.verdicts.size() < serving::kMaxPartVerdicts) {
-    list.verdicts.push_back(verdict);
-  }
-}
-
 void ControlLog::ApplyCommand(const Command& command, TimePoint now) {
   // A committed command with an older or equal version has no effect.
   if (command.config_version > state_.config_version) {
@@ -238,7 +228,9 @@
              {{"version", command.config_version}, {"bytes", command.config_body.size()}});
   }
   if (command.retry_blocks) state_.retry_blocks = *command.retry_blocks;
-  if (command.part_verdict) ApplyVerdict(*command.part_verdict);
+  if (command.crash_verdict) {
+    serving::ApplyVerdict(state_.crash_verdicts, *command.crash_verdict);
+  }
   if (command.weights_version > 0)
     ApplyTarget(command.model, command.weights_version, command.named_utc_ms, now);
 }
@@ -269,7 +261,7 @@
     ApplyTarget(it.model, it.version, it.named_utc_ms, now);
   }
   if (w.__isset.retry_blocks) state_.retry_blocks = w.retry_blocks;
-  if (w.__isset.part_verdicts) state_.part_verdicts = mesh::FromWire(w.part_verdicts);
+  if (w.__isset.crash_verdicts) state_.crash_verdicts = mesh::FromWire(w.crash_verdicts);
 }
 
 void ControlLog::Propose(const Command& command, CommitCallback done, TimePoint) {
@@ -378,7 +370,7 @@
     w.__set_service_config(body);
   }
   w.__set_retry_blocks(state_.retry_blocks);
-  w.__set_part_verdicts(mesh::ToWire(state_.part_verdicts));
+  w.__set_crash_verdicts(mesh::ToWire(state_.crash_verdicts));
   for (const auto& [model, targets] : state_.targets) {
     for (const auto& target : targets) {
       wire::WeightsTarget it;
--- a/src/control/control_log.h
+++ b/src/control/control_log.h
@@ -13,12 +13,12 @@
 #include "wagtailslip/base/time.h"
 #include "wagtailslip/deployment/node_settings.h"
 #include "wagtailslip/disk/log_store.h"
-#include "wagtailslip/serving/part_verdicts.h"
+#include "wagtailslip/serving/crash_verdicts.h"
 
 namespace wagtailslip::control {
 
 /// Command in the control log: a new service configuration, a new weights target for a model, the
-/// blocks of the retry budget that may be in use, or a verdict on a part of prompts.
+/// blocks of the retry budget that may be in use, or a verdict on what ends endpoints.
 struct Command {
   /// Version of the service configuration; 0 if the command sets a weights target.
   std::int64_t config_version = 0;
@@ -29,7 +29,7 @@
   /// When the operator named the weights version; UTC, milliseconds since the epoch.
   std::int64_t named_utc_ms = 0;
   std::optional<int> retry_blocks;
-  std::optional<serving::PartVerdict> part_verdict;
+  std::optional<serving::CrashVerdict> crash_verdict;
 };
 
 /// A weights version that an operator named as the one to serve.
@@ -52,7 +52,7 @@
   std::map<std::string, std::vector<WeightsTarget>> targets;
   /// Blocks of the retry budget that may be in use, see serving::RetryAllocator.
   int retry_blocks = 0;
-  serving::PartVerdictList part_verdicts;
+  serving::CrashVerdictList crash_verdicts;
 };
 
 /// Compresses a configuration for the log and for links to other processes. Compression matters
@@ -124,7 +124,6 @@
   void Apply(const agreement::Entry& entry, TimePoint now);
   void ApplyTarget(const std::string& model, std::int64_t version, std::int64_t named_utc_ms,
                    TimePoint now);
-  void ApplyVerdict(const serving::PartVerdict& verdict);
   void ApplyCommand(const Command& command, TimePoint now);
   void Restore(const std::string& snapshot, TimePoint now);
   void ExpirePending(TimePoint now);
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -101,7 +101,8 @@
   SendConfig(now);
   SendLimits(now);
   CommitRetryBlocks(now);
-  JudgeParts(now);
+  JudgeCrashes(now);
+  SendVerdicts(now);
   RefreshSources(now);
   if (now >= next_join_at_) {
     next_join_at_ = now + kJoinPeriod;
@@ -206,7 +207,7 @@
     for (const auto& [id, it] : permit_allocator_.limits().observations()) {
       message.limits.push_back(mesh::ToWire(it, now));
     }
-    message.__set_part_verdicts(mesh::ToWire(log_->state().part_verdicts));
+    message.__set_crash_verdicts(mesh::ToWire(log_->state().crash_verdicts));
   }
   mesh_->Send(member.process, message);
 }
@@ -248,7 +249,7 @@
   if (message.__isset.retries && !message.retries.grant) {
     OnRetryReport(from, message.retries, now);
   }
-  if (message.__isset.part_report) OnPartReport(from, message.part_report, now);
+  if (message.__isset.crash_report) OnCrashReport(from, message.crash_report, now);
   if (message.__isset.service_config) {
     // An ingress process reports the version that it has in force.
     config_syncs_[from.process].config_version = message.service_config.version;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -13,9 +13,8 @@
 #include "wagtailslip/mesh/mesh_node.h"
 #include "wagtailslip/net/asio.h"
 #include "wagtailslip/net/periodic_timer.h"
+#include "wagtailslip/serving/crash_judge.h"
 #include "wagtailslip/serving/instance_table.h"
-#include "wagtailslip/serving/part_evidence.h"
-#include "wagtailslip/serving/part_verdicts.h"
 #include "wagtailslip/serving/permit_allocator.h"
 #include "wagtailslip/serving/retry_allocator.h"
 #include "wagtailslip/serving/service_config.h"
@@ -53,7 +52,7 @@
   std::vector<std::string> IngressAddresses() const;
   const serving::PermitAllocator& permit_allocator() const { return permit_allocator_; }
   serving::RetryAllocator& retry_allocator() { return retry_allocator_; }
-  const serving::PartEvidence& part_evidence() const { return part_evidence_; }
+  const serving::CrashJudge& crash_judge() const { return crash_judge_; }
 
  private:
   /// Progress of sending the service configuration to a linked process.
@@ -79,16 +78,17 @@
   bool LeadsRetries(TimePoint now);
   /// Has the log hold as many blocks of the retry budget as are needed.
   void CommitRetryBlocks(TimePoint now);
-  /// Adds an ingress process's evidence on parts of prompts. All control processes collect it, so
-  /// that the next leader has it.
-  void OnPartReport(const mesh::Member& from, const wire::PartReport& message, TimePoint now);
+  /// Adds an ingress process's evidence on what ends endpoints. All control processes collect it,
+  /// so that the next leader has it.
+  void OnCrashReport(const mesh::Member& from, const wire::CrashReport& message, TimePoint now);
   /// Commits verdicts and sends the suspects, if this process leads.
-  void JudgeParts(TimePoint now);
+  void JudgeCrashes(TimePoint now);
   void SendSuspects(TimePoint now);
-  /// Has a verdict committed; once more if it is not clear whether it was.
   void CommitVerdict(const serving::VerdictChange& change, TimePoint now);
-  /// Takes over the verdicts that the log holds, and sends them to the ingress processes.
+  /// Takes over the verdicts that the log holds.
   void SyncVerdicts(TimePoint now);
+  /// Sends the verdicts to all linked ingress processes if that is due.
+  void SendVerdicts(TimePoint now);
   /// Discards the limits of endpoints that are gone.
   void PruneLimits(TimePoint now);
   void OnRecords(const std::vector<wire::InstanceRecord>& records, TimePoint now);
@@ -127,16 +127,12 @@
   serving::RetryAllocator retry_allocator_;
   /// Term of the leadership in which this process granted retry permits last.
   std::uint64_t retry_term_ = 0;
-  serving::PartEvidence part_evidence_;
-  serving::VerdictReview verdict_review_;
+  serving::CrashJudge crash_judge_;
   std::int64_t verdicts_revision_ = 0;
-  /// Parts with a verdict in the log.
-  std::set<std::string> judged_parts_;
-  /// Verdicts that are not in the log yet, by part, and whether they are being committed.
-  std::map<std::string, std::pair<serving::VerdictChange, bool>> open_verdicts_;
-  std::vector<serving::SuspectPart> sent_suspects_;
+  std::int64_t sent_verdicts_revision_ = 0;
+  TimePoint next_verdicts_at_{};
+  std::vector<serving::SuspectSubject> sent_suspects_;
   TimePoint suspects_sent_at_{};
-  TimePoint next_part_review_at_{};
   /// Endpoints whose limit has changed since the last SendLimits.
   std::set<std::string> changed_limits_;
   TimePoint next_limits_at_{};
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -25,10 +25,16 @@
 // commit of the control processes.
 constexpr Duration kMaxRetryPermitWait = std::chrono::milliseconds(150);
 constexpr Duration kRetryPermitPollInterval = std::chrono::milliseconds(5);
-// Not one of the statuses after which callers come back: the same prompt would end another engine.
+// A trial that may be granted at once needs a commit of the control processes; one that runs
+// elsewhere is often proven within this time.
+constexpr Duration kMaxTrialWait = std::chrono::milliseconds(300);
+// Part of the remaining time that a request waits for a trial at most.
+constexpr int kTrialWaitDivisor = 4;
+constexpr Duration kTrialPollInterval = std::chrono::milliseconds(10);
+// Not one of the statuses after which callers come back: the same request would end another
+// endpoint.
 constexpr unsigned kCondemnedStatus = 400;
-constexpr std::string_view kCondemnedPart = "condemned-prompt-part";
-constexpr std::string_view kSuspectPart = "suspect-prompt-part";
+constexpr Duration kBlockedRetryAfter = std::chrono::milliseconds(250);
 constexpr std::string_view kStopping = "stopping";
 // Another process can take the request at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
@@ -45,7 +51,7 @@
       caller_state_(std::make_shared<CallerState>()) {}
 
 Exchange::~Exchange() {
-  if (!trial_part_.empty()) node_.part_guard().EndTrial(trial_part_);
+  for (const auto& it : trials_) node_.crash_guard().EndTrial(it);
 }
 
 Duration Exchange::LatencyObjective() const {
@@ -61,13 +67,19 @@
   return account_ == nullptr ? route_->priority : account_->priority;
 }
 
-std::string Exchange::RequestKey() const {
+serving::RequestIdentity Exchange::Identity() const {
   const auto& request = caller_.request();
   const auto method = request.method_string();
   const auto target = request.target();
-  const std::string account = AccountName();
-  return serving::RequestKey(
-      {account, {method.data(), method.size()}, {target.data(), target.size()}, request.body()});
+  return {account_ == nullptr ? std::string_view() : std::string_view(account_->name),
+          {method.data(), method.size()},
+          {target.data(), target.size()},
+          request.body()};
+}
+
+const std::string& Exchange::RequestKey() {
+  if (request_key_.empty()) request_key_ = serving::RequestKey(Identity());
+  return request_key_;
 }
 
 Duration Exchange::TimeLeft() const {
@@ -145,6 +157,7 @@
   applicant.query.service = service_;
   applicant.query.excluded = tried_endpoints_;
   applicant.query.repeatable = route_->repeatable();
+  applicant.query.prefer_idle = !trials_.empty();
   if (engine_ != nullptr) {
     node_.SetMinWeightsVersions(engine_->model, applicant.query, now);
     applicant.query.required_weights_version = stream_version_;
@@ -202,36 +215,85 @@
   co_return pending->verdict;
 }
 
-bool Exchange::PartsAllowRepeat() const {
-  return engine_ == nullptr || attempt_proven_ || !history_.may_have_run ||
-         !node_.part_guard().Suspicious(request_.shared_prompt_parts, MonotonicNow());
+std::vector<serving::CrashSubject> Exchange::Subjects(bool for_evidence) {
+  std::vector<serving::CrashSubject> subjects;
+  if (engine_ != nullptr) {
+    for (const auto& it : request_.shared_prompt_parts) {
+      subjects.push_back({serving::SubjectKind::kPromptPart, it});
+    }
+  }
+  if (request_proven_) return subjects;
+  // The key takes a pass over the body, so it is computed only where something is known of requests
+  // like this one.
+  if (!request_prehash_) request_prehash_ = serving::RequestPrehash(Identity());
+  if (for_evidence || node_.crash_guard().TracksRequest(*request_prehash_)) {
+    subjects.push_back({serving::SubjectKind::kRequest, RequestKey()});
+  }
+  return subjects;
+}
+
+bool Exchange::SubjectsAllowRepeat() {
+  return attempt_proven_ || !history_.may_have_run ||
+         !node_.crash_guard().Suspicious(Subjects(), MonotonicNow());
 }
 
-Task<void> Exchange::RejectPart(std::string part) {
-  metrics_.Add(Counter::kRefusedByPart);
-  const std::string reason = std::string(kCondemnedPart) + ": " + part;
+Task<void> Exchange::RejectSubject(serving::CrashSubject subject) {
+  const std::string reason =
+      std::string(serving::PolicyOf(subject).condemned_reason) + ": " + subject.id;
   co_await Respond(kCondemnedStatus, reason);
 }
 
-Task<bool> Exchange::AdmitParts() {
-  if (engine_ == nullptr || request_.shared_prompt_parts.empty()) co_return true;
-  const auto decision = node_.AdmitParts(request_.shared_prompt_parts, received_at_);
+Task<void> Exchange::RefuseSuspect(serving::CrashSubject subject, Duration retry_after) {
+  co_await Refuse(serving::PolicyOf(subject).suspect_reason, retry_after);
+}
+
+Task<bool> Exchange::AdmitSubjects() {
+  const TimePoint until =
+      received_at_ + std::min(Duration(kMaxTrialWait), TimeLeft() / kTrialWaitDivisor);
+  TimePoint now = received_at_;
+  auto decision = node_.AdmitSubjects(Subjects(), now);
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  asio::steady_timer timer(executor);
+  while (decision.kind == serving::CrashDecision::Kind::kWait && decision.may_end_soon &&
+         now < until) {
+    caller_state_->timer = &timer;
+    timer.expires_after(kTrialPollInterval);
+    net::error_code ec;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    caller_state_->timer = nullptr;
+    if (caller_state_->disconnected) {
+      caller_.CloseAfter();
+      co_return false;
+    }
+    now = MonotonicNow();
+    decision = node_.AdmitSubjects(Subjects(), now);
+  }
   switch (decision.kind) {
-    case serving::PartDecision::Kind::kFree:
+    case serving::CrashDecision::Kind::kFree:
       co_return true;
-    case serving::PartDecision::Kind::kTrial:
-      trial_part_ = decision.part;
+    case serving::CrashDecision::Kind::kTrial:
+      trials_ = std::move(decision.trials);
       co_return true;
-    case serving::PartDecision::Kind::kWait:
-      co_await Refuse(kSuspectPart, decision.retry_after);
+    case serving::CrashDecision::Kind::kWait:
+      co_await RefuseSuspect(decision.subject, decision.retry_after);
       co_return false;
-    case serving::PartDecision::Kind::kCondemned:
-      co_await RejectPart(decision.part);
+    case serving::CrashDecision::Kind::kCondemned:
+      co_await RejectSubject(decision.subject);
       co_return false;
   }
   co_return true;
 }
 
+Task<void> Exchange::FinishBlocked(serving::CrashSubject subject, AttemptOutcome last) {
+  if (history_.may_have_run || history_.response_started) {
+    co_await Finish(serving::StepWithoutRetry(history_, last), last);
+  } else if (node_.crash_guard().Condemned(subject)) {
+    co_await RejectSubject(subject);
+  } else {
+    co_await RefuseSuspect(subject, kBlockedRetryAfter);
+  }
+}
+
 Task<void> Exchange::WaitForRetryPermit() {
   const TimePoint until = MonotonicNow() + kMaxRetryPermitWait;
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
@@ -275,8 +337,7 @@
 }
 
 void Exchange::LogAttempt(const serving::PlacementResult& placed, AttemptOutcome outcome,
-                          NextStep next, bool asked_for_retry, TimePoint started,
-                          TimePoint now) const {
+                          NextStep next, bool asked_for_retry, TimePoint started, TimePoint now) {
   nlohmann::json fields{{"request", request_.attempt_id},
                         {"route", route_->name},
                         {"endpoint", placed.id},
@@ -353,7 +414,7 @@
     if (state->upstream != nullptr) state->upstream->Close();
   });
   node_.CountRequest(service_, received_at_);
-  if (!co_await AdmitParts()) co_return;
+  if (!co_await AdmitSubjects()) co_return;
   while (true) {
     const auto verdict = co_await WaitForEndpoint();
     if (caller_state_->disconnected) {
@@ -378,6 +439,7 @@
     auto placed = std::get<serving::PlacementResult>(verdict);
     attempt_events_ = 0;
     attempt_proven_ = false;
+    attempt_sent_ = false;
     const TimePoint attempt_started = MonotonicNow();
     response_pending_ = true;
     last_request_limit_.reset();
@@ -404,10 +466,10 @@
       tried_endpoints_.push_back(placed.id);
     }
     serving::RecordOutcome(history_, outcome);
-    if (engine_ != nullptr) co_await RecordPartEvidence(placed, outcome);
+    co_await RecordCrashEvidence(placed, outcome);
     TimePoint now = MonotonicNow();
-    // A further engine may end under the request as well.
-    const bool may_repeat = PartsAllowRepeat();
+    // A further endpoint may end under the request as well.
+    const bool may_repeat = SubjectsAllowRepeat();
     if (may_repeat && serving::NeedsRetry(*route_, history_, outcome, deadline_ - now)) {
       co_await WaitForRetryPermit();
       now = MonotonicNow();
@@ -421,13 +483,9 @@
     });
     LogAttempt(placed, outcome, step, asked_for_retry, attempt_started, now);
     if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) {
-      const std::string condemned = node_.CondemnedPart(request_.shared_prompt_parts);
-      if (engine_ == nullptr || condemned.empty()) continue;
-      if (history_.may_have_run || history_.response_started) {
-        co_await Finish(serving::StepWithoutRetry(history_, outcome), outcome);
-      } else {
-        co_await RejectPart(condemned);
-      }
+      const auto blocked = node_.crash_guard().Blocked(Subjects(), trials_, now);
+      if (!blocked) continue;
+      co_await FinishBlocked(*blocked, outcome);
       co_return;
     }
     if (outcome == AttemptOutcome::kCallerDisconnected) caller_.CloseAfter();
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -57,17 +57,23 @@
   net::Task<serving::AttemptOutcome> Attempt(serving::PlacementResult& placed);
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
-  /// Judges the request by the parts of its prompt.
-  /// @return false if it may not be sent; the caller has been sent an error response then
-  net::Task<bool> AdmitParts();
-  /// Responds that a part of the prompt ends engines. Final: the request is the caller's to change.
-  net::Task<void> RejectPart(std::string part);
-  /// Records the attempt as evidence on the parts of the prompt, and finds out whether its engine
-  /// ended.
-  net::Task<void> RecordPartEvidence(serving::PlacementResult placed,
-                                     serving::AttemptOutcome outcome);
-  /// Whether the request may be sent again as far as the parts of its prompt are concerned.
-  bool PartsAllowRepeat() const;
+  /// What of the request may end endpoints. Without the request itself where nothing is known of
+  /// it, unless an attempt is to be recorded as evidence, and once it is proven.
+  std::vector<serving::CrashSubject> Subjects(bool for_evidence = false);
+  /// Judges the request by its subjects, and waits for a trial that may be granted soon.
+  /// @return false if it may not be sent; the caller has been sent an error response or has left
+  net::Task<bool> AdmitSubjects();
+  /// Responds that endpoints end under a subject. Final: the request is the caller's to change.
+  net::Task<void> RejectSubject(serving::CrashSubject subject);
+  /// Responds that the subject is tried by other requests.
+  net::Task<void> RefuseSuspect(serving::CrashSubject subject, Duration retry_after);
+  /// Ends a request that may not be sent any more because of a subject.
+  net::Task<void> FinishBlocked(serving::CrashSubject subject, serving::AttemptOutcome last);
+  /// Records the attempt as evidence on its subjects, and finds out whether its endpoint ended.
+  net::Task<void> RecordCrashEvidence(serving::PlacementResult placed,
+                                      serving::AttemptOutcome outcome);
+  /// Whether the request may be sent again as far as its subjects are concerned.
+  bool SubjectsAllowRepeat();
   /// Waits for a retry permit if none is held and one may come at once.
   net::Task<void> WaitForRetryPermit();
   /// Records what a response reports about the endpoint itself: shutdown, pause and load.
@@ -87,7 +93,7 @@
   /// @return false if the event ids have a gap
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
                               const std::string& header_lines);
-  /// Records once per attempt that the engine can serve the prompt.
+  /// Records once per attempt that the endpoint can serve the request.
   void MarkProven();
   /// Reports once per attempt that the response has started, or that the attempt ended without one.
   void ClearResponsePending(const std::string& endpoint);
@@ -99,8 +105,7 @@
   /// @param started time when the endpoint was chosen
   /// @param asked_for_retry whether the retry budget was asked for another send
   void LogAttempt(const serving::PlacementResult& placed, serving::AttemptOutcome outcome,
-                  serving::NextStep next, bool asked_for_retry, TimePoint started,
-                  TimePoint now) const;
+                  serving::NextStep next, bool asked_for_retry, TimePoint started, TimePoint now);
   /// Relays the buffered error response of an endpoint.
   net::Task<void> RelayErrorResponse();
   /// Responds 503 with Retry-After.
@@ -111,7 +116,8 @@
   /// Name of the client account; empty on routes that need none.
   std::string AccountName() const;
   std::uint32_t Priority() const;
-  std::string RequestKey() const;
+  serving::RequestIdentity Identity() const;
+  const std::string& RequestKey();
   Duration LatencyObjective() const;
   Duration TimeLeft() const;
   /// Time from the arrival of the request to the first event; -1 if there was none.
@@ -150,11 +156,18 @@
   unsigned last_status_ = 0;
   /// Request limit that the last response named.
   std::optional<double> last_request_limit_;
-  /// Events of the current attempt, or its whole response: the engine can serve the prompt.
+  /// Events of the current attempt, or its whole response: the endpoint can serve the request.
   std::uint64_t attempt_events_ = 0;
   bool attempt_proven_ = false;
-  /// Suspect part that this request tries; empty if none.
-  std::string trial_part_;
+  /// The request was sent in the current attempt.
+  bool attempt_sent_ = false;
+  /// An attempt of the request was proven.
+  bool request_proven_ = false;
+  /// Suspect subjects that this request tries.
+  std::vector<serving::CrashSubject> trials_;
+  /// See serving::RequestPrehash and serving::RequestKey; unset until they are needed.
+  std::optional<std::uint64_t> request_prehash_;
+  std::string request_key_;
   /// The endpoint of the current attempt has not started its response.
   bool response_pending_ = false;
   std::string current_endpoint_;
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -77,19 +77,18 @@
     refused = true;
   }
   const TimePoint now = MonotonicNow();
-  if (refused && engine_ != nullptr) {
-    node_.part_guard().OnEngineEnded(placed.address, placed.started_ms, now);
-  }
+  if (refused) node_.crash_guard().OnEndpointEnded(placed.address, placed.started_ms, now);
   node_.OnConnect(placed.id, now - connect_started, now);
   const std::string model = engine_ == nullptr ? std::string() : engine_->model;
   auto outcome = AttemptOutcome::kNotConnected;
   if (caller_state_->disconnected) {
     outcome = AttemptOutcome::kCallerDisconnected;
-  } else if (connected &&
-             (!node_.MaySend(placed, model, now - connect_started, now) ||
-              (engine_ != nullptr && !node_.CondemnedPart(request_.shared_prompt_parts).empty()))) {
+  } else if (connected && (node_.crash_guard().Blocked(Subjects(), trials_, now) ||
+                           !node_.MaySend(placed, model, now - connect_started, now))) {
     outcome = AttemptOutcome::kEndpointIneligible;
   } else if (connected && TimeLeft() > Duration::zero()) {
+    attempt_sent_ = true;
+    node_.crash_guard().OnSent(trials_);
     outcome = co_await Send(upstream, placed);
   }
   caller_state_->upstream = nullptr;
@@ -156,32 +155,41 @@
 }
 
 void Exchange::MarkProven() {
-  if (attempt_proven_ || engine_ == nullptr) return;
+  if (attempt_proven_) return;
   attempt_proven_ = true;
-  node_.part_guard().OnProven(request_.shared_prompt_parts, MonotonicNow());
+  node_.crash_guard().OnProven(Subjects(), service_, MonotonicNow());
+  request_proven_ = true;
 }
 
-Task<void> Exchange::RecordPartEvidence(serving::PlacementResult placed, AttemptOutcome outcome) {
+Task<void> Exchange::RecordCrashEvidence(serving::PlacementResult placed, AttemptOutcome outcome) {
   if (outcome == AttemptOutcome::kDelivered) MarkProven();
+  if (!attempt_sent_ || attempt_proven_) co_return;
+  const bool left = outcome == AttemptOutcome::kCallerDisconnected;
+  const bool silent = outcome == AttemptOutcome::kResponseTimeout;
   const bool broken =
       outcome == AttemptOutcome::kNoValidResponse || outcome == AttemptOutcome::kStreamInterrupted;
-  if (!broken || attempt_proven_ || request_.shared_prompt_parts.empty()) co_return;
-  auto& guard = node_.part_guard();
-  const TimePoint broken_at = MonotonicNow();
-  guard.OnBroken({placed.address, placed.started_ms, broken_at, request_.shared_prompt_parts},
-                 broken_at);
+  if (!left && !silent && !broken) co_return;
+  auto& guard = node_.crash_guard();
+  const TimePoint ended_at = MonotonicNow();
+  const serving::EndedAttempt attempt{placed.address, placed.started_ms, ended_at,
+                                      Subjects(true), service_,          true};
+  if (left) co_return guard.OnCallerLeft(attempt, ended_at);
+  guard.OnBroken(attempt, ended_at);
   if (guard.KnownEnded(placed.address, placed.started_ms)) co_return;
-  // An engine that has ended refuses connections; one that only broke off its response does not.
+  // An endpoint that has ended refuses connections; one that only broke off its response does not.
   net::HttpConnection probe(co_await asio::this_coro::executor);
   bool refused = false;
+  bool reached = true;
   try {
     co_await probe.Connect(net::ParseAddress(placed.address), kEndProbeTimeout);
   } catch (const net::TimeoutError&) {
-    refused = false;
+    reached = false;
   } catch (const net::NetError&) {
     refused = true;
   }
-  if (refused) guard.OnEngineEnded(placed.address, placed.started_ms, MonotonicNow());
+  const TimePoint now = MonotonicNow();
+  if (refused) guard.OnEndpointEnded(placed.address, placed.started_ms, now);
+  if (broken && !reached) guard.OnUnreachable(attempt, now);
 }
 
 void Exchange::RecordEndpointState(const serving::PlacementResult& placed,
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -82,7 +82,7 @@
     if (exchange.path() == "/metrics") {
       AddPermitCounts();
       AddRetryCounts();
-      AddPartCounts();
+      AddCrashCounts();
       body = metrics_.Text();
       co_return co_await exchange.Respond(200, body, headers, "text/plain; version=0.0.4");
     }
@@ -124,13 +124,22 @@
     AddCounts(kRows, node_.retry_pool().counters(), retry_counts_);
   }
 
-  void AddPartCounts() {
-    using Counters = serving::PartGuard::Counters;
-    constexpr std::pair<process::Counter, std::uint64_t Counters::*> kRows[] = {
-        {process::Counter::kHeldBackByPart, &Counters::held_back},
-        {process::Counter::kPartTrials, &Counters::trials},
-        {process::Counter::kAttemptsEnded, &Counters::ended_attempts}};
-    AddCounts(kRows, node_.part_guard().counters(), part_counts_);
+  void AddCrashCounts() {
+    using Counters = serving::CrashGuard::KindCounters;
+    using process::Counter;
+    constexpr std::pair<Counter, std::uint64_t Counters::*> kPartRows[] = {
+        {Counter::kRefusedByPart, &Counters::refused},
+        {Counter::kHeldBackByPart, &Counters::held_back},
+        {Counter::kPartTrials, &Counters::trials}};
+    constexpr std::pair<Counter, std::uint64_t Counters::*> kRequestRows[] = {
+        {Counter::kRefusedByRequestKey, &Counters::refused},
+        {Counter::kHeldBackByRequestKey, &Counters::held_back},
+        {Counter::kRequestTrials, &Counters::trials}};
+    const auto& counters = node_.crash_guard().counters();
+    AddCounts(kPartRows, counters.Of(serving::SubjectKind::kPromptPart), part_counts_);
+    AddCounts(kRequestRows, counters.Of(serving::SubjectKind::kRequest), request_counts_);
+    metrics_.Add(Counter::kAttemptsEnded, counters.ended_attempts - ended_attempts_);
+    ended_attempts_ = counters.ended_attempts;
   }
 
   std::string DumpState() const {
@@ -149,21 +158,25 @@
         retry_permits[it.name] = node_.retry_pool().Held(it.name, process::MonotonicNow());
       }
     }
-    nlohmann::json prompt_parts = nlohmann::json::object();
-    for (const auto& [part, it] : node_.part_guard().verdicts()) {
-      prompt_parts[part] = {{"state", serving::kPartStates.Name(it.state)},
-                            {"times", it.times},
-                            {"trial_process", it.trial_process}};
+    std::map<serving::SubjectKind, nlohmann::json> verdicts;
+    for (const auto& it : serving::kSubjectPolicies) verdicts[it.kind] = nlohmann::json::object();
+    for (const auto& [subject, it] : node_.crash_guard().verdicts()) {
+      verdicts[subject.kind][subject.id] = {{"state", serving::kVerdictStates.Name(it.state)},
+                                            {"times", it.times},
+                                            {"trials", it.trials},
+                                            {"trial_process", it.trial_process}};
+    }
+    nlohmann::json dump{{"name", settings_.name},
+                        {"ready", node_.Ready()},
+                        {"config", node_.routes() ? node_.routes()->config().version : 0},
+                        {"active", caller_server_->active()},
+                        {"waiting", node_.waiting()},
+                        {"retry_permits", retry_permits},
+                        {"endpoints", endpoints}};
+    for (const auto& it : serving::kSubjectPolicies) {
+      dump[std::string(it.dump_name)] = verdicts[it.kind];
     }
-    return nlohmann::json{{"name", settings_.name},
-                          {"ready", node_.Ready()},
-                          {"config", node_.routes() ? node_.routes()->config().version : 0},
-                          {"active", caller_server_->active()},
-                          {"waiting", node_.waiting()},
-                          {"retry_permits", retry_permits},
-                          {"prompt_parts", prompt_parts},
-                          {"endpoints", endpoints}}
-        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   }
 
   void CheckStop() {
@@ -195,7 +208,9 @@
   /// Counts that are already in the metrics.
   serving::PermitPool::Counters permit_counts_;
   serving::RetryPool::Counters retry_counts_;
-  serving::PartGuard::Counters part_counts_;
+  serving::CrashGuard::KindCounters part_counts_;
+  serving::CrashGuard::KindCounters request_counts_;
+  std::uint64_t ended_attempts_ = 0;
   std::int64_t limits_config_version_ = 0;
   net::asio::steady_timer stop_timer_;
   TimePoint stop_at_{};
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -51,6 +51,10 @@
           settings.bounds.retry_window};
 }
 
+mesh::Member SelfOf(const deployment::NodeSettings& settings, std::int64_t incarnation) {
+  return mesh::MakeSelfMember(settings, MemberKind::kIngress, settings.caller_address, incarnation);
+}
+
 }  // namespace
 
 IngressNode::IngressNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
@@ -62,11 +66,11 @@
       placement_(PlacementSettingsFor(settings),
                  Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
-      retry_pool_(RetryBoundsFor(settings)) {
-  mesh_ = std::make_unique<mesh::MeshNode>(
-      context, net::ParseAddress(settings.mesh_address()),
-      mesh::MakeSelfMember(settings, MemberKind::kIngress, settings.caller_address, incarnation),
-      mesh::MeshLimits{}, *this);
+      retry_pool_(RetryBoundsFor(settings)),
+      crash_guard_(SelfOf(settings, incarnation).Run()) {
+  mesh_ =
+      std::make_unique<mesh::MeshNode>(context, net::ParseAddress(settings.mesh_address()),
+                                       SelfOf(settings, incarnation), mesh::MeshLimits{}, *this);
 }
 
 void IngressNode::Start() {
@@ -96,7 +100,7 @@
   if (admission_.waiting() > 0) DeliverVerdicts(now);
   AskForPermits(now);
   ReportRetries(now);
-  ReportParts(now);
+  ReportCrashes(now);
   if (placement_.permits().uses_own_share(now) && !permit_allocator_lost_) {
     permit_allocator_lost_ = true;
     LogEvent(Event::kPermitAllocatorLost,
@@ -140,7 +144,7 @@
     for (const auto& it : message.instances) {
       const auto record = mesh::FromWire(it, now);
       if (table_.Apply(record, now) != serving::AnnouncementResult::kChanged) continue;
-      part_guard_.OnIncarnation(record.address, record.started_ms, now);
+      crash_guard_.OnIncarnation(record.address, record.started_ms, now);
       LogEvent(Event::kServiceEndpointChanged,
                {{"endpoint", record.id},
                 {"service", record.service},
@@ -167,25 +171,12 @@
   if (message.__isset.limits) OnRelayedLimits(message.limits, now);
   if (message.__isset.permits && message.permits.grant) OnPermitGrant(from, message.permits, now);
   if (message.__isset.retries && message.retries.grant) OnRetryGrant(from, message.retries, now);
-  if (message.__isset.part_verdicts) {
-    auto list = mesh::FromWire(message.part_verdicts);
-    const std::int64_t revision = list.revision;
-    if (part_guard_.SetVerdicts(std::move(list))) {
-      nlohmann::json states = nlohmann::json::object();
-      for (const auto& [part, it] : part_guard_.verdicts()) {
-        states[part] = serving::kPartStates.Name(it.state);
-      }
-      LogEvent(Event::kPromptVerdictsInForce,
-               {{"revision", revision}, {"verdicts", states}, {"from", from.process}});
-    }
-  }
-  if (message.__isset.suspect_parts) {
-    std::vector<serving::SuspectPart> suspects;
-    for (const auto& it : message.suspect_parts) {
-      suspects.push_back({it.part, static_cast<std::uint32_t>(std::max(it.ends, 0))});
-    }
-    part_guard_.SetSuspects(std::move(suspects), now);
-    ReportParts(now);
+  if (message.__isset.crash_verdicts) OnVerdicts(from, message.crash_verdicts, now);
+  if (message.__isset.suspects) {
+    std::vector<serving::SuspectSubject> suspects;
+    for (const auto& it : message.suspects) suspects.push_back(mesh::FromWire(it));
+    crash_guard_.SetSuspects(std::move(suspects), now);
+    ReportCrashes(now);
   }
   if (message.__isset.service_config) ApplyConfig(message.service_config);
 }
@@ -387,19 +378,48 @@
   ScheduleVerdictDelivery();
 }
 
-void IngressNode::ReportParts(TimePoint now) {
+void IngressNode::OnVerdicts(const mesh::Member& from, const wire::CrashVerdicts& verdicts,
+                             TimePoint now) {
+  auto list = mesh::FromWire(verdicts);
+  const std::int64_t revision = list.revision;
+  if (!crash_guard_.SetVerdicts(std::move(list), now)) return;
+  nlohmann::json states = nlohmann::json::object();
+  for (const auto& [subject, it] : crash_guard_.verdicts()) {
+    states[subject.id] = serving::kVerdictStates.Name(it.state);
+  }
+  LogEvent(Event::kCrashVerdictsInForce,
+           {{"revision", revision}, {"verdicts", states}, {"from", from.process}});
+}
+
+serving::CrashDecision IngressNode::AdmitSubjects(
+    const std::vector<serving::CrashSubject>& subjects, TimePoint now) {
+  auto decision = crash_guard_.Admit(subjects, ingress_count_, now);
+  if (decision.kind == serving::CrashDecision::Kind::kWait) ReportCrashes(now);
+  return decision;
+}
+
+void IngressNode::ReportCrashes(TimePoint now) {
   const auto processes = ControlProcesses();
-  part_guard_.SetIsolated(processes.empty());
-  const auto report = part_guard_.NextReport(ingress_count_, now);
+  crash_guard_.SetIsolated(processes.empty());
+  const auto report = crash_guard_.NextReport(ingress_count_, now);
   if (!report) return;
   for (const auto& it : report->ends) {
-    LogEvent(Event::kEngineEndedUnderPrompt, {{"engine", it.engine},
-                                              {"started_ms", it.started_ms},
-                                              {"age_ms", ToMilliseconds(now - it.at)},
-                                              {"prompt_parts", it.parts}});
+    nlohmann::json subjects = nlohmann::json::array();
+    for (const auto& subject : it.subjects) subjects.push_back(subject.id);
+    LogEvent(Event::kAttemptEndedWithEndpoint, {{"endpoint", it.endpoint},
+                                                {"service", it.service},
+                                                {"started_ms", it.started_ms},
+                                                {"age_ms", ToMilliseconds(now - it.at)},
+                                                {"confirmed", it.confirmed},
+                                                {"subjects", subjects}});
+  }
+  for (const auto& it : report->trial_ends) {
+    LogEvent(Event::kCrashTrialEnded, {{"subject", it.subject.id},
+                                       {"revision", it.revision},
+                                       {"outcome", serving::kTrialOutcomes.Name(it.outcome)}});
   }
   wire::MeshMessage message;
-  message.__set_part_report(mesh::ToWire(*report, now));
+  message.__set_crash_report(mesh::ToWire(*report, now));
   mesh_->SendTo(processes, message);
 }
 
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -15,14 +15,15 @@
 #include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/serving/admission.h"
 #include "wagtailslip/serving/caller_timeout_tracker.h"
+#include "wagtailslip/serving/crash_guard.h"
 #include "wagtailslip/serving/instance_table.h"
-#include "wagtailslip/serving/part_guard.h"
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/retry_pool.h"
 #include "wagtailslip/serving/route_table.h"
 #include "wagtailslip/serving/weights_targets.h"
 
 namespace wagtailslip::wire {
+class CrashVerdicts;
 class EndpointLimit;
 class Permits;
 class Retries;
@@ -87,15 +88,12 @@
     return retry_pool_.CanTake(service, now) || retry_pool_.MayComeSoon(service, now);
   }
   const serving::RetryPool& retry_pool() const { return retry_pool_; }
-  /// Whether a request to an engine may be sent, judged by the parts of its prompt.
-  serving::PartDecision AdmitParts(const std::vector<std::string>& parts, TimePoint now) {
-    return part_guard_.Admit(parts, settings_.mesh_address(), ingress_count_, now);
-  }
-  std::string CondemnedPart(const std::vector<std::string>& parts) const {
-    return part_guard_.Condemned(parts, settings_.mesh_address());
-  }
-  serving::PartGuard& part_guard() { return part_guard_; }
-  const serving::PartGuard& part_guard() const { return part_guard_; }
+  /// Whether a request may be sent, judged by what ends endpoints. Asks for a trial at once where
+  /// one may be granted.
+  serving::CrashDecision AdmitSubjects(const std::vector<serving::CrashSubject>& subjects,
+                                       TimePoint now);
+  serving::CrashGuard& crash_guard() { return crash_guard_; }
+  const serving::CrashGuard& crash_guard() const { return crash_guard_; }
   /// Records the time limit of a caller's request.
   /// @return the longest limit that the group gave recently, see CallerTimeoutTracker
   Duration LongestRecentTimeLeft(const std::string& group, Duration time_left, TimePoint now) {
@@ -173,8 +171,10 @@
   /// Sends a report on requests and retries if one is due.
   void ReportRetries(TimePoint now);
   void OnRetryGrant(const mesh::Member& from, const wire::Retries& retries, TimePoint now);
-  /// Sends the evidence on parts of prompts to all control processes if some is due.
-  void ReportParts(TimePoint now);
+  /// Sends the evidence on what ends endpoints to all control processes if some is due.
+  void ReportCrashes(TimePoint now);
+  /// Applies newer verdicts on what ends endpoints.
+  void OnVerdicts(const mesh::Member& from, const wire::CrashVerdicts& verdicts, TimePoint now);
   /// Records the limits that control processes relay.
   void OnRelayedLimits(const std::vector<wire::EndpointLimit>& limits, TimePoint now);
   void RecordLimit(const serving::LimitObservation& observation, std::string_view source,
@@ -197,7 +197,7 @@
   serving::Placement placement_;
   serving::Admission admission_;
   serving::RetryPool retry_pool_;
-  serving::PartGuard part_guard_;
+  serving::CrashGuard crash_guard_;
   serving::CallerTimeoutTracker caller_timeouts_;
   std::unordered_map<std::uint64_t, VerdictCallback> verdict_callbacks_;
   /// Number of ingress processes that share the permits.
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -219,69 +219,165 @@
   return grant;
 }
 
-wire::PartReport ToWire(const serving::PartReport& report, TimePoint now) {
-  wire::PartReport w;
+namespace {
+
+serving::CrashSubject SubjectFromWire(std::int16_t kind, const std::string& id) {
+  const auto known = static_cast<serving::SubjectKind>(kind);
+  if (serving::kSubjectKinds.Name(known) == "?") {
+    throw MeshError("unknown kind of a crash subject in a mesh message");
+  }
+  return {known, id};
+}
+
+/// Ids of the subjects of a kind.
+std::vector<std::string> Ids(const std::vector<serving::CrashSubject>& subjects,
+                             serving::SubjectKind kind) {
+  std::vector<std::string> ids;
+  for (const auto& it : subjects) {
+    if (it.kind == kind) ids.push_back(it.id);
+  }
+  return ids;
+}
+
+void AddSubjects(std::vector<serving::CrashSubject>& subjects, const std::vector<std::string>& ids,
+                 serving::SubjectKind kind) {
+  for (const auto& it : ids) subjects.push_back({kind, it});
+}
+
+wire::Subject ToWire(const serving::CrashSubject& subject) {
+  wire::Subject w;
+  w.id = subject.id;
+  w.kind = static_cast<std::int16_t>(subject.kind);
+  return w;
+}
+
+}  // namespace
+
+wire::CrashReport ToWire(const serving::CrashReport& report, TimePoint now) {
+  using serving::SubjectKind;
+  wire::CrashReport w;
   for (const auto& it : report.ends) {
     wire::AttemptEnd end;
-    end.engine = it.engine;
+    end.endpoint = it.endpoint;
     end.started_ms = it.started_ms;
     end.age_ms = ClampedMilliseconds(now - it.at);
-    end.parts = it.parts;
+    end.parts = Ids(it.subjects, SubjectKind::kPromptPart);
+    const auto requests = Ids(it.subjects, SubjectKind::kRequest);
+    if (!requests.empty()) end.__set_request(requests.front());
+    end.service_name = it.service;
+    end.unconfirmed = !it.confirmed;
     w.ends.push_back(std::move(end));
   }
   for (const auto& it : report.proofs) {
-    wire::PartProof proof;
-    proof.part = it.part;
+    wire::SubjectProof proof;
+    proof.id = it.subject.id;
+    proof.kind = static_cast<std::int16_t>(it.subject.kind);
     proof.age_ms = ClampedMilliseconds(now - it.at);
     w.proofs.push_back(std::move(proof));
   }
-  w.proven_attempts = static_cast<std::int64_t>(report.proven_attempts);
-  w.ended_attempts = static_cast<std::int64_t>(report.ended_attempts);
-  w.refused = report.refused;
+  for (const auto& [service, it] : report.totals) {
+    wire::ServiceAttempts attempts;
+    attempts.service_name = service;
+    attempts.proven = static_cast<std::int64_t>(it.proven);
+    attempts.ended = static_cast<std::int64_t>(it.ended);
+    w.attempts.push_back(std::move(attempts));
+  }
+  w.refused = Ids(report.refused, SubjectKind::kPromptPart);
+  w.refused_requests = Ids(report.refused, SubjectKind::kRequest);
+  w.asks = Ids(report.asks, SubjectKind::kRequest);
+  for (const auto& it : report.trial_ends) {
+    wire::TrialEnd end;
+    end.subject = ToWire(it.subject);
+    end.revision = it.revision;
+    end.outcome = static_cast<std::int16_t>(it.outcome);
+    w.trial_ends.push_back(std::move(end));
+  }
   return w;
 }
 
-serving::PartReport FromWire(const wire::PartReport& w, TimePoint now) {
-  serving::PartReport report;
+serving::CrashReport FromWire(const wire::CrashReport& w, TimePoint now) {
+  using serving::SubjectKind;
+  const auto age = [now](std::int32_t ms) { return now - std::chrono::milliseconds(Unsigned(ms)); };
+  serving::CrashReport report;
   for (const auto& it : w.ends) {
-    report.ends.push_back(
-        {it.engine, it.started_ms, now - std::chrono::milliseconds(Unsigned(it.age_ms)), it.parts});
+    serving::EndedAttempt end{it.endpoint, it.started_ms,   age(it.age_ms),
+                              {},          it.service_name, !it.unconfirmed};
+    AddSubjects(end.subjects, it.parts, SubjectKind::kPromptPart);
+    if (it.__isset.request) end.subjects.push_back({SubjectKind::kRequest, it.request});
+    report.ends.push_back(std::move(end));
   }
   for (const auto& it : w.proofs) {
-    report.proofs.push_back({it.part, now - std::chrono::milliseconds(Unsigned(it.age_ms))});
+    report.proofs.push_back({SubjectFromWire(it.kind, it.id), age(it.age_ms)});
+  }
+  for (const auto& it : w.attempts) {
+    const auto count = [](std::int64_t n) {
+      return static_cast<std::uint64_t>(std::max<std::int64_t>(n, 0));
+    };
+    report.totals[it.service_name] = {count(it.proven), count(it.ended)};
+  }
+  AddSubjects(report.refused, w.refused, SubjectKind::kPromptPart);
+  AddSubjects(report.refused, w.refused_requests, SubjectKind::kRequest);
+  AddSubjects(report.asks, w.asks, SubjectKind::kRequest);
+  for (const auto& it : w.trial_ends) {
+    const auto outcome = static_cast<serving::TrialOutcome>(it.outcome);
+    if (serving::kTrialOutcomes.Name(outcome) == "?") {
+      throw MeshError("unknown outcome of a trial in a mesh message");
+    }
+    report.trial_ends.push_back(
+        {SubjectFromWire(it.subject.kind, it.subject.id), it.revision, outcome});
   }
-  report.proven_attempts = static_cast<std::uint64_t>(std::max<std::int64_t>(w.proven_attempts, 0));
-  report.ended_attempts = static_cast<std::uint64_t>(std::max<std::int64_t>(w.ended_attempts, 0));
-  report.refused = w.refused;
   return report;
 }
 
-wire::PartVerdict ToWire(const serving::PartVerdict& verdict) {
-  wire::PartVerdict w;
-  w.part = verdict.part;
-  w.state = static_cast<std::int16_t>(verdict.state);
+wire::SuspectSubject ToWire(const serving::SuspectSubject& suspect) {
+  wire::SuspectSubject w;
+  w.id = suspect.subject.id;
+  w.kind = static_cast<std::int16_t>(suspect.subject.kind);
+  w.ends = static_cast<std::int32_t>(suspect.ends);
+  return w;
+}
+
+serving::SuspectSubject FromWire(const wire::SuspectSubject& w) {
+  return {SubjectFromWire(w.kind, w.id), static_cast<std::uint32_t>(std::max(w.ends, 0))};
+}
+
+wire::CrashVerdict ToWire(const serving::CrashVerdict& verdict) {
+  wire::CrashVerdict w;
+  w.id = verdict.subject.id;
+  w.kind = static_cast<std::int16_t>(verdict.subject.kind);
+  w.held = verdict.state == serving::VerdictState::kHeld;
+  const auto state = w.held ? serving::VerdictState::kCondemned : verdict.state;
+  w.state = static_cast<std::int16_t>(state);
   w.times = static_cast<std::int32_t>(verdict.times);
   w.trial_process = verdict.trial_process;
+  w.trials = static_cast<std::int32_t>(verdict.trials);
+  w.revision = verdict.revision;
   return w;
 }
 
-serving::PartVerdict FromWire(const wire::PartVerdict& w) {
-  const auto state = static_cast<serving::PartState>(w.state);
-  if (serving::kPartStates.Name(state) == "?") {
-    throw MeshError("unknown state of a prompt part in a mesh message");
+serving::CrashVerdict FromWire(const wire::CrashVerdict& w) {
+  const auto state =
+      w.held ? serving::VerdictState::kHeld : static_cast<serving::VerdictState>(w.state);
+  if (serving::kVerdictStates.Name(state) == "?") {
+    throw MeshError("unknown state of a crash subject in a mesh message");
   }
-  return {w.part, state, Unsigned(w.times), w.trial_process};
+  return {SubjectFromWire(w.kind, w.id),
+          state,
+          Unsigned(w.times),
+          w.trial_process,
+          Unsigned(w.trials),
+          w.revision};
 }
 
-wire::PartVerdicts ToWire(const serving::PartVerdictList& list) {
-  wire::PartVerdicts w;
+wire::CrashVerdicts ToWire(const serving::CrashVerdictList& list) {
+  wire::CrashVerdicts w;
   w.revision = list.revision;
   for (const auto& it : list.verdicts) w.rows.push_back(ToWire(it));
   return w;
 }
 
-serving::PartVerdictList FromWire(const wire::PartVerdicts& w) {
-  serving::PartVerdictList list;
+serving::CrashVerdictList FromWire(const wire::CrashVerdicts& w) {
+  serving::CrashVerdictList list;
   list.revision = w.revision;
   for (const auto& it : w.rows) list.verdicts.push_back(FromWire(it));
   return list;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -9,6 +9,9 @@
 
 // Statuses are kept for more engines than a service has, for addresses that are used again.
 constexpr std::size_t kMaxEngineStatuses = 10000;
+// Cost in milliseconds of each other request that would be lost if the endpoint ended. Outweighs
+// distance.
+constexpr double kCostPerOtherRequest = 50;
 // Limits how often subsets are recomputed, because the endpoints' weights change in bursts.
 constexpr Duration kMinSubsetInterval = std::chrono::milliseconds(50);
 
@@ -312,7 +315,8 @@
     if (!it->in_subset && !sample(random_)) continue;
     const double load = EstimateLoad(*it, now);
     if (load >= Capacity(*it, query.late) || !HasPrefillCapacity(*it, query.late)) continue;
-    const double score = Cost(*it, load, now) + jitter(random_);
+    const double idle_cost = query.prefer_idle ? kCostPerOtherRequest * load : 0;
+    const double score = Cost(*it, load, now) + idle_cost + jitter(random_);
     if (!permits_.Available(it->record.id, now)) {
       const bool denied = permits_.IsDenied(it->record.id, now);
       if (without_permit == nullptr ||
--- a/tests/control_log_test.cc
+++ b/tests/control_log_test.cc
@@ -166,7 +166,7 @@
   CPPUNIT_TEST(WeightsAgeSurvivesRestart);
   CPPUNIT_TEST(AcknowledgesAfterEachProcessWasDown);
   CPPUNIT_TEST(RetryBlocksSurviveFullRestart);
-  CPPUNIT_TEST(PartVerdictsSurviveFullRestart);
+  CPPUNIT_TEST(CrashVerdictsSurviveFullRestart);
   CPPUNIT_TEST(RecoversConfigBeforeElection);
   CPPUNIT_TEST(DiscardedConfigIsNotKeptAsRecovered);
   CPPUNIT_TEST(LimitsLogLinesPerEvent);
@@ -262,33 +262,35 @@
 
   // Guards against prompts that end engines anew after a restart of all control processes, and
   // against verdicts without bound.
-  void PartVerdictsSurviveFullRestart() {
+  void CrashVerdictsSurviveFullRestart() {
     Cluster cluster("verdicts");
     StartAll(cluster, 3);
-    const auto propose = [&](const std::string& part, serving::PartState state) {
+    using serving::SubjectKind;
+    const auto propose = [&](const std::string& part, serving::VerdictState state) {
       Command command;
-      command.part_verdict = serving::PartVerdict{part, state, 2, "10.0.0.9:7700"};
+      command.crash_verdict =
+          serving::CrashVerdict{{SubjectKind::kPromptPart, part}, state, 2, "10.0.0.9:7700", 0, 0};
       return cluster.Propose(command);
     };
     for (int i = 0; i < 80; ++i) {
-      CPPUNIT_ASSERT(propose("part-" + std::to_string(i), serving::PartState::kCondemned));
+      CPPUNIT_ASSERT(propose("part-" + std::to_string(i), serving::VerdictState::kCondemned));
     }
-    CPPUNIT_ASSERT_EQUAL(serving::kMaxPartVerdicts,
-                         cluster.Leader()->state().part_verdicts.verdicts.size());
+    CPPUNIT_ASSERT_EQUAL(serving::PolicyOf(SubjectKind::kPromptPart).max_verdicts,
+                         cluster.Leader()->state().crash_verdicts.verdicts.size());
     for (int i = 2; i < 80; ++i) {
-      CPPUNIT_ASSERT(propose("part-" + std::to_string(i), serving::PartState::kLifted));
+      CPPUNIT_ASSERT(propose("part-" + std::to_string(i), serving::VerdictState::kLifted));
     }
-    CPPUNIT_ASSERT(propose("part-1", serving::PartState::kOnTrial));
-    const auto revision = cluster.Leader()->state().part_verdicts.revision;
+    CPPUNIT_ASSERT(propose("part-1", serving::VerdictState::kOnTrial));
+    const auto revision = cluster.Leader()->state().crash_verdicts.revision;
     for (int i = 1; i <= 3; ++i) cluster.Kill(i);
     for (int i = 1; i <= 3; ++i) cluster.Start(i, false);
     cluster.Run(seconds(4));
     CPPUNIT_ASSERT(cluster.Leader() != nullptr);
-    const auto& list = cluster.Leader()->state().part_verdicts;
+    const auto& list = cluster.Leader()->state().crash_verdicts;
     CPPUNIT_ASSERT_EQUAL(revision, list.revision);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, list.verdicts.size());
-    CPPUNIT_ASSERT_EQUAL(std::string("part-1"), list.verdicts[1].part);
-    CPPUNIT_ASSERT(list.verdicts[1].state == serving::PartState::kOnTrial);
+    CPPUNIT_ASSERT_EQUAL(std::string("part-1"), list.verdicts[1].subject.id);
+    CPPUNIT_ASSERT(list.verdicts[1].state == serving::VerdictState::kOnTrial);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, list.verdicts[1].times);
     CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.9:7700"), list.verdicts[1].trial_process);
   }
