--- a/tests/part_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -1,5 +1,5 @@
 // Parts of prompts under which engines end: who is condemned, when, and what sound requests notice.
-#include "wagtailslip/serving/part_guard.h"
+#include "wagtailslip/serving/crash_guard.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,8 +11,8 @@
 #include <set>
 #include <sstream>
 
-#include "wagtailslip/serving/part_evidence.h"
-#include "wagtailslip/serving/part_verdicts.h"
+#include "wagtailslip/serving/crash_evidence.h"
+#include "wagtailslip/serving/crash_verdicts.h"
 
 namespace wagtailslip::serving {
 namespace {
@@ -75,6 +75,20 @@
   std::size_t sound_begun = 0;
 };
 
+CrashSubject Part(const std::string& id) { return {SubjectKind::kPromptPart, id}; }
+
+std::vector<CrashSubject> Parts(const std::vector<std::string>& ids) {
+  std::vector<CrashSubject> parts;
+  for (const auto& it : ids) parts.push_back(Part(it));
+  return parts;
+}
+
+CrashVerdict PartVerdict(const std::string& id, VerdictState state, std::uint32_t times,
+                         const std::string& process) {
+  return {Part(id), state, times, process, 0, 0};
+}
+
+const std::string kService = "m";
 constexpr TimePoint kStart{seconds(1000)};
 const char* const kGuilty = "guilty-";
 constexpr Duration kStep = milliseconds(5);
@@ -94,6 +108,9 @@
         processes_(scenario.processes),
         engines_(scenario.engines),
         evidence_(kControls) {
+    for (std::size_t i = 0; i < processes_.size(); ++i) {
+      processes_[i].guard = CrashGuard(Name(i));
+    }
     for (const auto& it : scenario_.troubles) {
       auto& chosen = chosen_.emplace_back();
       for (std::size_t i = 0; i < std::max(scenario_.processes, scenario_.engines); ++i) {
@@ -125,10 +142,10 @@
     bool guilty = false;
     bool proven = false;
     bool repeated = false;
-    std::string trial;
+    std::vector<CrashSubject> trials;
   };
   struct Process {
-    PartGuard guard;
+    CrashGuard guard = CrashGuard();
     std::int64_t run = 0;
     TimePoint started_at{};
     bool connected = true;
@@ -171,10 +188,11 @@
   void Restart(std::size_t i) {
     const std::int64_t run = processes_[i].run + 1;
     processes_[i] = Process{};
+    processes_[i].guard = CrashGuard(Name(i));
     processes_[i].run = run;
     processes_[i].started_at = now_;
     // A new link brings the verdicts before the configuration, so before any request.
-    processes_[i].guard.SetVerdicts(log_);
+    processes_[i].guard.SetVerdicts(log_, now_);
   }
 
   std::vector<std::string> SoundParts() {
@@ -209,13 +227,12 @@
 
   void Admit(Attempt attempt) {
     Process& process = processes_[attempt.process];
-    const auto decision =
-        process.guard.Admit(attempt.parts, Name(attempt.process), scenario_.processes, now_);
-    if (decision.kind == PartDecision::Kind::kCondemned ||
-        decision.kind == PartDecision::Kind::kWait) {
+    const auto decision = process.guard.Admit(Parts(attempt.parts), scenario_.processes, now_);
+    if (decision.kind == CrashDecision::Kind::kCondemned ||
+        decision.kind == CrashDecision::Kind::kWait) {
       return;
     }
-    if (decision.kind == PartDecision::Kind::kTrial) attempt.trial = decision.part;
+    attempt.trials = decision.trials;
     Send(std::move(attempt));
   }
 
@@ -248,9 +265,8 @@
 
   void EndTrial(const Attempt& attempt) {
     Process& process = processes_[attempt.process];
-    if (!attempt.trial.empty() && process.run == attempt.process_run) {
-      process.guard.EndTrial(attempt.trial);
-    }
+    if (process.run != attempt.process_run) return;
+    for (const auto& it : attempt.trials) process.guard.EndTrial(it);
   }
 
   void Prove(std::size_t i, std::uint64_t id, std::int64_t run) {
@@ -260,7 +276,7 @@
     it->second.proven = true;
     Process& process = processes_[it->second.process];
     if (process.run != it->second.process_run) return;
-    process.guard.OnProven(it->second.parts, now_);
+    process.guard.OnProven(Parts(it->second.parts), kService, now_);
     EndTrial(it->second);
   }
 
@@ -280,12 +296,13 @@
   void OnBroken(std::size_t i, std::int64_t run, Attempt attempt) {
     Process& process = processes_[attempt.process];
     if (process.run != attempt.process_run || attempt.proven) return;
-    process.guard.OnBroken({Address(i), run, now_, attempt.parts}, now_);
-    process.guard.OnEngineEnded(Address(i), run, now_);
+    process.guard.OnBroken({Address(i), run, now_, Parts(attempt.parts), kService, true}, now_);
+    process.guard.OnEndpointEnded(Address(i), run, now_);
     EndTrial(attempt);
-    attempt.trial.clear();
-    if (attempt.repeated || process.guard.Suspicious(attempt.parts, now_) ||
-        !process.guard.Condemned(attempt.parts, Name(attempt.process)).empty()) {
+    attempt.trials.clear();
+    const auto parts = Parts(attempt.parts);
+    if (attempt.repeated || process.guard.Suspicious(parts, now_) ||
+        process.guard.Blocked(parts, {}, now_)) {
       return;
     }
     attempt.repeated = true;
@@ -299,35 +316,37 @@
     if (!report || !process.connected) return;
     After(kNetworkDelay, [this, i, report = *report] {
       for (std::size_t c = 0; c < kControls; ++c) {
-        evidence_[c].AddTotals(report.proven_attempts, report.ended_attempts, now_);
+        for (const auto& [service, it] : report.totals) {
+          evidence_[c].AddTotals(service, it.proven, it.ended, now_);
+        }
         for (const auto& it : report.ends) evidence_[c].AddEnd(it, now_);
-        for (const auto& it : report.proofs) evidence_[c].AddProof(it.part, it.at, now_);
+        for (const auto& it : report.proofs) evidence_[c].AddProof(it.subject, it.at, now_);
       }
     });
   }
 
   void TickLeader() {
-    PartEvidence& evidence = evidence_[leader_];
-    for (auto part = evidence.Condemn(now_); !part.empty(); part = evidence.Condemn(now_)) {
+    CrashEvidence& evidence = evidence_[leader_];
+    while (const auto condemned = evidence.Condemn(now_)) {
+      const std::string part = condemned->id;
       result_.condemned.insert(part);
       After(kCommitTime, [this, part] {
-        ++log_.revision;
-        log_.verdicts.push_back({part, PartState::kCondemned, 1, {}});
-        for (auto& it : evidence_) it.SetCondemned(part);
-        Broadcast([this, list = log_, part](PartGuard& guard) {
-          if (guard.SetVerdicts(list)) result_.guilty[part].in_force = now_;
+        ApplyVerdict(log_, PartVerdict(part, VerdictState::kCondemned, 1, {}));
+        for (auto& it : evidence_) it.SetCondemned(Part(part));
+        Broadcast([this, list = log_, part](CrashGuard& guard) {
+          if (guard.SetVerdicts(list, now_)) result_.guilty[part].in_force = now_;
         });
       });
     }
     if (now_ < next_suspects_at_) return;
     next_suspects_at_ = now_ + milliseconds(50);
     evidence.Expire(now_);
-    Broadcast([this, suspects = evidence.Suspects(now_)](PartGuard& guard) {
+    Broadcast([this, suspects = evidence.Suspects(now_)](CrashGuard& guard) {
       guard.SetSuspects(suspects, now_);
     });
   }
 
-  void Broadcast(std::function<void(PartGuard&)> message) {
+  void Broadcast(std::function<void(CrashGuard&)> message) {
     for (std::size_t i = 0; i < processes_.size(); ++i) {
       if (!processes_[i].connected) continue;
       After(kNetworkDelay, [this, i, message] { message(processes_[i].guard); });
@@ -339,8 +358,8 @@
   TimePoint now_ = kStart;
   std::vector<Process> processes_;
   std::vector<Engine> engines_;
-  std::vector<PartEvidence> evidence_;
-  PartVerdictList log_;
+  std::vector<CrashEvidence> evidence_;
+  CrashVerdictList log_;
   std::size_t leader_ = 0;
   bool leading_ = true;
   std::vector<std::vector<bool>> chosen_;
@@ -428,14 +447,14 @@
 }
 
 /// A part with `ends` separate ends and none proven, beside `proven` attempts of others.
-PartEvidence EvidenceWith(int ends, Duration gap, std::uint64_t proven, std::uint64_t ended) {
-  PartEvidence evidence;
-  evidence.AddTotals(proven, ended, kStart);
+CrashEvidence EvidenceWith(int ends, Duration gap, std::uint64_t proven, std::uint64_t ended) {
+  CrashEvidence evidence;
+  evidence.AddTotals(kService, proven, ended, kStart);
   for (int i = 0; i < ends; ++i) {
     const TimePoint at = kStart + gap * i;
-    evidence.AddTotals(0, 1, at);
-    evidence.AddEnd({"e" + std::to_string(i), 1, at, {"first", "part"}}, at);
-    evidence.AddProof("first", at + milliseconds(1), at + milliseconds(1));
+    evidence.AddTotals(kService, 0, 1, at);
+    evidence.AddEnd({"e" + std::to_string(i), 1, at, Parts({"first", "part"}), kService, true}, at);
+    evidence.AddProof(Part("first"), at + milliseconds(1), at + milliseconds(1));
   }
   return evidence;
 }
@@ -458,8 +477,8 @@
     {"ten ends and no proof of any request", 10, milliseconds(400), 0, 0, false},
 };
 
-class PartGuardTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(PartGuardTest);
+class CrashGuardTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashGuardTest);
   CPPUNIT_TEST(CondemnsOnEnoughEvidenceOnly);
   CPPUNIT_TEST(ForgetsOldEnds);
   CPPUNIT_TEST(ProofClearsAPart);
@@ -476,15 +495,16 @@
   void CondemnsOnEnoughEvidenceOnly() {
     for (const auto& row : kCondemnRows) {
       auto evidence = EvidenceWith(row.ends, row.gap, row.proven, row.ended);
-      const std::string part = evidence.Condemn(kStart + row.gap * row.ends);
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string(row.condemned ? "part" : ""), part);
+      const auto part = evidence.Condemn(kStart + row.gap * row.ends);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.condemned, part.has_value());
+      if (part) CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("part"), part->id);
     }
   }
 
   // Guards against a process that condemns by ends of long ago when it begins to lead.
   void ForgetsOldEnds() {
     auto evidence = EvidenceWith(20, milliseconds(400), 500, 2);
-    CPPUNIT_ASSERT_EQUAL(std::string(), evidence.Condemn(kStart + minutes(2)));
+    CPPUNIT_ASSERT(!evidence.Condemn(kStart + minutes(2)));
     CPPUNIT_ASSERT(evidence.Suspects(kStart + minutes(2)).empty());
   }
 
@@ -492,13 +512,13 @@
   void ProofClearsAPart() {
     auto evidence = EvidenceWith(20, milliseconds(400), 500, 2);
     const TimePoint now = kStart + seconds(8);
-    evidence.AddProof("part", now, now);
-    CPPUNIT_ASSERT_EQUAL(std::string(), evidence.Condemn(now));
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends("part", now));
+    evidence.AddProof(Part("part"), now, now);
+    CPPUNIT_ASSERT(!evidence.Condemn(now));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends(Part("part"), now));
     for (int i = 0; i < 20; ++i) {
       const TimePoint at = now + milliseconds(300) * i;
-      evidence.AddEnd({"f" + std::to_string(i), 1, at, {"part"}}, at);
-      CPPUNIT_ASSERT_EQUAL(std::string(), evidence.Condemn(at));
+      evidence.AddEnd({"f" + std::to_string(i), 1, at, Parts({"part"}), kService, true}, at);
+      CPPUNIT_ASSERT(!evidence.Condemn(at));
     }
   }
 
@@ -507,25 +527,27 @@
   void ExplainsTheEndsOfOthers() {
     auto evidence = EvidenceWith(6, milliseconds(400), 500, 2);
     const TimePoint now = kStart + seconds(3);
-    evidence.AddEnd({"e1", 1, now, {"beside"}}, now);
-    evidence.AddEnd({"e2", 1, now, {"beside"}}, now);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, evidence.Ends("beside", now));
-    CPPUNIT_ASSERT_EQUAL(std::string("part"), evidence.Condemn(now));
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends("beside", now));
-    evidence.AddEnd({"e9", 1, now, {"other", "part"}}, now);
-    evidence.AddEnd({"e9", 1, now, {"beside"}}, now);
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends("beside", now));
-    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends("other", now));
+    evidence.AddEnd({"e1", 1, now, Parts({"beside"}), kService, true}, now);
+    evidence.AddEnd({"e2", 1, now, Parts({"beside"}), kService, true}, now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, evidence.Ends(Part("beside"), now));
+    CPPUNIT_ASSERT(evidence.Condemn(now) == Part("part"));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends(Part("beside"), now));
+    evidence.AddEnd({"e9", 1, now, Parts({"other", "part"}), kService, true}, now);
+    evidence.AddEnd({"e9", 1, now, Parts({"beside"}), kService, true}, now);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends(Part("beside"), now));
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, evidence.Ends(Part("other"), now));
   }
 
   // Guards against memory that grows with each request that brings new parts.
   void BoundsItsMemory() {
-    PartEvidence evidence;
-    PartGuard guard;
+    CrashEvidence evidence;
+    CrashGuard guard = CrashGuard();
     for (int i = 0; i < 20000; ++i) {
       const TimePoint now = kStart + milliseconds(i);
-      guard.OnProven({"proven-" + std::to_string(i)}, now);
-      evidence.AddEnd({"e" + std::to_string(i), 1, now, {"ended-" + std::to_string(i)}}, now);
+      guard.OnProven(Parts({"proven-" + std::to_string(i)}), kService, now);
+      evidence.AddEnd(
+          {"e" + std::to_string(i), 1, now, Parts({"ended-" + std::to_string(i)}), kService, true},
+          now);
     }
     CPPUNIT_ASSERT(evidence.size() <= 1024);
     CPPUNIT_ASSERT(guard.proven_parts() <= 4096);
@@ -533,23 +555,23 @@
 
   // Guards against a suspect that ends engine after engine before the verdict.
   void TriesSuspectsOneByOne() {
-    PartGuard guard;
-    guard.SetSuspects({{"part", 2}}, kStart);
+    CrashGuard guard("p");
+    guard.SetSuspects({{Part("part"), 2}}, kStart);
     std::size_t trials = 0;
     std::size_t held_back = 0;
     for (int ms = 0; ms < 4000; ms += 10) {
       const TimePoint now = kStart + milliseconds(ms);
-      const auto decision = guard.Admit({"first", "part"}, "p", 4, now);
-      if (decision.kind == PartDecision::Kind::kTrial) {
+      const auto decision = guard.Admit(Parts({"first", "part"}), 4, now);
+      if (decision.kind == CrashDecision::Kind::kTrial) {
         ++trials;
-        CPPUNIT_ASSERT(guard.Admit({"part"}, "p", 4, now).kind == PartDecision::Kind::kWait);
-        guard.EndTrial("part");
+        CPPUNIT_ASSERT(guard.Admit(Parts({"part"}), 4, now).kind == CrashDecision::Kind::kWait);
+        guard.EndTrial(Part("part"));
       } else {
-        CPPUNIT_ASSERT(decision.kind == PartDecision::Kind::kWait);
+        CPPUNIT_ASSERT(decision.kind == CrashDecision::Kind::kWait);
         CPPUNIT_ASSERT(decision.retry_after > Duration::zero());
         ++held_back;
       }
-      CPPUNIT_ASSERT(guard.Admit({"first"}, "p", 4, now).kind == PartDecision::Kind::kFree);
+      CPPUNIT_ASSERT(guard.Admit(Parts({"first"}), 4, now).kind == CrashDecision::Kind::kFree);
     }
     CPPUNIT_ASSERT(trials >= 3 && trials <= 4);
     CPPUNIT_ASSERT(held_back > 300);
@@ -557,48 +579,67 @@
 
   // Guards against a verdict that a late message of a control process takes back.
   void KeepsTheNewestVerdicts() {
-    PartGuard guard;
-    CPPUNIT_ASSERT(guard.SetVerdicts({5, {{"part", PartState::kCondemned, 1, {}}}}));
-    CPPUNIT_ASSERT(!guard.SetVerdicts({4, {}}));
-    CPPUNIT_ASSERT_EQUAL(std::string("part"), guard.Condemned({"first", "part"}, "p"));
-    CPPUNIT_ASSERT(guard.SetVerdicts({6, {{"part", PartState::kOnTrial, 1, "q"}}}));
-    CPPUNIT_ASSERT_EQUAL(std::string("part"), guard.Condemned({"part"}, "p"));
-    CPPUNIT_ASSERT_EQUAL(std::string(), guard.Condemned({"part"}, "q"));
-    CPPUNIT_ASSERT(guard.Suspicious({"part"}, kStart));
-    CPPUNIT_ASSERT(guard.SetVerdicts({7, {}}));
-    CPPUNIT_ASSERT(guard.Admit({"part"}, "p", 4, kStart).kind == PartDecision::Kind::kFree);
+    CrashGuard guard("p");
+    const auto condemned = PartVerdict("part", VerdictState::kCondemned, 1, {});
+    const auto on_trial = PartVerdict("part", VerdictState::kOnTrial, 1, "q");
+    CPPUNIT_ASSERT(guard.SetVerdicts({5, {condemned}}, kStart));
+    CPPUNIT_ASSERT(!guard.SetVerdicts({4, {}}, kStart));
+    CPPUNIT_ASSERT(guard.Blocked(Parts({"first", "part"}), {}, kStart) == Part("part"));
+    CPPUNIT_ASSERT(guard.SetVerdicts({6, {on_trial}}, kStart));
+    CPPUNIT_ASSERT(guard.Blocked(Parts({"part"}), {}, kStart) == Part("part"));
+    CrashGuard other("q");
+    CPPUNIT_ASSERT(other.SetVerdicts({6, {on_trial}}, kStart));
+    CPPUNIT_ASSERT(!other.Blocked(Parts({"part"}), {}, kStart));
+    CPPUNIT_ASSERT(guard.Suspicious(Parts({"part"}), kStart));
+    CPPUNIT_ASSERT(guard.SetVerdicts({7, {}}, kStart));
+    CPPUNIT_ASSERT(guard.Admit(Parts({"part"}), 4, kStart).kind == CrashDecision::Kind::kFree);
   }
 
   // A part that nobody asks for is lifted; one that is asked for is tried by one process, at
   // growing intervals.
   void ReviewsVerdicts() {
     VerdictReview review;
-    const PartVerdict condemned{"part", PartState::kCondemned, 1, {}};
-    review.SetVerdicts({condemned}, kStart);
-    CPPUNIT_ASSERT(!review.NextChange({"p", "q"}, kStart + minutes(9)));
-    const auto unused = review.NextChange({"p", "q"}, kStart + minutes(10));
+    const auto no_room = [](SubjectKind) { return false; };
+    const auto next = [&](const std::vector<std::string>& processes, Duration after) {
+      const auto changes = review.DueChanges(processes, no_room, kStart + after);
+      CPPUNIT_ASSERT(changes.size() <= 1);
+      return changes.empty() ? std::optional<VerdictChange>() : changes.front();
+    };
+    const auto set = [&](const CrashVerdict& verdict, Duration after) {
+      review.SetVerdicts({1, {verdict}}, kStart + after);
+    };
+    set(PartVerdict("part", VerdictState::kCondemned, 1, {}), {});
+    CPPUNIT_ASSERT(!next({"p", "q"}, minutes(9)));
+    const auto unused = next({"p", "q"}, minutes(10));
     CPPUNIT_ASSERT(unused && unused->reason == VerdictReason::kUnused);
-    CPPUNIT_ASSERT(unused->verdict.state == PartState::kLifted);
+    CPPUNIT_ASSERT(unused->verdict.state == VerdictState::kLifted);
 
-    review.OnRefused("part", kStart + minutes(9));
-    const auto trial = review.NextChange({"p", "q"}, kStart + minutes(10));
-    CPPUNIT_ASSERT(trial && trial->verdict.state == PartState::kOnTrial);
+    review.OnRefused(Part("part"), kStart + minutes(9));
+    const auto trial = next({"p", "q"}, minutes(10));
+    CPPUNIT_ASSERT(trial && trial->verdict.state == VerdictState::kOnTrial);
     CPPUNIT_ASSERT_EQUAL(std::string("p"), trial->verdict.trial_process);
-    review.SetVerdicts({trial->verdict}, kStart + minutes(10));
-    CPPUNIT_ASSERT(!review.NextChange({"p", "q"}, kStart + minutes(11)));
-    const auto moved = review.NextChange({"q"}, kStart + minutes(11));
+    set(trial->verdict, minutes(10));
+    CPPUNIT_ASSERT(!next({"p", "q"}, minutes(11)));
+    const auto moved = next({"q"}, minutes(11));
     CPPUNIT_ASSERT(moved && moved->verdict.trial_process == "q");
 
-    const auto failed = VerdictReview::AfterTrial(trial->verdict, false);
-    CPPUNIT_ASSERT(failed && failed->verdict.state == PartState::kCondemned);
+    review.OnEnd(Part("part"), "q");
+    CPPUNIT_ASSERT(!next({"p", "q"}, minutes(11)));
+    review.OnEnd(Part("part"), "p");
+    const auto failed = next({"p", "q"}, minutes(11));
+    CPPUNIT_ASSERT(failed && failed->verdict.state == VerdictState::kCondemned);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, failed->verdict.times);
-    review.SetVerdicts({failed->verdict}, kStart + minutes(12));
-    review.OnRefused("part", kStart + minutes(25));
-    CPPUNIT_ASSERT(!review.NextChange({"p"}, kStart + minutes(31)));
-    CPPUNIT_ASSERT(review.NextChange({"p"}, kStart + minutes(33)));
-    const auto passed = VerdictReview::AfterTrial(trial->verdict, true);
-    CPPUNIT_ASSERT(passed && passed->verdict.state == PartState::kLifted);
-    CPPUNIT_ASSERT(!VerdictReview::AfterTrial(condemned, true));
+    set(failed->verdict, minutes(12));
+    review.OnRefused(Part("part"), kStart + minutes(25));
+    CPPUNIT_ASSERT(!next({"p"}, minutes(31)));
+    CPPUNIT_ASSERT(next({"p"}, minutes(33)));
+    review.OnProof(Part("part"));
+    CPPUNIT_ASSERT(!next({"p"}, minutes(31)));
+    set(trial->verdict, minutes(34));
+    review.OnProof(Part("part"));
+    const auto passed = next({"p"}, minutes(34));
+    CPPUNIT_ASSERT(passed && passed->verdict.state == VerdictState::kLifted);
+    CPPUNIT_ASSERT(passed->reason == VerdictReason::kTrialPassed);
   }
 
   // Guards against guilty requests that reach engines after the fifth end and contact time, against
@@ -648,7 +689,7 @@
              << " sound requests begun\n";
   }
 };
-CPPUNIT_TEST_SUITE_REGISTRATION(PartGuardTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashGuardTest);
 
 }  // namespace
 }  // namespace wagtailslip::serving
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -29,8 +29,8 @@
   CPPUNIT_TEST(PermitRequestKeepsAgesAndClock);
   CPPUNIT_TEST(PermitGrantReturnsClock);
   CPPUNIT_TEST(RetryReportAndGrantKeepClocks);
-  CPPUNIT_TEST(PartReportKeepsAges);
-  CPPUNIT_TEST(PartVerdictsRejectUnknownStates);
+  CPPUNIT_TEST(CrashReportKeepsAges);
+  CPPUNIT_TEST(CrashVerdictsRejectUnknownStates);
   CPPUNIT_TEST(RejectsInvalidNumbers);
   CPPUNIT_TEST_SUITE_END();
 
@@ -105,39 +105,62 @@
 
   // Guards against ends and proofs that seem older or newer at a process with another clock: a
   // proof clears the ends before it.
-  void PartReportKeepsAges() {
-    serving::PartReport report;
-    report.ends = {{"10.0.0.1:80", 42, kSenderNow - milliseconds(300), {"a", "b"}}};
-    report.proofs = {{"a", kSenderNow - seconds(2)}};
-    report.proven_attempts = 7;
-    report.ended_attempts = 2;
-    report.refused = {"c"};
+  void CrashReportKeepsAges() {
+    using serving::SubjectKind;
+    const std::vector<serving::CrashSubject> subjects{{SubjectKind::kPromptPart, "a"},
+                                                      {SubjectKind::kPromptPart, "b"},
+                                                      {SubjectKind::kRequest, "r"}};
+    serving::CrashReport report;
+    report.ends = {{"10.0.0.1:80", 42, kSenderNow - milliseconds(300), subjects, "orders", false}};
+    report.proofs = {{subjects[0], kSenderNow - seconds(2)}, {subjects[2], kSenderNow}};
+    report.totals["orders"] = {7, 2};
+    report.refused = {subjects[1], subjects[2]};
+    report.asks = {subjects[2]};
+    report.trial_ends = {{subjects[2], 9, serving::TrialOutcome::kUnsent}};
     wire::MeshMessage message;
-    message.__set_part_report(ToWire(report, kSenderNow));
-    const auto received = FromWire(Transmit(message).part_report, kReceiverNow);
+    message.__set_crash_report(ToWire(report, kSenderNow));
+    auto transmitted = Transmit(message).crash_report;
+    const auto received = FromWire(transmitted, kReceiverNow);
     const auto& end = received.ends.front();
-    CPPUNIT_ASSERT(end.engine == "10.0.0.1:80" && end.started_ms == 42);
+    CPPUNIT_ASSERT(end.endpoint == "10.0.0.1:80" && end.started_ms == 42);
     CPPUNIT_ASSERT(end.at == kReceiverNow - milliseconds(300));
-    CPPUNIT_ASSERT(end.parts == std::vector<std::string>({"a", "b"}));
+    CPPUNIT_ASSERT(end.subjects == subjects && end.service == "orders" && !end.confirmed);
     CPPUNIT_ASSERT(received.proofs.front().at == kReceiverNow - seconds(2));
-    CPPUNIT_ASSERT(received.proven_attempts == 7 && received.ended_attempts == 2);
-    CPPUNIT_ASSERT(received.refused == report.refused);
+    CPPUNIT_ASSERT(received.proofs[1].subject == subjects[2]);
+    const auto& totals = received.totals.at("orders");
+    CPPUNIT_ASSERT(totals.proven == 7 && totals.ended == 2);
+    CPPUNIT_ASSERT(received.refused == report.refused && received.asks == report.asks);
+    const auto& trial = received.trial_ends.front();
+    CPPUNIT_ASSERT(trial.subject == subjects[2] && trial.revision == 9);
+    CPPUNIT_ASSERT(trial.outcome == serving::TrialOutcome::kUnsent);
+    transmitted.trial_ends.front().outcome = 99;
+    CPPUNIT_ASSERT_THROW(FromWire(transmitted, kReceiverNow), MeshError);
   }
 
   // Guards against a verdict of another release that is taken for one of this one.
-  void PartVerdictsRejectUnknownStates() {
-    const serving::PartVerdictList list{5,
-                                        {{"a", serving::PartState::kCondemned, 1, {}},
-                                         {"b", serving::PartState::kOnTrial, 3, "p"}}};
+  void CrashVerdictsRejectUnknownStates() {
+    using serving::SubjectKind;
+    using serving::VerdictState;
+    const serving::CrashVerdictList list{
+        5,
+        {{{SubjectKind::kPromptPart, "a"}, VerdictState::kCondemned, 1, {}, 0, 2},
+         {{SubjectKind::kPromptPart, "b"}, VerdictState::kOnTrial, 3, "p", 0, 3},
+         {{SubjectKind::kRequest, "r"}, VerdictState::kHeld, 0, {}, 2, 5}}};
     wire::MeshMessage message;
-    message.__set_part_verdicts(ToWire(list));
-    auto received = Transmit(message).part_verdicts;
+    message.__set_crash_verdicts(ToWire(list));
+    auto received = Transmit(message).crash_verdicts;
     const auto decoded = FromWire(received);
-    CPPUNIT_ASSERT(decoded.revision == 5 && decoded.verdicts.size() == 2);
-    CPPUNIT_ASSERT(decoded.verdicts[1].state == serving::PartState::kOnTrial);
+    CPPUNIT_ASSERT(decoded.revision == 5 && decoded.verdicts.size() == 3);
+    CPPUNIT_ASSERT(decoded.verdicts[1].state == VerdictState::kOnTrial);
     CPPUNIT_ASSERT(decoded.verdicts[1].trial_process == "p" && decoded.verdicts[1].times == 3);
+    const auto& held = decoded.verdicts[2];
+    CPPUNIT_ASSERT(held.state == VerdictState::kHeld && held.subject.kind == SubjectKind::kRequest);
+    CPPUNIT_ASSERT(held.trials == 2 && held.revision == 5);
     received.rows.front().state = 99;
     CPPUNIT_ASSERT_THROW(FromWire(received), MeshError);
+    received.rows.front().state = 1;
+    received.rows.front().kind = 99;
+    CPPUNIT_ASSERT_THROW(FromWire(received), MeshError);
   }
 
   // Guards against a message of a faulty process that grants billions of permits or withdraws a
