Judge suspects by other attempts at the time of their ends only

Cause: the share of ended attempts that a sound subject would have was taken up to the present. A suspect has few attempts after its ends and others have many, so its ends seemed less likely with each second. Change: the share ends a second after the subject's last end, for parts as for requests.

--- a/src/serving/crash_evidence.cc
+++ b/src/serving/crash_evidence.cc
@@ -24,8 +24,8 @@
 constexpr Duration kTotalsTtl = std::chrono::seconds(60);
 // What is known of other attempts at the time of a subject's first end counts as well.
 constexpr Duration kTotalsBefore = std::chrono::seconds(1);
-// Few requests have as many ends as a request that is withheld from then on. What happens to others
-// long after its last end tells nothing of the time of its ends.
+// A suspect has few attempts after its ends, and others have many, which would make its ends seem
+// less and less likely.
 constexpr Duration kTotalsAfter = std::chrono::seconds(1);
 constexpr std::size_t kMaxServices = 64;
 constexpr std::size_t kMaxEndsPerSubject = 64;
@@ -162,13 +162,12 @@
     first = std::min(first, it.at);
     last = std::max(last, it.at);
   }
-  const bool ends_with_last = PolicyOf(subject).grants_trials();
   std::uint64_t proven = 0;
   std::uint64_t ended = 0;
   if (const auto totals = totals_.find(state.service); totals != totals_.end()) {
     for (const auto& it : totals->second) {
       if (it.from + kTotalsInterval < first - kTotalsBefore) continue;
-      if (ends_with_last && it.from > last + kTotalsAfter) continue;
+      if (it.from > last + kTotalsAfter) continue;
       proven += it.proven;
       ended += it.ended;
     }
--- a/tests/crash_request_test.cc
+++ b/tests/crash_request_test.cc
@@ -28,6 +28,9 @@
 constexpr Duration kContact = seconds(3);
 constexpr std::size_t kAllowedSends = 3;
 constexpr std::uint64_t kRandomRuns = 12;
+/// 38 condemned a sound part of which no attempt was proven while most endpoints were killed again
+/// and again, by attempts of others long after.
+constexpr std::uint64_t kSeedsOfFaults[] = {38};
 
 constexpr TimePoint kStart{seconds(1000)};
 constexpr Duration kStep = milliseconds(5);
@@ -853,6 +856,7 @@
     const std::uint64_t last = runs == nullptr ? kRandomRuns : std::strtoull(runs, nullptr, 10);
     std::string breaks;
     for (std::uint64_t seed = 1; seed <= last; ++seed) breaks += Breaks(RandomScenario(seed));
+    for (const auto seed : kSeedsOfFaults) breaks += Breaks(RandomScenario(seed));
     CPPUNIT_ASSERT_EQUAL(std::string(), breaks);
   }
 
