--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -13,11 +13,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -38,6 +40,34 @@
 constexpr int kBacklog = 512;
 constexpr double kBeatInterval = 1.2;
 
+// Processes that run, for the end of the rig by a signal or an error.
+constexpr std::size_t kMaxProcesses = 64;
+std::array<std::atomic<pid_t>, kMaxProcesses> running_processes;
+
+void EndProcesses() {
+  for (auto& it : running_processes) {
+    const pid_t pid = it.exchange(0);
+    if (pid > 0) kill(pid, SIGKILL);
+  }
+}
+
+void OnSignal(int /*signal*/) {
+  EndProcesses();
+  _exit(2);
+}
+
+void OnTerminate() {
+  EndProcesses();
+  _exit(2);
+}
+
+void ReplaceRunning(pid_t former, pid_t pid) {
+  for (auto& it : running_processes) {
+    pid_t expected = former;
+    if (it.compare_exchange_strong(expected, pid)) return;
+  }
+}
+
 std::mutex record_mutex;
 std::FILE* record_file = nullptr;
 
@@ -208,6 +238,9 @@
 Deployment::Deployment(std::string binary, int controls, int ingresses)
     : binary_(std::move(binary)), controls_(controls), ingresses_(ingresses) {
   std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  signal(SIGTERM, OnSignal);
+  signal(SIGINT, OnSignal);
+  std::set_terminate(OnTerminate);
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
   std::mt19937 random(static_cast<unsigned>(getpid()));
@@ -224,6 +257,7 @@
     kill(it.pid, SIGCONT);
     kill(it.pid, SIGKILL);
     waitpid(it.pid, nullptr, 0);
+    ReplaceRunning(it.pid, 0);
   }
   if (std::getenv("KEEP") != nullptr) {
     std::fprintf(stderr, "logs: %s\n", folder_.c_str());
@@ -287,6 +321,7 @@
       posix_spawn(&process.pid, binary_.c_str(), &actions, nullptr, argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) throw std::runtime_error("cannot start " + binary_);
+  ReplaceRunning(0, process.pid);
 }
 
 void Deployment::Start() {
@@ -325,6 +360,7 @@
   if (process.pid > 0) {
     kill(process.pid, SIGKILL);
     waitpid(process.pid, nullptr, 0);
+    ReplaceRunning(process.pid, 0);
   }
   Spawn(name);
 }
@@ -333,7 +369,10 @@
 
 bool Deployment::Ended(const std::string& name) {
   Process& process = processes_.at(name);
-  if (process.pid > 0 && waitpid(process.pid, nullptr, WNOHANG) == process.pid) process.pid = -1;
+  if (process.pid > 0 && waitpid(process.pid, nullptr, WNOHANG) == process.pid) {
+    ReplaceRunning(process.pid, 0);
+    process.pid = -1;
+  }
   return process.pid <= 0;
 }
 
