--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -18,8 +18,8 @@
 constexpr int kStreamClients = 18;
 constexpr int kPlainClients = 3;
 constexpr double kRunSeconds = 100;
-/// Seconds from the cut of a replica from the control machines to its end, within that of the site.
-constexpr double kCutSeconds = 5.5;
+/// Length of the cut of a replica from the control machines, as the pages have it.
+constexpr double kCutSeconds = 5;
 /// The replica's drain-timeout-ms and a little longer; it exits without a confirmation.
 constexpr double kExitAfter = 3.0;
 constexpr double kDownSeconds = 1.0;
--- a/review/rig/model.cc
+++ b/review/rig/model.cc
@@ -177,6 +177,7 @@
   if (stream || upload > 0) text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
   text += "\r\n";
   if (stream || upload > 0) text += body;
+  Record("send " + attempt_id);
   if (!channel->Write(text)) {
     drop();
     return outcome;
--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -39,6 +39,8 @@
 constexpr int kFirstIngressHost = 20;
 constexpr int kBacklog = 512;
 constexpr double kBeatInterval = 1.2;
+/// A run that takes longer has not played the case.
+constexpr double kMaxRunSeconds = 117;
 
 // Processes that run, for the end of the rig by a signal or an error.
 constexpr std::size_t kMaxProcesses = 64;
@@ -241,6 +243,10 @@
   signal(SIGTERM, OnSignal);
   signal(SIGINT, OnSignal);
   std::set_terminate(OnTerminate);
+  std::thread([] {
+    SleepFor(kMaxRunSeconds);
+    OnTerminate();
+  }).detach();
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("no temporary folder");
   folder_ = pattern;
   std::mt19937 random(static_cast<unsigned>(getpid()));
@@ -340,6 +346,7 @@
     std::string address = ControlAddress(i % controls_);
     for (int hops = 0; hops < 3; ++hops) {
       const auto reply = Call(address, "POST", target, body, 3.0);
+      Record("operator " + target + " to " + address + ", answer " + std::to_string(reply.status));
       if (reply.status / 100 == 2) return true;
       const std::string location = reply.message.Header("location");
       if (reply.status != 307 || !location.starts_with("http://")) break;
@@ -445,6 +452,8 @@
       for (int i = 0; i < 3 && !stop_; ++i) {
         const auto reply = Call(deployment.ControlAddress((sequence + i) % 3), "POST",
                                 "/replicas/" + id + "/heartbeat", body);
+        Record("announcement " + std::to_string(sequence) + " of " + id + ", answer " +
+               std::to_string(reply.status));
         if (reply.status / 100 != 2) continue;
         acknowledged_ = true;
         break;
