Restore endpoints that go on after a call to leave of an earlier incarnation

Cause: a call to leave names no incarnation. The process that gets it ended whatever incarnation it knew, and its tombstone rejected all announcements of that incarnation for 120 s. A call that a partition held up for seconds arrived after the endpoint had started again. A process that did not know the endpoint relayed an end without an incarnation, which ended any one elsewhere.

Change: a tombstone holds the time of its call and the last announcement before it. An incarnation whose announcements go on (three more numbers) 8 s after the call is in use again; until then the call is believed, so that late announcements bring back nobody who has left. An end of an unknown endpoint covers what started before the call only. The same end that is relayed again does not look younger. 3005 names the incarnation, 3020 and 3021 are new.

--- a/include/wagtailslip/process/events.h
+++ b/include/wagtailslip/process/events.h
@@ -47,6 +47,8 @@
   kCrashSubjectJudged = 3017,
   kCrashVerdictsInForce = 3018,
   kCrashTrialEnded = 3019,
+  kServiceEndpointRestored = 3020,
+  kAnnouncementIgnored = 3021,
   kRolloutAdvanced = 3101,
   kReplicaStateChanged = 3102,
   kOrderFailed = 3103,
--- a/include/wagtailslip/serving/instance_table.h
+++ b/include/wagtailslip/serving/instance_table.h
@@ -47,20 +47,38 @@
 /// two announcement intervals.
 inline constexpr Duration kServiceActiveWindow = std::chrono::milliseconds(2500);
 
+/// Longest time that an announcement spends on its way: a call that a network partition holds up
+/// arrives at the latest as long after the partition as it was held up.
+inline constexpr Duration kMaxAnnouncementDelay = std::chrono::seconds(8);
+/// Number of later announcements, beside kMaxAnnouncementDelay, that prove that an endpoint goes on
+/// although its end was recorded.
+inline constexpr std::int64_t kMinLaterAnnouncements = 3;
+
 /// Effect of an announcement on the table.
 enum class AnnouncementResult {
   kIgnored,    ///< Outdated or repeated, or a newer incarnation holds the id or the address.
   kRefreshed,  ///< Only the time of the announcement changed.
   kChanged,
+  kRestored,  ///< Changed: the endpoint goes on, so the call that ended it was of another
+              ///< incarnation.
 };
 
+/// Whether other processes should be told at once.
+inline bool Changed(AnnouncementResult result) {
+  return result == AnnouncementResult::kChanged || result == AnnouncementResult::kRestored;
+}
+
 /// The endpoints known from announcements. Announcements may arrive late, out of order and more
 /// than once: the newest incarnation of an id or an address wins, then the highest sequence number.
+/// The end of an endpoint covers its incarnation and all before it, except where later
+/// announcements prove that the incarnation goes on. docs/design.md, section 6.5.
 class InstanceTable {
  public:
+  /// Applies an announcement, or the end of an endpoint that another process relays (kGone).
   AnnouncementResult Apply(const EndpointRecord& record, TimePoint now);
-  /// Removes an endpoint that announces that it leaves.
-  /// @return its last record with state kGone and the next sequence number; with an empty id if the
+  /// Records that an endpoint calls to leave. The call names no incarnation, so it counts for the
+  /// one that is known.
+  /// @return record of the end with state kGone, to be relayed; with an empty id if the
   ///     endpoint is unknown
   EndpointRecord Leave(const std::string& id, TimePoint now);
   /// Removes endpoints without an announcement for `ttl` if another endpoint of their service
@@ -69,6 +87,8 @@
   /// @return the removed ids
   std::vector<std::string> Expire(Duration ttl, Duration recent, TimePoint now);
 
+  /// All endpoints, as the full state for another process.
+  std::vector<EndpointRecord> Snapshot() const;
   const EndpointRecord* Find(const std::string& id) const;
   const EndpointRecord* FindByAddress(const std::string& address) const;
   const std::map<std::string, EndpointRecord>& endpoints() const { return endpoints_; }
@@ -80,10 +100,22 @@
   struct Tombstone {
     std::int64_t started_ms = 0;
     TimePoint at{};
+    /// The incarnation that may prove that it goes on, and its last announcement before the end.
+    /// `started_ms` of an end that names no incarnation is the time of the call to leave, which may
+    /// cover several; the newest of them counts.
+    std::int64_t known_started_ms = 0;
+    std::int64_t known_sequence = 0;
   };
-  /// Whether the record belongs to an incarnation that was removed.
-  bool HasTombstone(const EndpointRecord& record) const;
-  void Remove(const std::string& id, TimePoint now);
+  /// Whether an announcement proves that its endpoint goes on.
+  static bool GoesOn(const EndpointRecord& record, const Tombstone& tombstone);
+  AnnouncementResult ApplyEnd(const EndpointRecord& end, TimePoint now);
+  /// Whether a tombstone covers the incarnation of an announcement, which does not prove that it
+  /// goes on.
+  bool IsEnded(const EndpointRecord& record);
+  /// Adds a tombstone, or merges it into the one that is there.
+  /// @return the tombstone in force
+  Tombstone& AddTombstone(const std::string& id, const Tombstone& tombstone);
+  void Remove(const std::string& id);
 
   std::map<std::string, EndpointRecord> endpoints_;
   /// Endpoint ids by address.
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -237,7 +237,7 @@
   if (!node_.LinkedToMajority()) {
     co_return co_await RespondUnavailable(exchange, "too few control processes are linked");
   }
-  node_.Leave(endpoint, MonotonicNow());
+  node_.Leave(endpoint, process::UtcNow(), MonotonicNow());
   const std::string body = "{}";
   co_await exchange.Respond(200, body);
 }
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -45,6 +45,14 @@
   return w;
 }
 
+void LogRestored(const serving::EndpointRecord& record, TimePoint now) {
+  LogEvent(Event::kServiceEndpointRestored,
+           {{"endpoint", record.id},
+            {"started_ms", record.started_ms},
+            {"sequence", record.sequence},
+            {"age_ms", ToMilliseconds(now - record.announced_at)}});
+}
+
 }  // namespace
 
 ControlNode::ControlNode(net::asio::io_context& context, const deployment::NodeSettings& settings,
@@ -193,9 +201,7 @@
   SendMembers(member.process);
   wire::MeshMessage message;
   message.__isset.instances = true;
-  for (const auto& [id, record] : table_.endpoints()) {
-    message.instances.push_back(mesh::ToWire(record, now));
-  }
+  for (const auto& it : table_.Snapshot()) message.instances.push_back(mesh::ToWire(it, now));
   message.__isset.targets = true;
   for (const auto& [model, targets] : log_->state().targets) {
     for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
@@ -260,9 +266,9 @@
   wire::MeshMessage relayed;
   for (const auto& it : records) {
     const auto record = mesh::FromWire(it, now);
-    if (table_.Apply(record, now) == serving::AnnouncementResult::kChanged) {
-      relayed.instances.push_back(it);
-    }
+    const auto result = table_.Apply(record, now);
+    if (result == serving::AnnouncementResult::kRestored) LogRestored(record, now);
+    if (serving::Changed(result)) relayed.instances.push_back(it);
   }
   if (relayed.instances.empty()) return;
   relayed.__isset.instances = true;
@@ -274,8 +280,14 @@
 void ControlNode::Announce(serving::EndpointRecord record, TimePoint now) {
   record.announced_at = now;
   const auto result = table_.Apply(record, now);
-  if (result == serving::AnnouncementResult::kIgnored) return;
-  const bool changed = result == serving::AnnouncementResult::kChanged;
+  if (result == serving::AnnouncementResult::kIgnored) {
+    LogEvent(Event::kAnnouncementIgnored, {{"endpoint", record.id},
+                                           {"started_ms", record.started_ms},
+                                           {"sequence", record.sequence}});
+    return;
+  }
+  if (result == serving::AnnouncementResult::kRestored) LogRestored(record, now);
+  const bool changed = serving::Changed(result);
   if (changed) {
     LogEvent(Event::kServiceEndpointChanged,
              {{"endpoint", record.id},
@@ -289,15 +301,25 @@
   Relay(record, changed, now);
 }
 
-void ControlNode::Leave(const std::string& id, TimePoint now) {
+void ControlNode::Leave(const std::string& id, UtcTime utc_now, TimePoint now) {
   auto record = table_.Leave(id, now);
-  if (record.id.empty()) {
-    // Unknown here, but another control process may have the endpoint: relay the removal.
+  const bool known = !record.id.empty();
+  if (!known) {
+    // Unknown here, but another control process may have the endpoint: relay the removal of what
+    // has started before the call.
     record.id = id;
+    record.started_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(utc_now.time_since_epoch()).count();
     record.state = serving::EndpointState::kGone;
     record.announced_at = now;
+    table_.Apply(record, now);
   }
-  LogEvent(Event::kServiceEndpointGone, {{"endpoint", id}, {"reason", "left"}});
+  LogEvent(Event::kServiceEndpointGone, {{"endpoint", id},
+                                         {"reason", "left"},
+                                         {"known", known},
+                                         {"started_ms", record.started_ms},
+                                         {"sequence", record.sequence},
+                                         {"age_ms", ToMilliseconds(now - record.announced_at)}});
   Relay(record, true, now);
 }
 
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -44,7 +44,8 @@
   /// Applies an endpoint's announcement and relays it to linked processes.
   void Announce(serving::EndpointRecord record, TimePoint now);
   /// Removes an endpoint that is leaving and relays the removal.
-  void Leave(const std::string& id, TimePoint now);
+  /// @param utc_now present UTC time; an endpoint that is unknown here has started before it
+  void Leave(const std::string& id, UtcTime utc_now, TimePoint now);
   /// Tells the sidecars to fetch a weights version that an operator has named, while the command is
   /// still being committed.
   void PrefetchWeights(const std::string& model, std::int64_t version);
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -143,13 +143,14 @@
   if (message.__isset.instances) {
     for (const auto& it : message.instances) {
       const auto record = mesh::FromWire(it, now);
-      if (table_.Apply(record, now) != serving::AnnouncementResult::kChanged) continue;
+      if (!serving::Changed(table_.Apply(record, now))) continue;
       crash_guard_.OnIncarnation(record.address, record.started_ms, now);
       LogEvent(Event::kServiceEndpointChanged,
                {{"endpoint", record.id},
                 {"service", record.service},
                 {"state", serving::kEndpointStates.Name(record.state)},
                 {"weights", record.weights},
+                {"started_ms", record.started_ms},
                 {"from", from.process},
                 {"age_ms", ToMilliseconds(now - record.announced_at)}});
     }
--- a/src/serving/instance_table.cc
+++ b/src/serving/instance_table.cc
@@ -19,71 +19,131 @@
 
 }  // namespace
 
-bool InstanceTable::HasTombstone(const EndpointRecord& record) const {
+bool InstanceTable::GoesOn(const EndpointRecord& record, const Tombstone& tombstone) {
+  // Announcements that were sent before the call to leave may arrive after it, and with higher
+  // numbers than this process knows, but not for longer than kMaxAnnouncementDelay.
+  return record.started_ms == tombstone.known_started_ms &&
+         record.sequence >= tombstone.known_sequence + kMinLaterAnnouncements &&
+         record.announced_at - tombstone.at >= kMaxAnnouncementDelay;
+}
+
+bool InstanceTable::IsEnded(const EndpointRecord& record) {
   const auto it = tombstones_.find(record.id);
-  return it != tombstones_.end() && record.started_ms <= it->second.started_ms;
+  if (it == tombstones_.end() || record.started_ms > it->second.started_ms) return false;
+  Tombstone& tombstone = it->second;
+  if (GoesOn(record, tombstone)) return false;
+  if (record.started_ms > tombstone.known_started_ms) {
+    tombstone.known_started_ms = record.started_ms;
+    tombstone.known_sequence = record.sequence;
+  }
+  return true;
+}
+
+InstanceTable::Tombstone& InstanceTable::AddTombstone(const std::string& id,
+                                                      const Tombstone& tombstone) {
+  if (tombstones_.size() >= kMaxTombstones) tombstones_.clear();
+  const auto [it, added] = tombstones_.try_emplace(id, tombstone);
+  Tombstone& known = it->second;
+  if (added || tombstone.started_ms < known.started_ms) return known;
+  if (tombstone.started_ms > known.started_ms) return known = tombstone;
+  if (tombstone.known_started_ms != known.known_started_ms) {
+    if (tombstone.known_started_ms > known.known_started_ms) known = tombstone;
+  } else if (tombstone.known_sequence > known.known_sequence) {
+    known = tombstone;
+  } else if (tombstone.known_sequence == known.known_sequence) {
+    // The same end: each process that relays it makes it look younger.
+    known.at = std::min(known.at, tombstone.at);
+  }
+  return known;
 }
 
-void InstanceTable::Remove(const std::string& id, TimePoint now) {
+void InstanceTable::Remove(const std::string& id) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return;
   const auto at = by_address_.find(it->second.address);
   if (at != by_address_.end() && at->second == id) by_address_.erase(at);
-  if (tombstones_.size() >= kMaxTombstones) tombstones_.clear();
-  tombstones_[id] = {it->second.started_ms, now};
   endpoints_.erase(it);
   ++revision_;
 }
 
+AnnouncementResult InstanceTable::ApplyEnd(const EndpointRecord& end, TimePoint) {
+  const auto it = endpoints_.find(end.id);
+  const EndpointRecord* known = it == endpoints_.end() ? nullptr : &it->second;
+  // The sequence number of an end that names no incarnation is 0. Earlier releases give it no time
+  // either, and mean any incarnation.
+  const bool names_incarnation = end.sequence > 0;
+  Tombstone tombstone{end.started_ms, end.announced_at, names_incarnation ? end.started_ms : 0,
+                      end.sequence};
+  if (end.started_ms == 0 && known != nullptr) tombstone.started_ms = known->started_ms;
+  const Tombstone& in_force = AddTombstone(end.id, tombstone);
+  if (known == nullptr || known->started_ms > in_force.started_ms || GoesOn(*known, in_force)) {
+    return AnnouncementResult::kIgnored;
+  }
+  // The process that relays an end may have missed announcements.
+  Tombstone seen = in_force;
+  if (known->started_ms >= seen.known_started_ms) {
+    seen.known_sequence = known->started_ms > seen.known_started_ms
+                              ? known->sequence
+                              : std::max(seen.known_sequence, known->sequence);
+    seen.known_started_ms = known->started_ms;
+  }
+  tombstones_[end.id] = seen;
+  Remove(end.id);
+  return AnnouncementResult::kChanged;
+}
+
 AnnouncementResult InstanceTable::Apply(const EndpointRecord& record, TimePoint now) {
-  if (HasTombstone(record)) return AnnouncementResult::kIgnored;
+  if (record.state == EndpointState::kGone) return ApplyEnd(record, now);
+  if (IsEnded(record)) return AnnouncementResult::kIgnored;
   const auto it = endpoints_.find(record.id);
   const EndpointRecord* known = it == endpoints_.end() ? nullptr : &it->second;
-  // A leave announcement is final for its incarnation. It applies even with a lower sequence
-  // number: the process that relays it may have missed announcements, or may not know the endpoint,
-  // in which case started_ms is 0.
-  if (record.state == EndpointState::kGone && known != nullptr &&
-      (record.started_ms == 0 || record.started_ms >= known->started_ms)) {
-    Remove(record.id, now);
-    return AnnouncementResult::kChanged;
-  }
   if (known != nullptr) {
     if (record.started_ms < known->started_ms) return AnnouncementResult::kIgnored;
     if (record.started_ms == known->started_ms && record.sequence <= known->sequence) {
       return AnnouncementResult::kIgnored;
     }
   }
-  if (record.state == EndpointState::kGone) {
-    tombstones_[record.id] = {record.started_ms, now};
-    return AnnouncementResult::kIgnored;
-  }
   // An address belongs to the incarnation that started last. Delayed announcements of an older one
   // may still arrive.
   const auto holder = by_address_.find(record.address);
   if (holder != by_address_.end() && holder->second != record.id) {
     const auto other = endpoints_.find(holder->second);
     if (other != endpoints_.end()) {
-      if (other->second.started_ms > record.started_ms) return AnnouncementResult::kIgnored;
-      Remove(std::string(holder->second), now);
+      const EndpointRecord& replaced = other->second;
+      if (replaced.started_ms > record.started_ms) return AnnouncementResult::kIgnored;
+      AddTombstone(replaced.id, {replaced.started_ms, now, replaced.started_ms, replaced.sequence});
+      Remove(std::string(holder->second));
     }
   }
+  const auto tombstone = tombstones_.find(record.id);
+  const bool restored =
+      tombstone != tombstones_.end() && record.started_ms <= tombstone->second.started_ms;
+  if (restored) tombstones_.erase(tombstone);
   const bool changed = known == nullptr || !SameContent(*known, record);
   if (known != nullptr && known->address != record.address) by_address_.erase(known->address);
   by_address_[record.address] = record.id;
   endpoints_[record.id] = record;
-  if (changed) ++revision_;
-  return changed ? AnnouncementResult::kChanged : AnnouncementResult::kRefreshed;
+  if (!changed) return AnnouncementResult::kRefreshed;
+  ++revision_;
+  return restored ? AnnouncementResult::kRestored : AnnouncementResult::kChanged;
 }
 
 EndpointRecord InstanceTable::Leave(const std::string& id, TimePoint now) {
   const auto it = endpoints_.find(id);
   if (it == endpoints_.end()) return {};
-  EndpointRecord record = it->second;
-  record.state = EndpointState::kGone;
-  ++record.sequence;
-  record.announced_at = now;
-  Remove(id, now);
-  return record;
+  EndpointRecord end = it->second;
+  end.state = EndpointState::kGone;
+  ++end.sequence;
+  end.announced_at = now;
+  AddTombstone(id, {end.started_ms, now, end.started_ms, end.sequence});
+  Remove(id);
+  return end;
+}
+
+std::vector<EndpointRecord> InstanceTable::Snapshot() const {
+  std::vector<EndpointRecord> records;
+  for (const auto& [id, record] : endpoints_) records.push_back(record);
+  return records;
 }
 
 std::vector<std::string> InstanceTable::Expire(Duration ttl, Duration recent, TimePoint now) {
@@ -99,9 +159,9 @@
   for (const auto& id : stale) {
     // An endpoint that was only disconnected announces itself again under the same incarnation, so
     // the tombstone covers only earlier incarnations.
-    const std::int64_t started = endpoints_.at(id).started_ms;
-    Remove(id, now);
-    tombstones_[id] = {started - 1, now};
+    const std::int64_t earlier = endpoints_.at(id).started_ms - 1;
+    Remove(id);
+    AddTombstone(id, {earlier, now, earlier, 0});
   }
   std::erase_if(tombstones_,
                 [now](const auto& row) { return now - row.second.at >= kTombstoneTtl; });
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -148,6 +148,8 @@
   CPPUNIT_TEST(DoesNotRestoreAnEndpointThatLeft);
   CPPUNIT_TEST(AppliesALeaveWithoutIncarnation);
   CPPUNIT_TEST(AppliesALeaveWithALowerSequence);
+  CPPUNIT_TEST(RestoresAnEndpointThatGoesOn);
+  CPPUNIT_TEST(EndsOnlyWhatStartedBeforeACallToLeave);
   CPPUNIT_TEST(KeepsAServiceWithoutAnyAnnouncements);
   CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +230,71 @@
     CPPUNIT_ASSERT(table.Apply(gone, now) == AnnouncementResult::kIgnored);
   }
 
+  // Guards against two faults: a call to leave that was held up ends the next incarnation of the
+  // endpoint for good; announcements that were held up bring an endpoint back that has left.
+  void RestoresAnEndpointThatGoesOn() {
+    struct Row {
+      const char* name;
+      std::int64_t sequence;
+      Duration after_leave;
+      AnnouncementResult expected;
+    };
+    const Row rows[] = {
+        {"sent before the call", 4, seconds(60), AnnouncementResult::kIgnored},
+        {"numbers rise, but may have been sent before the call", 9,
+         kMaxAnnouncementDelay - milliseconds(1), AnnouncementResult::kIgnored},
+        {"late, and few numbers after the last one known", 4 + kMinLaterAnnouncements,
+         kMaxAnnouncementDelay, AnnouncementResult::kIgnored},
+        {"numbers rise for longer than a call is on its way", 5 + kMinLaterAnnouncements,
+         kMaxAnnouncementDelay, AnnouncementResult::kRestored},
+    };
+    const TimePoint left_at = At(seconds(1));
+    for (const bool relayed : {false, true}) {
+      for (const auto& row : rows) {
+        InstanceTable table;
+        table.Apply(Record("i", 5, 4), left_at);
+        const auto end = table.Leave("i", left_at);
+        InstanceTable other;
+        other.Apply(Record("i", 5, 4), left_at);
+        other.Apply(end, left_at);
+        auto record = Record("i", 5, row.sequence);
+        record.announced_at = left_at + row.after_leave;
+        InstanceTable& judged = relayed ? other : table;
+        CPPUNIT_ASSERT_MESSAGE(row.name, judged.Apply(record, record.announced_at) == row.expected);
+        const bool restored = row.expected == AnnouncementResult::kRestored;
+        CPPUNIT_ASSERT_MESSAGE(row.name, (judged.Find("i") != nullptr) == restored);
+        // The end is learned again, later, from a process that has heard nothing since.
+        judged.Apply(end, record.announced_at);
+        CPPUNIT_ASSERT_MESSAGE(row.name, (judged.Find("i") != nullptr) == restored);
+      }
+    }
+  }
+
+  // Guards against a call to leave, at a process that does not know the endpoint, which ends an
+  // incarnation elsewhere that started after the call.
+  void EndsOnlyWhatStartedBeforeACallToLeave() {
+    const TimePoint now = At(seconds(1));
+    EndpointRecord end;
+    end.id = "i";
+    end.started_ms = 100;
+    end.state = EndpointState::kGone;
+    end.announced_at = now;
+    struct Row {
+      std::int64_t started_ms;
+      bool remains;
+    };
+    for (const Row& row : {Row{99, false}, Row{100, false}, Row{101, true}}) {
+      for (const bool end_first : {false, true}) {
+        InstanceTable table;
+        if (end_first) table.Apply(end, now);
+        table.Apply(Record("i", row.started_ms, 4), now);
+        if (!end_first) table.Apply(end, now);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(std::to_string(row.started_ms), row.remains,
+                                     table.Find("i") != nullptr);
+      }
+    }
+  }
+
   // Guards against removing all endpoints of a service because announcements do not arrive.
   void KeepsAServiceWithoutAnyAnnouncements() {
     InstanceTable table;
