Make the ends of endpoints a part of the full state on a new link

Cause: an end was sent once, over the links that were up. A new link began with the endpoints that were there, and the receiver added them to what it had, so a process without a link at that moment (frozen, cut off, restarted, with a full queue) kept the endpoint until it expired. Tombstones were also cleared as a whole once there were 10,000.

A full table discards its oldest end. A control process logs 3005 for an end that it learns from another one, with its age.

Conclusion: the order in which a process hears of ends does not matter any more, nor whether it was there when they were told.

--- a/include/wagtailslip/serving/instance_table.h
+++ b/include/wagtailslip/serving/instance_table.h
@@ -87,7 +87,8 @@
   /// @return the removed ids
   std::vector<std::string> Expire(Duration ttl, Duration recent, TimePoint now);
 
-  /// All endpoints, as the full state for another process.
+  /// All that is known, as the full state for another process: the endpoints, and the ends of those
+  /// that are gone with state kGone.
   std::vector<EndpointRecord> Snapshot() const;
   const EndpointRecord* Find(const std::string& id) const;
   const EndpointRecord* FindByAddress(const std::string& address) const;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -230,7 +230,7 @@
   if (message.__isset.members && from.kind == MemberKind::kControl) {
     control_discovery_.UpdateFrom(from.process, message.members);
   }
-  if (message.__isset.instances) OnRecords(message.instances, now);
+  if (message.__isset.instances) OnRecords(from, message.instances, now);
   if (message.__isset.expected) {
     for (const auto& it : message.expected) {
       RelayPrefetch(it.model, it.version, {MemberKind::kSidecar});
@@ -262,13 +262,22 @@
   }
 }
 
-void ControlNode::OnRecords(const std::vector<wire::InstanceRecord>& records, TimePoint now) {
+void ControlNode::OnRecords(const mesh::Member& from,
+                            const std::vector<wire::InstanceRecord>& records, TimePoint now) {
   wire::MeshMessage relayed;
   for (const auto& it : records) {
     const auto record = mesh::FromWire(it, now);
     const auto result = table_.Apply(record, now);
     if (result == serving::AnnouncementResult::kRestored) LogRestored(record, now);
-    if (serving::Changed(result)) relayed.instances.push_back(it);
+    if (!serving::Changed(result)) continue;
+    relayed.instances.push_back(it);
+    if (record.state != serving::EndpointState::kGone) continue;
+    LogEvent(Event::kServiceEndpointGone, {{"endpoint", record.id},
+                                           {"reason", "left"},
+                                           {"from", from.process},
+                                           {"started_ms", record.started_ms},
+                                           {"sequence", record.sequence},
+                                           {"age_ms", ToMilliseconds(now - record.announced_at)}});
   }
   if (relayed.instances.empty()) return;
   relayed.__isset.instances = true;
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -92,11 +92,14 @@
   void SendVerdicts(TimePoint now);
   /// Discards the limits of endpoints that are gone.
   void PruneLimits(TimePoint now);
-  void OnRecords(const std::vector<wire::InstanceRecord>& records, TimePoint now);
+  void OnRecords(const mesh::Member& from, const std::vector<wire::InstanceRecord>& records,
+                 TimePoint now);
   void OnStateChange(TimePoint now);
   void Tick();
   void UpdateLinks();
   void SendMembers(const std::string& process);
+  /// Sends what this process knows over a new link, ends of endpoints included: the process at the
+  /// other side may have missed them.
   void SendFullState(const mesh::Member& member, TimePoint now);
   void SendConfig(TimePoint now);
   void SendTargets(TimePoint now);
--- a/src/serving/instance_table.cc
+++ b/src/serving/instance_table.cc
@@ -8,6 +8,7 @@
 // Longer than an announcement can be in transit, so that a late one does not add a removed endpoint
 // again.
 constexpr Duration kTombstoneTtl = std::chrono::seconds(120);
+// The oldest one makes room for another.
 constexpr std::size_t kMaxTombstones = 10000;
 
 bool SameContent(const EndpointRecord& a, const EndpointRecord& b) {
@@ -41,7 +42,11 @@
 
 InstanceTable::Tombstone& InstanceTable::AddTombstone(const std::string& id,
                                                       const Tombstone& tombstone) {
-  if (tombstones_.size() >= kMaxTombstones) tombstones_.clear();
+  if (tombstones_.size() >= kMaxTombstones && !tombstones_.contains(id)) {
+    tombstones_.erase(
+        std::min_element(tombstones_.begin(), tombstones_.end(),
+                         [](const auto& a, const auto& b) { return a.second.at < b.second.at; }));
+  }
   const auto [it, added] = tombstones_.try_emplace(id, tombstone);
   Tombstone& known = it->second;
   if (added || tombstone.started_ms < known.started_ms) return known;
@@ -143,6 +148,15 @@
 std::vector<EndpointRecord> InstanceTable::Snapshot() const {
   std::vector<EndpointRecord> records;
   for (const auto& [id, record] : endpoints_) records.push_back(record);
+  for (const auto& [id, tombstone] : tombstones_) {
+    EndpointRecord& end = records.emplace_back();
+    end.id = id;
+    end.started_ms = tombstone.started_ms;
+    end.sequence =
+        tombstone.known_started_ms == tombstone.started_ms ? tombstone.known_sequence : 0;
+    end.state = EndpointState::kGone;
+    end.announced_at = tombstone.at;
+  }
   return records;
 }
 
--- a/tests/endpoint_state_test.cc
+++ b/tests/endpoint_state_test.cc
@@ -25,8 +25,11 @@
 const Row kRows[] = {
     {{"calm, small", 3, 4, 6, false, false, seconds(60)}, 40},
     {{"calls held up, small", 3, 4, 6, false, true, seconds(60)}, 120},
-    {{"calls held up, large", 9, 59, 24, false, true, seconds(60)}, 6},
-    {{"calls held up, target", 9, 360, 24, false, true, seconds(40)}, 1},
+    {{"faults of processes, small", 3, 4, 6, true, false, seconds(60)}, 120},
+    {{"faults and calls held up, small", 3, 4, 6, true, true, seconds(60)}, 120},
+    {{"faults and calls held up, medium", 5, 18, 12, true, true, seconds(60)}, 30},
+    {{"faults and calls held up, large", 9, 59, 24, true, true, seconds(60)}, 6},
+    {{"faults and calls held up, target", 9, 360, 24, true, true, seconds(40)}, 1},
 };
 
 Duration Median(std::vector<Duration> values) {
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(AppliesALeaveWithALowerSequence);
   CPPUNIT_TEST(RestoresAnEndpointThatGoesOn);
   CPPUNIT_TEST(EndsOnlyWhatStartedBeforeACallToLeave);
+  CPPUNIT_TEST(TellsOthersOfTheEndsItKnows);
   CPPUNIT_TEST(KeepsAServiceWithoutAnyAnnouncements);
   CPPUNIT_TEST_SUITE_END();
 
@@ -295,6 +296,30 @@
     }
   }
 
+  // Guards against an endpoint that has left and remains in use at a process that missed its end,
+  // and against an end that is kept longer each time it is passed on.
+  void TellsOthersOfTheEndsItKnows() {
+    constexpr int kEnds = 11000;
+    InstanceTable table;
+    for (int i = 0; i < kEnds; ++i) {
+      const TimePoint now = At(milliseconds(i));
+      const std::string id = std::to_string(i);
+      table.Apply(Record(id, 5, 4, "10.0.0.1:" + id), now);
+      table.Leave(id, now);
+    }
+    InstanceTable other;
+    const std::string last = std::to_string(kEnds - 1);
+    other.Apply(Record(last, 5, 7), At(seconds(1)));
+    for (const auto& it : table.Snapshot()) other.Apply(it, At(seconds(60)));
+    CPPUNIT_ASSERT(other.Find(last) == nullptr);
+    // The oldest ends made room for the others.
+    const auto ends = other.Snapshot();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10000}, ends.size());
+    for (const auto& it : ends) CPPUNIT_ASSERT(it.announced_at >= At(milliseconds(kEnds - 10000)));
+    other.Expire(kEndpointTtl, kServiceActiveWindow, At(seconds(200)));
+    CPPUNIT_ASSERT(other.Snapshot().empty());
+  }
+
   // Guards against removing all endpoints of a service because announcements do not arrive.
   void KeepsAServiceWithoutAnyAnnouncements() {
     InstanceTable table;
