End requests at their deadline whatever they wait for

Cause: the deadline was the timeout of a single read. A read that finds bytes at once never times out, and a write to a caller that does not read had 30 s of its own.

Change: the deadline belongs to the request. The wait for a retry permit and the probe of an endpoint end with it. A connection that the process gives up itself is no evidence that its endpoint has ended. The HTTP server ends a request that goes on arriving beyond its read timeout in the same way (by reading; not tested).

--- a/include/wagtailslip/net/http_server.h
+++ b/include/wagtailslip/net/http_server.h
@@ -69,6 +69,8 @@
   bool responded() const { return responded_; }
   bool stream_open() const { return stream_open_; }
   bool keep_alive() const { return keep_alive_; }
+  /// Ends a write that waits for the caller to read; it fails, and the connection is closed.
+  void Abort();
   /// Closes the connection after this answer.
   void CloseAfter() { keep_alive_ = false; }
   /// Calls `on_gone` once if the caller closes the connection before this exchange ends. A caller
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -51,6 +51,7 @@
       caller_state_(std::make_shared<CallerState>()) {}
 
 Exchange::~Exchange() {
+  if (deadline_key_) node_.deadlines().Remove(*deadline_key_);
   for (const auto& it : trials_) node_.crash_guard().EndTrial(it);
 }
 
@@ -82,8 +83,12 @@
   return request_key_;
 }
 
-Duration Exchange::TimeLeft() const {
-  return std::min(deadline_, node_.answer_by()) - MonotonicNow();
+Duration Exchange::TimeLeft() const { return AnswerBy() - MonotonicNow(); }
+
+void Exchange::CallerState::EndWaits() {
+  if (timer != nullptr) timer->cancel();
+  if (upstream != nullptr) upstream->Close();
+  if (stream_write != nullptr) stream_write->Abort();
 }
 
 Task<void> Exchange::Respond(unsigned status, std::string_view reason,
@@ -147,6 +152,10 @@
     objective_missed_ = *request_.time_left + LatencyObjective() < longest_recent;
   }
   deadline_ = received_at_ + time_limit;
+  deadline_key_ = node_.deadlines().Add(deadline_, [state = caller_state_] {
+    state->deadline_passed = true;
+    state->EndWaits();
+  });
   co_return true;
 }
 
@@ -295,7 +304,7 @@
 }
 
 Task<void> Exchange::WaitForRetryPermit() {
-  const TimePoint until = MonotonicNow() + kMaxRetryPermitWait;
+  const TimePoint until = std::min(MonotonicNow() + kMaxRetryPermitWait, AnswerBy());
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   asio::steady_timer timer(executor);
   for (TimePoint now = MonotonicNow(); now < until; now = MonotonicNow()) {
@@ -410,8 +419,7 @@
   if (!co_await ResolveRoute()) co_return;
   caller_.WatchCaller([state = caller_state_] {
     state->disconnected = true;
-    if (state->timer != nullptr) state->timer->cancel();
-    if (state->upstream != nullptr) state->upstream->Close();
+    state->EndWaits();
   });
   node_.CountRequest(service_, received_at_);
   if (!co_await AdmitSubjects()) co_return;
@@ -452,8 +460,9 @@
       outcome = co_await Attempt(placed);
     } catch (const net::NetError&) {
       // Attempt() turns errors of the upstream connection into outcomes, so this error comes from
-      // the caller's connection.
+      // the caller's connection, which the deadline may have closed.
       caller_state_->upstream = nullptr;
+      if (caller_state_->deadline_passed) outcome = AttemptOutcome::kDeadlineExceeded;
     }
     node_.ReturnPermit(placed, MonotonicNow());
     ReportOutcome(placed, outcome);
@@ -470,17 +479,18 @@
     TimePoint now = MonotonicNow();
     // A further endpoint may end under the request as well.
     const bool may_repeat = SubjectsAllowRepeat();
-    if (may_repeat && serving::NeedsRetry(*route_, history_, outcome, deadline_ - now)) {
+    if (may_repeat && serving::NeedsRetry(*route_, history_, outcome, AnswerBy() - now)) {
       co_await WaitForRetryPermit();
       now = MonotonicNow();
     }
     bool asked_for_retry = false;
-    const NextStep step = serving::DecideNextStep(*route_, history_, outcome, deadline_ - now, [&] {
-      asked_for_retry = may_repeat;
-      if (!may_repeat) return false;
-      metrics_.Add(Counter::kRetries);
-      return node_.TakeRetry(service_, now);
-    });
+    const NextStep step =
+        serving::DecideNextStep(*route_, history_, outcome, AnswerBy() - now, [&] {
+          asked_for_retry = may_repeat;
+          if (!may_repeat) return false;
+          metrics_.Add(Counter::kRetries);
+          return node_.TakeRetry(service_, now);
+        });
     LogAttempt(placed, outcome, step, asked_for_retry, attempt_started, now);
     if (step == NextStep::kTryAnother || step == NextStep::kContinueStream) {
       const auto blocked = node_.crash_guard().Blocked(Subjects(), trials_, now);
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,11 +28,17 @@
   net::Task<void> Run();
 
  private:
-  /// State shared with the disconnect handler, which cancels `timer` and closes `upstream` if set.
+  /// State shared with the handlers of the caller's disconnection and of the deadline, which end
+  /// what the request waits for.
   struct CallerState {
     bool disconnected = false;
+    bool deadline_passed = false;
     net::asio::steady_timer* timer = nullptr;
     net::HttpConnection* upstream = nullptr;
+    /// The caller's connection while an event is written to it.
+    net::HttpExchange* stream_write = nullptr;
+
+    void EndWaits();
   };
   /// Next bytes of an endpoint's response body; without bytes the body has ended or the read
   /// failed.
@@ -89,6 +96,9 @@
   net::Task<serving::AttemptOutcome> RelayStream(net::HttpConnection& upstream,
                                                  const net::HttpResponse& response,
                                                  const platform::EndpointResponse& decoded);
+  /// Writes a part of the stream to the caller, until the deadline at most: a caller that does not
+  /// read would hold the endpoint.
+  net::Task<void> WriteStream(net::Task<void> write);
   /// Relays the events that the caller does not have yet, up to the first gap.
   /// @return false if the event ids have a gap
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
@@ -120,6 +130,8 @@
   const std::string& RequestKey();
   Duration LatencyObjective() const;
   Duration TimeLeft() const;
+  /// The request's deadline, or the earlier time by which a stopping process answers.
+  TimePoint AnswerBy() const { return std::min(deadline_, node_.answer_by()); }
   /// Time from the arrival of the request to the first event; -1 if there was none.
   double FirstEventMs() const;
   /// Longest wait for the next bytes of the endpoint's response.
@@ -139,6 +151,7 @@
   std::string service_;
   const serving::EngineProfile* engine_ = nullptr;
   TimePoint deadline_{};
+  std::optional<RequestDeadlines::Key> deadline_key_;
   /// The caller retries after a refusal, and the latency objective is missed already.
   bool objective_missed_ = false;
   std::shared_ptr<CallerState> caller_state_;
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -77,7 +77,11 @@
     refused = true;
   }
   const TimePoint now = MonotonicNow();
-  if (refused) node_.crash_guard().OnEndpointEnded(placed.address, placed.started_ms, now);
+  // This process closes the connection when the caller has left or the deadline has passed.
+  const bool given_up = caller_state_->disconnected || caller_state_->deadline_passed;
+  if (refused && !given_up) {
+    node_.crash_guard().OnEndpointEnded(placed.address, placed.started_ms, now);
+  }
   node_.OnConnect(placed.id, now - connect_started, now);
   const std::string model = engine_ == nullptr ? std::string() : engine_->model;
   auto outcome = AttemptOutcome::kNotConnected;
@@ -176,12 +180,14 @@
   if (left) co_return guard.OnCallerLeft(attempt, ended_at);
   guard.OnBroken(attempt, ended_at);
   if (guard.KnownEnded(placed.address, placed.started_ms)) co_return;
+  if (TimeLeft() <= Duration::zero()) co_return;
+  const Duration timeout = std::min(TimeLeft(), kEndProbeTimeout);
   // An endpoint that has ended refuses connections; one that only broke off its response does not.
   net::HttpConnection probe(co_await asio::this_coro::executor);
   bool refused = false;
   bool reached = true;
   try {
-    co_await probe.Connect(net::ParseAddress(placed.address), kEndProbeTimeout);
+    co_await probe.Connect(net::ParseAddress(placed.address), timeout);
   } catch (const net::TimeoutError&) {
     reached = false;
   } catch (const net::NetError&) {
@@ -229,12 +235,12 @@
                                                 const platform::EndpointResponse& decoded) {
   std::string body;
   ReadResult read = co_await ReadBodyPart(upstream);
-  while (read.bytes) {
+  while (read.bytes && !caller_state_->deadline_passed) {
     body += *read.bytes;
     if (body.size() > kMaxResponseBytes) co_return OutcomeOfError(false, false);
     read = co_await ReadBodyPart(upstream);
   }
-  if (read.failed) co_return OutcomeOfError(read.timed_out, false);
+  if (read.failed || read.bytes) co_return OutcomeOfError(read.timed_out, false);
   if (caller_state_->disconnected) co_return AttemptOutcome::kCallerDisconnected;
   std::string lines = platform::RelayedHeaderLines(response);
   if (decoded.status >= kMinServerErrorStatus) {
@@ -246,6 +252,18 @@
   co_return AttemptOutcome::kDelivered;
 }
 
+Task<void> Exchange::WriteStream(Task<void> write) {
+  caller_state_->stream_write = &caller_;
+  std::exception_ptr problem;
+  try {
+    co_await std::move(write);
+  } catch (const net::NetError&) {
+    problem = std::current_exception();
+  }
+  caller_state_->stream_write = nullptr;
+  if (problem) std::rethrow_exception(problem);
+}
+
 Task<bool> Exchange::RelayEvents(const std::vector<serving::StreamEvent>& events,
                                  const std::string& header_lines) {
   std::string bytes;
@@ -266,13 +284,15 @@
   if (history_.response_started) max_event_gap_ = std::max(max_event_gap_, now - last_event_at_);
   last_event_at_ = now;
   if (history_.response_started) {
-    co_await caller_.WriteChunk(bytes);
+    auto write = caller_.WriteChunk(bytes);
+    co_await WriteStream(std::move(write));
     co_return !gap;
   }
   history_.response_started = true;
   first_event_at_ = now;
   metrics_.Record(process::Latency::kFirstByte, first_event_at_ - received_at_);
-  co_await caller_.StartStreamLines(200, header_lines, std::move(bytes));
+  auto write = caller_.StartStreamLines(200, header_lines, std::move(bytes));
+  co_await WriteStream(std::move(write));
   co_return !gap;
 }
 
@@ -286,9 +306,9 @@
   bool timed_out = false;
   while (!failed) {
     const ReadResult read = co_await ReadBodyPart(upstream);
-    failed = read.failed;
+    failed = read.failed || caller_state_->deadline_passed;
     timed_out = read.timed_out;
-    if (!read.bytes || caller_state_->disconnected) break;
+    if (!read.bytes || caller_state_->disconnected || failed) break;
     const auto events = event_splitter_.Feed(*read.bytes);
     if (event_splitter_.overflow() || event_splitter_.malformed()) failed = true;
     attempt_events_ += events.size();
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -96,6 +96,7 @@
 
 void IngressNode::Tick() {
   const TimePoint now = MonotonicNow();
+  deadlines_.Expire(answer_by_, now);
   SyncPlacement();
   if (admission_.waiting() > 0) DeliverVerdicts(now);
   AskForPermits(now);
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "request_deadlines.h"
 #include "wagtailslip/deployment/node_settings.h"
 #include "wagtailslip/mesh/control_discovery.h"
 #include "wagtailslip/mesh/mesh_node.h"
@@ -47,6 +48,8 @@
   /// Time by which all requests must be answered, because the process exits; the latest time while
   /// it does not stop.
   TimePoint answer_by() const { return answer_by_; }
+  /// Deadlines of the requests in progress, which the process ends when they pass.
+  RequestDeadlines& deadlines() { return deadlines_; }
   void Stop();
 
   /// Routes of the current configuration; null until the first one arrives.
@@ -199,6 +202,7 @@
   serving::RetryPool retry_pool_;
   serving::CrashGuard crash_guard_;
   serving::CallerTimeoutTracker caller_timeouts_;
+  RequestDeadlines deadlines_;
   std::unordered_map<std::uint64_t, VerdictCallback> verdict_callbacks_;
   /// Number of ingress processes that share the permits.
   std::size_t ingress_count_ = 1;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -58,6 +58,11 @@
       write_timeout_(write_timeout),
       keep_alive_(request_.keep_alive()) {}
 
+void HttpExchange::Abort() {
+  keep_alive_ = false;
+  stream_.cancel();
+}
+
 std::string_view HttpExchange::path() const {
   const auto target = request_.target();
   const std::string_view text(target.data(), target.size());
@@ -259,10 +264,13 @@
   co_await http::async_read_some(stream, buffer, parser,
                                  asio::redirect_error(asio::use_awaitable, ec));
   idle.erase(&stream);
-  if (!ec && !parser.is_done()) {
-    stream.expires_after(limits.read_timeout);
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+  stream.expires_after(limits.read_timeout);
+  const auto read_until = std::chrono::steady_clock::now() + limits.read_timeout;
+  while (!ec && !parser.is_done()) {
+    // The stream's own timeout does not end reads that find bytes at once.
+    if (std::chrono::steady_clock::now() >= read_until) co_return false;
+    co_await http::async_read_some(stream, buffer, parser,
+                                   asio::redirect_error(asio::use_awaitable, ec));
   }
   if (ec == http::error::body_limit) {
     co_await Reject(stream, 413, "body_too_large",
--- a/tests/system/hostile_replicas.cc
+++ b/tests/system/hostile_replicas.cc
@@ -94,6 +94,15 @@
     // The receiver has closed the connection.
     if (ec) co_return;
   }
+  for (std::uint64_t n = 0; script.endless && !ec; ++n) {
+    if (script.endless_pause > Duration::zero()) {
+      timer.expires_after(script.endless_pause);
+      co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    const std::string bytes = script.endless(n);
+    co_await asio::async_write(socket, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, ec));
+  }
   switch (script.ending) {
     case Ending::kRepeatLastStep: {
       const std::string& bytes = script.steps.back().bytes;
--- a/tests/system/hostile_replicas.h
+++ b/tests/system/hostile_replicas.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -25,6 +26,10 @@
 struct Script {
   std::vector<ScriptStep> steps;
   Ending ending = Ending::kKeep;
+  /// Bytes without end after the last step, in numbered pieces, until the receiver closes.
+  std::function<std::string(std::uint64_t number)> endless;
+  /// Pause before each of these pieces.
+  Duration endless_pause{};
   /// The replica began to work on the request.
   bool runs = true;
   /// Status that the replica gave this request; 0 if it gave none.
