Bound what an endpoint may send without getting on, and count it against the endpoint

Operators of other systems saw: a faulty replica sent bytes that were no answer, without end; the process kept them all and ran out of memory. Here the bytes were bounded (one event 1 MiB, a body 4 MiB, a head 80 KiB), but the work was not, a stream's events were not, and the endpoint went on getting requests.

Cause: events that are skipped, comments and new events counted for nothing, so no bound was reached. The text before the end of an event was searched from its beginning at each read, and a chunk of one byte cost a read with a buffer of 64 KiB. Attempts that end at the deadline, or with their caller's leaving, were no evidence. The sidecar's calls for digests accepted bodies of 64 MiB in 128 MB of memory.

Change: StreamProgress bounds the bytes without a new event by the largest event, and the events by the tokens that the request asks for; a stream that is too long is cut and not continued elsewhere (outcome too-long). An endpoint that sends and has no new event for 1.8 s is given up where another attempt is possible, and counts as timed out otherwise. Comments and repeated events prove nothing any more. Each byte of a stream is searched once, and all chunks that were received are parsed in one go. Digests are limited to 1 MiB, other single calls to 16 MiB.

Conclusion: floods of the forms played end after 1 MiB or the request's tokens, and their endpoint is left out.

--- a/include/wagtailslip/net/http_client.h
+++ b/include/wagtailslip/net/http_client.h
@@ -69,11 +69,15 @@
 
   /// Decides whether the connection may be used again.
   void EndAnswer();
+  /// Parses the body that is received already, as far as the parser's buffer takes it.
+  void ParseReceived();
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMostBuffered};
   std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
   std::uint64_t body_limit_ = 64ULL * 1024 * 1024;
+  /// Error in bytes that were received after those returned last.
+  error_code pending_error_;
   bool reusable_ = false;
 };
 
@@ -96,6 +100,8 @@
 };
 
 /// Connects, calls and closes.
-Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout);
+/// @param body_limit most bytes of the answer's body; a longer one is an error
+Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout,
+                            std::uint64_t body_limit = 16ULL * 1024 * 1024);
 
 }  // namespace wagtailslip::net
--- a/include/wagtailslip/serving/attempt_policy.h
+++ b/include/wagtailslip/serving/attempt_policy.h
@@ -18,12 +18,13 @@
   kNoValidResponse,     ///< The response is missing, invalid or truncated; nothing was forwarded.
   kResponseTimeout,     ///< No response in time; the endpoint may still be running the request.
   kStreamInterrupted,   ///< A stream ended early after a part of it had been forwarded.
+  kStreamTooLong,       ///< More events than the answer has tokens; no endpoint can continue it.
   kWeightsSuperseded,   ///< The endpoint's weights became outdated before the response began.
   kDeadlineExceeded,    ///< The caller's deadline has passed.
   kCallerDisconnected,
 };
 /// Outcome names in log events and responses.
-inline constexpr EnumTable<AttemptOutcome, 11> kAttemptOutcomes{
+inline constexpr EnumTable<AttemptOutcome, 12> kAttemptOutcomes{
     {{{AttemptOutcome::kDelivered, "delivered"},
       {AttemptOutcome::kNotConnected, "not-connected"},
       {AttemptOutcome::kEndpointIneligible, "withheld"},
@@ -32,6 +33,7 @@
       {AttemptOutcome::kNoValidResponse, "broken"},
       {AttemptOutcome::kResponseTimeout, "silent"},
       {AttemptOutcome::kStreamInterrupted, "cut"},
+      {AttemptOutcome::kStreamTooLong, "too-long"},
       {AttemptOutcome::kWeightsSuperseded, "overtaken"},
       {AttemptOutcome::kDeadlineExceeded, "expired"},
       {AttemptOutcome::kCallerDisconnected, "caller-gone"}}}};
--- a/include/wagtailslip/serving/event_stream.h
+++ b/include/wagtailslip/serving/event_stream.h
@@ -13,6 +13,8 @@
   std::string bytes;
   /// Value of the id field; std::nullopt if it is missing or not a number.
   std::optional<std::int64_t> id;
+  /// Nothing but comments, which receivers ignore.
+  bool only_comments = false;
 };
 
 /// Splits a text/event-stream into complete events, so that a stream that is interrupted within an
@@ -35,11 +37,14 @@
   /// Discards a partial event before another endpoint resumes the stream.
   void Reset() {
     rest_.clear();
+    searched_ = 0;
     malformed_ = false;
   }
 
  private:
   std::string rest_;
+  /// Bytes of `rest_` in which no event ends.
+  std::size_t searched_ = 0;
   bool malformed_ = false;
 };
 
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -330,6 +330,7 @@
       return node_.OnFinished(placed.id, traffic::AttemptResult::kServerError, now);
     case AttemptOutcome::kNoValidResponse:
     case AttemptOutcome::kStreamInterrupted:
+    case AttemptOutcome::kStreamTooLong:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kBroken, now);
     case AttemptOutcome::kResponseTimeout:
       return node_.OnFinished(placed.id, traffic::AttemptResult::kTimeout, now);
@@ -337,6 +338,10 @@
     case AttemptOutcome::kWeightsSuperseded:
     case AttemptOutcome::kDeadlineExceeded:
     case AttemptOutcome::kCallerDisconnected:
+      // An endpoint that sends and does not get on is faulty, whoever gives up on it.
+      if (progress_.Stalled(kStreamReadTimeout, now)) {
+        return node_.OnFinished(placed.id, traffic::AttemptResult::kTimeout, now);
+      }
       return node_.OnFinishedWithoutResult(placed.id);
   }
 }
@@ -446,6 +451,8 @@
     }
     auto placed = std::get<serving::PlacementResult>(verdict);
     attempt_events_ = 0;
+    progress_.SetMaxTokens(request_.max_output_tokens);
+    progress_.BeginAttempt(MonotonicNow());
     attempt_proven_ = false;
     attempt_sent_ = false;
     const TimePoint attempt_started = MonotonicNow();
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -13,10 +13,14 @@
 #include "wagtailslip/serving/attempt_policy.h"
 #include "wagtailslip/serving/event_stream.h"
 #include "wagtailslip/serving/request_key.h"
+#include "wagtailslip/serving/stream_progress.h"
 
 namespace wagtailslip::ingress {
 
 inline constexpr unsigned kMinServerErrorStatus = 500;
+/// An engine that sends nothing, or no new event, for this long is treated as unresponsive. Callers
+/// give up after about twice this time.
+inline constexpr Duration kStreamReadTimeout = std::chrono::milliseconds(1800);
 
 /// Proxies one caller request: admission, attempts at endpoints, and the response to the caller.
 class Exchange {
@@ -134,6 +138,8 @@
   TimePoint AnswerBy() const { return std::min(deadline_, node_.answer_by()); }
   /// Time from the arrival of the request to the first event; -1 if there was none.
   double FirstEventMs() const;
+  /// Whether giving up on an unresponsive endpoint helps, as another attempt is possible.
+  bool MayTryAnother() const;
   /// Longest wait for the next bytes of the endpoint's response.
   Duration ReadTimeout() const;
   /// Whether the response has not started and the endpoint's weights are outdated by now.
@@ -159,6 +165,7 @@
   std::vector<std::string> tried_endpoints_;
   std::optional<BufferedResponse> error_response_;
   serving::EventSplitter event_splitter_;
+  serving::StreamProgress progress_;
   /// Id of the last event relayed to the caller; empty before the first one.
   std::optional<std::int64_t> last_event_id_;
   /// Version of the weights that generated the stream; 0 if unknown.
@@ -169,7 +176,7 @@
   unsigned last_status_ = 0;
   /// Request limit that the last response named.
   std::optional<double> last_request_limit_;
-  /// Events of the current attempt, or its whole response: the endpoint can serve the request.
+  /// New events of the current attempt: the endpoint can serve the request.
   std::uint64_t attempt_events_ = 0;
   bool attempt_proven_ = false;
   /// The request was sent in the current attempt.
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -15,9 +15,6 @@
 namespace asio = net::asio;
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
-// An engine that sends nothing for this long is treated as unresponsive. Callers give up after
-// about twice this time.
-constexpr Duration kStreamReadTimeout = std::chrono::milliseconds(1800);
 constexpr Duration kIdempotentReadTimeout = std::chrono::milliseconds(350);
 constexpr Duration kEndProbeTimeout = std::chrono::milliseconds(100);
 // The first event may still leave an engine that ends under the request.
@@ -34,16 +31,17 @@
          MonotonicNow() >= *response_start_deadline_;
 }
 
+bool Exchange::MayTryAnother() const {
+  return history_.sends + 1 < route_->max_attempts && node_.MayRetry(service_, MonotonicNow());
+}
+
 Duration Exchange::ReadTimeout() const {
   Duration left = std::max(TimeLeft(), Duration(std::chrono::milliseconds(1)));
   if (response_pending_ && response_start_deadline_) {
     const Duration until_response_start = *response_start_deadline_ - MonotonicNow();
     left = std::clamp(until_response_start, Duration(std::chrono::milliseconds(1)), left);
   }
-  // Giving up early on an unresponsive endpoint only helps if another attempt is possible.
-  const bool may_try_another =
-      history_.sends + 1 < route_->max_attempts && node_.MayRetry(service_, MonotonicNow());
-  if (!may_try_another) return left;
+  if (!MayTryAnother()) return left;
   if (route_->kind == serving::RouteKind::kStreaming && route_->repeatable()) {
     return std::min(left, kStreamReadTimeout);
   }
@@ -261,6 +259,7 @@
     problem = std::current_exception();
   }
   caller_state_->stream_write = nullptr;
+  progress_.OnForwarded(MonotonicNow());
   if (problem) std::rethrow_exception(problem);
 }
 
@@ -268,6 +267,7 @@
                                  const std::string& header_lines) {
   std::string bytes;
   bool gap = false;
+  std::size_t new_events = 0;
   for (const auto& it : events) {
     if (it.id && last_event_id_) {
       // A resumed stream may repeat events that the caller already has.
@@ -277,8 +277,11 @@
       if (gap) break;
     }
     if (it.id) last_event_id_ = it.id;
+    if (!it.only_comments) ++new_events;
     bytes += it.bytes;
   }
+  progress_.OnNewEvents(new_events, MonotonicNow());
+  attempt_events_ += new_events;
   if (bytes.empty()) co_return !gap;
   const TimePoint now = MonotonicNow();
   if (history_.response_started) max_event_gap_ = std::max(max_event_gap_, now - last_event_at_);
@@ -311,12 +314,17 @@
     if (!read.bytes || caller_state_->disconnected || failed) break;
     const auto events = event_splitter_.Feed(*read.bytes);
     if (event_splitter_.overflow() || event_splitter_.malformed()) failed = true;
-    attempt_events_ += events.size();
-    if (attempt_events_ >= kProvingEvents) MarkProven();
+    progress_.OnBytes(read.bytes->size());
     if (!events.empty()) {
       ClearResponsePending(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
       if (!co_await RelayEvents(events, lines)) failed = true;
+      if (attempt_events_ >= kProvingEvents) MarkProven();
+      if (progress_.TooManyEvents()) co_return AttemptOutcome::kStreamTooLong;
+    }
+    if (progress_.TooManyBytes()) failed = true;
+    if (progress_.Stalled(kStreamReadTimeout, MonotonicNow()) && MayTryAnother()) {
+      failed = timed_out = true;
     }
   }
   if (caller_state_->disconnected) co_return AttemptOutcome::kCallerDisconnected;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -87,6 +87,7 @@
 
 Task<HttpResponse> HttpConnection::Start(HttpRequest request, Duration timeout) {
   reusable_ = false;
+  pending_error_ = {};
   request.prepare_payload();
   if (request[http::field::host].empty()) request.set(http::field::host, "wagtailslip");
   stream_.expires_after(timeout);
@@ -109,6 +110,7 @@
 }
 
 Task<std::optional<std::string>> HttpConnection::ReadSome(Duration timeout) {
+  if (pending_error_) RaiseCallError("answer ended early", pending_error_);
   if (parser_->is_done()) {
     EndAnswer();
     co_return std::nullopt;
@@ -125,6 +127,7 @@
                                  asio::redirect_error(asio::use_awaitable, ec));
   if (ec == http::error::need_buffer) ec = {};
   if (ec) RaiseCallError("answer ended early", ec);
+  ParseReceived();
   std::string piece(scratch.get(), kReadBytes - body.size);
   if (piece.empty() && parser_->is_done()) {
     EndAnswer();
@@ -133,6 +136,22 @@
   co_return piece;
 }
 
+void HttpConnection::ParseReceived() {
+  // A read of its own for each small chunk would cost far more than the chunk.
+  const auto& body = parser_->get().body();
+  while (buffer_.size() > 0 && body.size > 0 && !parser_->is_done()) {
+    error_code ec;
+    const auto n = parser_->put(buffer_.data(), ec);
+    buffer_.consume(n);
+    if (ec == http::error::need_more || ec == http::error::need_buffer) return;
+    if (ec) {
+      pending_error_ = ec;
+      return;
+    }
+    if (n == 0) return;
+  }
+}
+
 Task<HttpResponse> HttpConnection::Call(HttpRequest request, Duration timeout) {
   co_return co_await Call(std::move(request), timeout, timeout);
 }
@@ -189,8 +208,10 @@
   }
 }
 
-Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout) {
+Task<HttpResponse> CallOnce(tcp::endpoint address, HttpRequest request, Duration timeout,
+                            std::uint64_t body_limit) {
   HttpConnection connection(co_await asio::this_coro::executor);
+  connection.set_body_limit(body_limit);
   co_await connection.Connect(address, timeout);
   co_return co_await connection.Call(std::move(request), timeout);
 }
--- a/src/serving/attempt_policy.cc
+++ b/src/serving/attempt_policy.cc
@@ -10,6 +10,7 @@
   return outcome == AttemptOutcome::kServerError || outcome == AttemptOutcome::kNoValidResponse ||
          outcome == AttemptOutcome::kResponseTimeout ||
          outcome == AttemptOutcome::kStreamInterrupted ||
+         outcome == AttemptOutcome::kStreamTooLong ||
          outcome == AttemptOutcome::kWeightsSuperseded ||
          outcome == AttemptOutcome::kDeadlineExceeded;
 }
@@ -43,7 +44,7 @@
                        Duration time_left) {
   const NextStep final = StepWithoutRetry(history, outcome);
   if (outcome == AttemptOutcome::kDelivered || outcome == AttemptOutcome::kCallerDisconnected ||
-      outcome == AttemptOutcome::kDeadlineExceeded) {
+      outcome == AttemptOutcome::kDeadlineExceeded || outcome == AttemptOutcome::kStreamTooLong) {
     return final;
   }
   if (time_left < kMinAttemptTime) return final;
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -39,6 +39,8 @@
 // Far larger than a chunk or a bitmap of chunks. The limit bounds the memory that a faulty source
 // can make this process allocate.
 constexpr std::uint64_t kMaxChunkResponseBytes = std::uint64_t{8} * 1024 * 1024;
+// Digests of 10,000 chunks, with room for their encoding.
+constexpr std::uint64_t kMaxDigestsResponseBytes = std::uint64_t{1} * 1024 * 1024;
 constexpr Duration kMaxSessionTickDelay = std::chrono::milliseconds(50);
 
 /// Session limits for weights of a few megabytes that must reach all sidecars within seconds.
@@ -152,8 +154,8 @@
     net::HttpResponse response;
     try {
       auto request = net::MakeRequest(net::http::verb::get, DigestsPath(model, version));
-      response =
-          co_await net::CallOnce(net::ParseAddress(peer), std::move(request), kPeerDigestsTimeout);
+      response = co_await net::CallOnce(net::ParseAddress(peer), std::move(request),
+                                        kPeerDigestsTimeout, kMaxDigestsResponseBytes);
     } catch (const net::NetError&) {
       // The digests are also available from the other peers and the origin.
       continue;
@@ -176,8 +178,9 @@
   std::int64_t newest = 0;
   try {
     auto request = platform::MakeDigestsRequest(model, version);
-    const auto response = co_await net::CallOnce(net::ParseAddress(model_source_->origin),
-                                                 std::move(request), kOriginDigestsTimeout);
+    const auto response =
+        co_await net::CallOnce(net::ParseAddress(model_source_->origin), std::move(request),
+                               kOriginDigestsTimeout, kMaxDigestsResponseBytes);
     if (response.status == 200) {
       const auto digests = platform::DecodeDigests(response.body);
       if (version != 0) {
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -14,6 +14,7 @@
 #include "wagtailslip/serving/route_table.h"
 #include "wagtailslip/serving/service_config.h"
 #include "wagtailslip/serving/stop_plan.h"
+#include "wagtailslip/serving/stream_progress.h"
 #include "wagtailslip/serving/subsets.h"
 #include "wagtailslip/serving/swap_plan.h"
 #include "wagtailslip/serving/weights_targets.h"
@@ -436,6 +437,57 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptPolicyTest);
 
+class StreamProgressTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StreamProgressTest);
+  CPPUNIT_TEST(FindsStreamsThatDoNotGetOn);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against an endpoint that sends without end and counts as a sound one, and against one
+  // that counts as faulty although its caller reads slowly or it says nothing.
+  void FindsStreamsThatDoNotGetOn() {
+    struct Row {
+      const char* name;
+      double max_tokens;
+      std::size_t events;
+      std::size_t bytes_after;
+      Duration until_bytes;
+      bool too_many_bytes;
+      bool too_many_events;
+      bool stalled;
+    };
+    constexpr std::size_t kMost = EventSplitter::kMaxEventBytes;
+    const Row rows[] = {
+        {"silent", 50, 3, 0, seconds(9), false, false, false},
+        {"a part of an event", 50, 3, 9, seconds(1), false, false, false},
+        {"a part of an event for long", 50, 3, 9, seconds(2), false, false, true},
+        {"the largest event", 50, 3, kMost, seconds(1), false, false, false},
+        {"more than the largest event", 50, 3, kMost + 1, seconds(1), true, false, false},
+        {"an event for each token, and those that hold none", 50, 58, 0, seconds(1), false, false,
+         false},
+        {"more events than tokens", 50, 59, 0, seconds(1), false, true, false},
+        {"tokens are not known", 0, 100000, 0, seconds(1), false, false, false},
+    };
+    for (const auto& row : rows) {
+      StreamProgress progress;
+      progress.SetMaxTokens(row.max_tokens);
+      progress.BeginAttempt(At(seconds(0)));
+      // Events of an attempt before count, its bytes do not.
+      progress.OnNewEvents(1, At(seconds(1)));
+      progress.OnBytes(kMost);
+      progress.BeginAttempt(At(seconds(5)));
+      progress.OnNewEvents(row.events - 1, At(seconds(6)));
+      progress.OnForwarded(At(seconds(10)));
+      progress.OnBytes(row.bytes_after);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.too_many_bytes, progress.TooManyBytes());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.too_many_events, progress.TooManyEvents());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.stalled,
+                                   progress.Stalled(seconds(2), At(seconds(10) + row.until_bytes)));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamProgressTest);
+
 class EventSplitterTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EventSplitterTest);
   CPPUNIT_TEST(EmitsOnlyCompleteEvents);
--- a/tests/system/endless_answers_test.cc
+++ b/tests/system/endless_answers_test.cc
@@ -99,7 +99,9 @@
 };
 
 struct Call {
+  /// Service and route.
   std::string id;
+  std::string attempt_id;
   const Form* form = nullptr;
   const CallerKind* kind = nullptr;
   std::size_t bytes = 0;
@@ -115,7 +117,7 @@
   const std::string tokens =
       it.kind->names_tokens ? "Token-Usage: 100," + std::to_string(kMaxOutputTokens) + "\r\n" : "";
   const std::string request = "GET /" + it.id + "/ask HTTP/1.1\r\nHost: endless.example\r\n" +
-                              "Attempt-Id: " + it.id + "\r\n" + tokens +
+                              "Attempt-Id: " + it.attempt_id + "\r\n" + tokens +
                               "Deadline-Ms: " + std::to_string(kCallerDeadlineMs) +
                               "\r\nConnection: close\r\n\r\n";
   co_await asio::async_write(stream, asio::buffer(request), asio::use_awaitable);
@@ -140,8 +142,44 @@
 class EndlessAnswersTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(EndlessAnswersTest);
   CPPUNIT_TEST(RequestsEndAtTheirRoutesTimeout);
+  CPPUNIT_TEST(AFaultyEndpointIsLeftOut);
   CPPUNIT_TEST_SUITE_END();
 
+  static Json Route(const std::string& service, bool streaming) {
+    return {{"name", service},
+            {"host", "endless.example"},
+            {"path-prefix", "/" + service + "/"},
+            {"route-type", streaming ? "streaming" : "idempotent"},
+            {"stream-resume", true},
+            {"timeout-ms", kRouteTimeoutMs},
+            {"target-latency-ms", 1000},
+            {"backend", service},
+            {"max-attempts", 2},
+            {"public", true}};
+  }
+
+  /// The head of an answer and, for a stream, its first event.
+  static Script Begun(const Arrival& arrival, bool streaming) {
+    Script script;
+    script.steps.push_back(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: " + arrival.attempt_id +
+             "\r\nReplica-Signature: " + arrival.signature +
+             "\r\nContent-Type: " + (streaming ? "text/event-stream" : "text/plain") +
+             "\r\nTransfer-Encoding: chunked\r\n\r\n" +
+             (streaming && arrival.last_event_id == 0 ? Chunk(Event(1)) : ""),
+         {}});
+    return script;
+  }
+
+  static void WaitKnown(const Cluster& cluster, const HostileReplicas& replicas,
+                        std::size_t endpoints) {
+    cluster.WaitFor("the ingress process knows the configuration and the endpoints", [&] {
+      if (!replicas.announced()) return false;
+      const Json state = Send(cluster.ReadinessAddress("i1"), verb::get, "/debug/state").Body();
+      return state.is_object() && state["config"] == 1 && state["endpoints"].size() == endpoints;
+    });
+  }
+
  public:
   // Guards against requests that never end because their endpoint sends without end: a read that
   // finds bytes at once has no timeout of its own, and neither has a write to a caller that does
@@ -157,49 +195,28 @@
       for (const auto& kind : kCallerKinds) {
         Call it;
         it.id = "call-" + std::to_string(calls.size());
+        it.attempt_id = it.id;
         it.form = &form;
         it.kind = &kind;
         forms[it.id] = &form;
         const int number = static_cast<int>(identities.size());
         identities.push_back({it.id + "-a", cluster.ReplicaAddress(number), it.id});
-        config["route-table"].push_back(
-            {{"name", it.id},
-             {"host", "endless.example"},
-             {"path-prefix", "/" + it.id + "/"},
-             {"route-type", form.streaming ? "streaming" : "idempotent"},
-             {"stream-resume", true},
-             {"timeout-ms", kRouteTimeoutMs},
-             {"target-latency-ms", 1000},
-             {"backend", it.id},
-             {"max-attempts", 2},
-             {"public", true}});
+        config["route-table"].push_back(Route(it.id, form.streaming));
         config["backends"].push_back({{"name", it.id}, {"max-connections", 100}});
         calls.push_back(std::move(it));
       }
     }
     const std::size_t endpoints = identities.size();
     cluster.SetConfig(config);
-    const HostileReplicas replicas(
-        std::move(identities), cluster.Address("c1"),
-        [&forms](const Arrival& arrival, std::size_t) {
-          const Form& form = *forms.at(arrival.attempt_id);
-          Script script;
-          script.steps.push_back(
-              {"HTTP/1.1 200 OK\r\nAttempt-Id: " + arrival.attempt_id +
-                   "\r\nReplica-Signature: " + arrival.signature +
-                   "\r\nContent-Type: " + (form.streaming ? "text/event-stream" : "text/plain") +
-                   "\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                   (form.streaming ? Chunk(Event(1)) : ""),
-               {}});
-          script.endless = form.bytes;
-          script.endless_pause = form.pause;
-          return script;
-        });
-    cluster.WaitFor("the ingress process knows the configuration and the endpoints", [&] {
-      if (!replicas.announced()) return false;
-      const Json state = Send(cluster.ReadinessAddress("i1"), verb::get, "/debug/state").Body();
-      return state.is_object() && state["config"] == 1 && state["endpoints"].size() == endpoints;
-    });
+    const HostileReplicas replicas(std::move(identities), cluster.Address("c1"),
+                                   [&forms](const Arrival& arrival, std::size_t) {
+                                     const Form& form = *forms.at(arrival.attempt_id);
+                                     Script script = Begun(arrival, form.streaming);
+                                     script.endless = form.bytes;
+                                     script.endless_pause = form.pause;
+                                     return script;
+                                   });
+    WaitKnown(cluster, replicas, endpoints);
     asio::io_context context(1);
     for (auto& it : calls) {
       asio::co_spawn(context, Make(context, net::ParseAddress(cluster.Address("i1")), it),
@@ -216,6 +233,66 @@
     std::cout << calls.size() << " calls\n";
     CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
   }
+
+  // Guards against an endpoint that goes on getting requests because nothing counts against it: its
+  // streams end at their deadline, or when their callers leave.
+  void AFaultyEndpointIsLeftOut() {
+    constexpr int kRequests = 40;
+    // An endpoint whose requests fail is tried again now and then.
+    constexpr std::size_t kMaxAtFaulty = kRequests / 4;
+    Cluster cluster;
+    cluster.StartDeployment(1, 1, {{"retry-budget-extra", 1000}});
+    Json config{{"version", 1}, {"route-table", Json::array()}, {"backends", Json::array()}};
+    std::vector<ReplicaIdentity> identities;
+    std::map<std::string, const Form*> forms;
+    for (const auto& form : kForms) {
+      if (!form.streaming || form.pause > Duration::zero()) continue;
+      const std::string service = "service-" + std::to_string(forms.size());
+      forms[service] = &form;
+      config["route-table"].push_back(Route(service, true));
+      config["backends"].push_back({{"name", service}, {"max-connections", 100}});
+      for (const char* suffix : {"-sound", "-faulty"}) {
+        const int number = static_cast<int>(identities.size());
+        identities.push_back({service + suffix, cluster.ReplicaAddress(number), service});
+      }
+    }
+    const std::size_t endpoints = identities.size();
+    cluster.SetConfig(config);
+    const HostileReplicas replicas(std::move(identities), cluster.Address("c1"),
+                                   [&forms](const Arrival& arrival, std::size_t) {
+                                     Script script = Begun(arrival, true);
+                                     if (arrival.endpoint.ends_with("-faulty")) {
+                                       const auto service = arrival.attempt_id.substr(
+                                           0, arrival.attempt_id.find('/'));
+                                       script.endless = forms.at(service)->bytes;
+                                     } else {
+                                       script.steps.push_back({Chunk(Event(2)) + "0\r\n\r\n", {}});
+                                     }
+                                     return script;
+                                   });
+    WaitKnown(cluster, replicas, endpoints);
+    const CallerKind caller{"caller that names its tokens", true, {}};
+    std::string faults;
+    for (const auto& [service, form] : forms) {
+      std::size_t at_faulty = 0;
+      for (int i = 0; i < kRequests; ++i) {
+        Call call;
+        call.id = service;
+        call.attempt_id = service + "/" + std::to_string(i);
+        call.kind = &caller;
+        asio::io_context context(1);
+        asio::co_spawn(context, Make(context, net::ParseAddress(cluster.Address("i1")), call),
+                       asio::detached);
+        context.run();
+        for (const auto& it : replicas.Arrivals(call.attempt_id)) {
+          at_faulty += it.endpoint.ends_with("-faulty") ? 1 : 0;
+        }
+      }
+      std::cout << form->name << ": " << at_faulty << " at the faulty endpoint\n";
+      if (at_faulty > kMaxAtFaulty) faults += std::string(form->name) + "\n";
+    }
+    CPPUNIT_ASSERT_MESSAGE(faults, faults.empty());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessAnswersTest);
 
