--- a/review/rig2/replica.h
+++ b/review/rig2/replica.h
@@ -33,8 +33,8 @@
   int id_step = 1;
   /// A replica that starts during traffic is cold for so long; 0: never.
   double cold_s = 0;
-  /// Delay of its pings from its start on.
-  double ping_delay = 0;
+  /// A server of another system sends no pings of this one.
+  bool pings = true;
 };
 
 class Replica {
@@ -52,8 +52,10 @@
     running_ = 0;
     server_ = std::make_unique<Server>(
         options_.address, [this](Channel& c, const Message& m) { Handle(c, m); });
-    pinger_ = std::make_unique<Pinger>(
-        deployment_, options_.id, [this] { return Fields(); }, ping_delay);
+    if (options_.pings) {
+      pinger_ = std::make_unique<Pinger>(
+          deployment_, options_.id, [this] { return Fields(); }, ping_delay);
+    }
     Record("replica %s at %s: boot %d starts%s", options_.id.c_str(), options_.service.c_str(),
            boot_.load(), warm ? "" : ", cold");
   }
