--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -31,7 +31,8 @@
     replicas.push_back(std::make_unique<Replica>(
         deployment, ReplicaOptions{.id = "i-" + std::to_string(next_id++),
                                    .address = deployment.Host(100 + i) + ":9000",
-                                   .service = "modelo", .model = true}));
+                                   .service = "modelo",
+                                   .model = true}));
     Replica& replica = *replicas.back();
     replica.crash_after = [&](const Arrival& arrival) {
       if (arrival.prefix.find(kDeadly) == std::string::npos) return -1;
@@ -57,7 +58,7 @@
   const std::string route =
       R"({"name":"r-m","host":"a.example","path-prefix":"/m/","route-type":"streaming","timeout-ms":6000,"target-latency-ms":400,"priority":1,"backend":"modelo","max-attempts":2,"public":true,"session-affinity":true,"stream-resume":true,"target-itl-ms":400})";
   if (deployment.Operate("POST", "/config/replace", Manifest(1, route, EngineService(), ""))
-          .Status() != 200 ||
+              .Status() != 200 ||
       !deployment.WaitReady()) {
     return 2;
   }
@@ -68,13 +69,14 @@
     std::thread([&, deadly, n] {
       const std::string attempt = NewId();
       const std::string shared = deadly ? kDeadly : "a0000000000000" + std::to_string(10 + n % 40);
-      const auto answer = Request(
-          deployment.Caller(n), "POST", "/m/x" + std::to_string(n), attempt, "",
-          {{"Model", "m0"}, {"Token-Usage", "400,100"},
-           {"Prefix-Hash", shared + ":40," + attempt + ":360"}},
-          "prompt " + attempt, 6);
-      Record("client: %s %s -> %d%s", deadly ? "deadly" : "sound", attempt.c_str(),
-             answer.Status(), answer.complete ? "" : ", broken off");
+      const auto answer =
+          Request(deployment.Caller(n), "POST", "/m/x" + std::to_string(n), attempt, "",
+                  {{"Model", "m0"},
+                   {"Token-Usage", "400,100"},
+                   {"Prefix-Hash", shared + ":40," + attempt + ":360"}},
+                  "prompt " + attempt, 6);
+      Record("client: %s %s -> %d%s", deadly ? "deadly" : "sound", attempt.c_str(), answer.Status(),
+             answer.complete ? "" : ", broken off");
       if (!deadly) {
         ++sound;
         if (answer.Status() == 200 && answer.complete) ++sound_whole;
@@ -101,9 +103,10 @@
     for (const double it : deadly_arrivals) {
       late += crashes.size() >= 5 && it > crashes[4] + kContact ? 1 : 0;
     }
-    Record("crashes: %zu; requests with the part at replicas: %zu, of them %d later than "
-           "contact-ms after the fifth crash (BUDGET allows 3)",
-           crashes.size(), deadly_arrivals.size(), late);
+    Record(
+        "crashes: %zu; requests with the part at replicas: %zu, of them %d later than "
+        "contact-ms after the fifth crash (BUDGET allows 3)",
+        crashes.size(), deadly_arrivals.size(), late);
   }
   Record("sound streams: %d, whole: %d", sound.load(), sound_whole.load());
   for (auto& it : restarts) it.join();
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -30,8 +30,8 @@
 int Run(const std::string& binary) {
   Deployment deployment(binary, 3, 2);
   deployment.Start();
-  Replica replica(deployment, {.id = "i-1", .address = deployment.Host(100) + ":9000",
-                               .service = "turnos"});
+  Replica replica(deployment,
+                  {.id = "i-1", .address = deployment.Host(100) + ":9000", .service = "turnos"});
   replica.Start(true);
   const std::string route = PlainRoute("turnos", "non_idempotent", false);
   const std::string service = PlainService("turnos");
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -13,17 +13,18 @@
 int Run(const std::string& binary) {
   Deployment deployment(binary, 3, 2);
   deployment.Start();
-  Replica booking(deployment, {.id = "i-71", .address = deployment.Host(100) + ":9000",
-                               .service = "turnos"});
-  Replica lookup(deployment, {.id = "i-72", .address = deployment.Host(101) + ":9000",
-                              .service = "terminal"});
+  Replica booking(deployment,
+                  {.id = "i-71", .address = deployment.Host(100) + ":9000", .service = "turnos"});
+  Replica lookup(deployment,
+                 {.id = "i-72", .address = deployment.Host(101) + ":9000", .service = "terminal"});
   booking.Start(true);
   lookup.Start(true);
   const std::string routes = PlainRoute("turnos", "non_idempotent", true) + "," +
                              PlainRoute("terminal", "idempotent", true);
-  if (deployment.Operate("POST", "/config/replace",
-                         Manifest(1, routes, PlainService("turnos") + "," + PlainService("terminal"),
-                                  ""))
+  if (deployment
+              .Operate(
+                  "POST", "/config/replace",
+                  Manifest(1, routes, PlainService("turnos") + "," + PlainService("terminal"), ""))
               .Status() != 200 ||
       !deployment.WaitReady()) {
     return 2;
--- a/review/rig2/replica.h
+++ b/review/rig2/replica.h
@@ -50,8 +50,8 @@
     ++boot_;
     cold_until_ = warm ? 0 : Now() + options_.cold_s;
     running_ = 0;
-    server_ = std::make_unique<Server>(
-        options_.address, [this](Channel& c, const Message& m) { Handle(c, m); });
+    server_ = std::make_unique<Server>(options_.address,
+                                       [this](Channel& c, const Message& m) { Handle(c, m); });
     if (options_.pings) {
       pinger_ = std::make_unique<Pinger>(
           deployment_, options_.id, [this] { return Fields(); }, ping_delay);
@@ -86,12 +86,14 @@
 
  private:
   std::string Fields() const {
-    std::string text = R"("backend":")" + options_.service + R"(","address":")" +
-                       options_.address + R"(","zone":"za","version":"v1","batch-slots":)" +
-                       std::to_string(options_.slots) + R"(,"state":"ready","warmup-remaining-ms":)" +
+    std::string text = R"("backend":")" + options_.service + R"(","address":")" + options_.address +
+                       R"(","zone":"za","version":"v1","batch-slots":)" +
+                       std::to_string(options_.slots) +
+                       R"(,"state":"ready","warmup-remaining-ms":)" +
                        std::to_string(std::max(0, static_cast<int>((cold_until_ - Now()) * 1000)));
     if (options_.model) {
-      text += R"(,"phase":"unified","model-list":[{"name":"m0","version":1,"loras":[]}],"layers":[{"source":0,"to":16,"version":1}])";
+      text +=
+          R"(,"phase":"unified","model-list":[{"name":"m0","version":1,"loras":[]}],"layers":[{"source":0,"to":16,"version":1}])";
     }
     return text;
   }
@@ -117,8 +119,8 @@
     arrival.at = Now();
     arrival.attempt = attempt;
     arrival.key = request.Header("authorization");
-    arrival.path = request.first_line.substr(
-        first_space + 1, request.first_line.rfind(' ') - first_space - 1);
+    arrival.path =
+        request.first_line.substr(first_space + 1, request.first_line.rfind(' ') - first_space - 1);
     arrival.prefix = request.Header("prefix-hash");
     arrival.cold = arrival.at < cold_until_;
     arrival.boot = boot_;
@@ -153,7 +155,8 @@
                   "chunked\r\n\r\n");
     for (int i = 1; i <= options_.events; ++i) {
       if (channel.reset() || channel.Gone()) return;
-      const std::string event = "id: " + std::to_string(i * options_.id_step) + "\ndata: t" + std::to_string(i) + "\n\n";
+      const std::string event =
+          "id: " + std::to_string(i * options_.id_step) + "\ndata: t" + std::to_string(i) + "\n\n";
       char size[16];
       std::snprintf(size, sizeof size, "%zx\r\n", event.size());
       channel.Write(size + event + "\r\n");
@@ -197,9 +200,9 @@
 
 /// One request of a client. The status is 0 where no whole answer came.
 inline Message Request(const std::string& ingress, const std::string& method,
-                       const std::string& path, const std::string& attempt,
-                       const std::string& key, const Headers& more = {},
-                       const std::string& body = "", double budget = 1.5) {
+                       const std::string& path, const std::string& attempt, const std::string& key,
+                       const Headers& more = {}, const std::string& body = "",
+                       double budget = 1.5) {
   Headers headers{{"Host", "a.example"},
                   {"Attempt-Id", attempt},
                   {"Deadline-Ms", std::to_string(static_cast<int>(budget * 1000))}};
--- a/review/rig2/rig2.h
+++ b/review/rig2/rig2.h
@@ -344,7 +344,8 @@
     std::random_device random;
     // A loopback network of its own, on which the first address is free.
     for (int i = 0; i < 100; ++i) {
-      net_ = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250);
+      net_ =
+          "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250);
       Channel probe;
       if (!probe.Connect(net_ + ".10:8000", 0.2)) break;
     }
@@ -419,17 +420,18 @@
     }
     const bool control = role == "control";
     std::ofstream file(folder_ + "/" + name + ".json");
-    file << R"({"node-name":")" << name << R"(","role":")" << role << R"(","instance-class":")"
-         << (control ? "core" : "edge") << R"(","serves":[)"
-         << (control ? R"("control_plane","registry")" : R"("edge")") << R"(],"ip":")" << ip
-         << R"(","zone":"za","region":"ra","port-range":[7700,7715],"seed-nodes":[)" << seeds
-         << R"(],"bootstrap":true,"in-tolerance":)" << (control ? "true" : "false")
-         << R"(,"discovery":"self_register","ingress":"registry","heartbeat-ms":1200,"config-mode":"highest","zones":{"za":"ra"},"listen-addrs":{)"
-         << (control ? R"("admin":")" + ip + R"(:8000","registry":")" + ip + R"(:8001")"
-                     : R"("frontend":")" + ip + R"(:8005","readiness":")" + ip + R"(:8002")")
-         << "}," << (control ? R"("data-dir":")" + folder_ + "/" + name + R"(",)" : "")
-         << R"("limits":{"cpu-quota":0.5,"cpu-cores":1,"memory-mb":390,"max-open-files":6150,"bandwidth-mbps":1500.0,"disk-mb":128},"fault-tolerance":{"nodes":1,"zones":0,"regions":0},"timing-bounds":{"seed-staleness-s":3,"address-reuse-s":2,"contact-ms":3000,"ack-timeout-ms":4000,"sync-s":4,"drain-timeout-ms":2000,"grace-period-s":8,"loss-slack-ms":200,"config-propagation-ms":2000,"rollback-slack-ms":250,"partition-bound-ms":5000,"fail-closed":false,"revocation-ms":5000,"retry-budget-ratio":0.2,"retry-window-s":10,"retry-budget-extra":104,"warmup-overshoot":1.5,"warmup-tolerance":5,"evacuation-ms":5000,"recovery-s":12,"event-delay-ms":120,"retry-after-s":0,"version_ms":8000,"version_all_ms":0,"ttl_max_s":5}})"
-         << "\n";
+    file
+        << R"({"node-name":")" << name << R"(","role":")" << role << R"(","instance-class":")"
+        << (control ? "core" : "edge") << R"(","serves":[)"
+        << (control ? R"("control_plane","registry")" : R"("edge")") << R"(],"ip":")" << ip
+        << R"(","zone":"za","region":"ra","port-range":[7700,7715],"seed-nodes":[)" << seeds
+        << R"(],"bootstrap":true,"in-tolerance":)" << (control ? "true" : "false")
+        << R"(,"discovery":"self_register","ingress":"registry","heartbeat-ms":1200,"config-mode":"highest","zones":{"za":"ra"},"listen-addrs":{)"
+        << (control ? R"("admin":")" + ip + R"(:8000","registry":")" + ip + R"(:8001")"
+                    : R"("frontend":")" + ip + R"(:8005","readiness":")" + ip + R"(:8002")")
+        << "}," << (control ? R"("data-dir":")" + folder_ + "/" + name + R"(",)" : "")
+        << R"("limits":{"cpu-quota":0.5,"cpu-cores":1,"memory-mb":390,"max-open-files":6150,"bandwidth-mbps":1500.0,"disk-mb":128},"fault-tolerance":{"nodes":1,"zones":0,"regions":0},"timing-bounds":{"seed-staleness-s":3,"address-reuse-s":2,"contact-ms":3000,"ack-timeout-ms":4000,"sync-s":4,"drain-timeout-ms":2000,"grace-period-s":8,"loss-slack-ms":200,"config-propagation-ms":2000,"rollback-slack-ms":250,"partition-bound-ms":5000,"fail-closed":false,"revocation-ms":5000,"retry-budget-ratio":0.2,"retry-window-s":10,"retry-budget-extra":104,"warmup-overshoot":1.5,"warmup-tolerance":5,"evacuation-ms":5000,"recovery-s":12,"event-delay-ms":120,"retry-after-s":0,"version_ms":8000,"version_all_ms":0,"ttl_max_s":5}})"
+        << "\n";
     roles_[name] = role;
   }
   void Spawn(const std::string& name) {
@@ -452,7 +454,8 @@
     char* const arguments[] = {const_cast<char*>(binary_.c_str()),
                                const_cast<char*>(roles_[name].c_str()), nullptr};
     pid_t pid = -1;
-    if (::posix_spawn(&pid, binary_.c_str(), &actions, nullptr, arguments, environment.data()) != 0) {
+    if (::posix_spawn(&pid, binary_.c_str(), &actions, nullptr, arguments, environment.data()) !=
+        0) {
       Record("cannot start %s", name.c_str());
       std::_Exit(2);
     }
