Require keys when a configuration has an empty list of accounts

Cause: "no list of accounts" and "an empty list" were one state. ServiceConfig::accounts was a vector, and RouteTable::needs_key asked whether it was empty.

Change: the list is optional. Keys are needed if there is a list, whatever it holds. A route without accounts keeps one rank for requests that were accepted before. An account that lists an empty key no longer matches requests without a key. Event 2010 says whether keys are needed and of how many accounts.

Evidence: the configuration travels and is stored as the operator's text, so nothing on the way can lose the list; each process decodes it itself.

--- a/include/wagtailslip/serving/route_table.h
+++ b/include/wagtailslip/serving/route_table.h
@@ -36,7 +36,7 @@
   /// The route of the host with the longest matching path prefix; null if none matches.
   /// @param host case-insensitive name, with or without a port
   const Route* Find(std::string_view host, std::string_view path) const;
-  /// The account with this API key; null if there is none.
+  /// The account with this API key; null if there is none. An empty key is no key.
   const Account* FindAccount(const std::string& key) const;
   /// The account with this name; null if there is none.
   const Account* FindAccountByName(const std::string& name) const;
@@ -50,8 +50,8 @@
   std::size_t RankCount(const std::string& service) const;
   /// Position of the priority among those of the service; 0 is the most urgent.
   std::uint32_t Rank(const std::string& service, const Priority& priority) const;
-  /// Whether requests need an API key.
-  bool needs_key() const { return !config_->accounts.empty(); }
+  /// Whether requests need an API key, except on public routes.
+  bool needs_key() const { return config_->accounts.has_value(); }
   const ServiceConfig& config() const { return *config_; }
 
  private:
--- a/include/wagtailslip/serving/service_config.h
+++ b/include/wagtailslip/serving/service_config.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -112,9 +113,13 @@
   std::int64_t version = 0;
   std::vector<Route> routes;
   std::vector<Service> services;
-  std::vector<Account> accounts;
+  /// Nothing if the configuration has no list of accounts: requests need no API key. With an empty
+  /// list no key is valid, and only public routes serve requests.
+  std::optional<std::vector<Account>> accounts;
   CallerLimits limits;
 
+  /// The accounts; empty without a list.
+  std::span<const Account> AccountList() const;
   const Service* FindService(const std::string& name) const;
 };
 
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -323,6 +323,8 @@
   ReportRetries(MonotonicNow());
   LogEvent(Event::kServiceConfigInForce, {{"version", body.version},
                                           {"routes", routes_->config().routes.size()},
+                                          {"needs_key", routes_->needs_key()},
+                                          {"accounts", routes_->config().AccountList().size()},
                                           {"ranks", max_ranks}});
   auto self = mesh_->self();
   if (!draining_ && !self.accepting) {
--- a/src/serving/route_table.cc
+++ b/src/serving/route_table.cc
@@ -22,7 +22,8 @@
     std::sort(routes.begin(), routes.end(),
               [](const Route* a, const Route* b) { return a->prefix.size() > b->prefix.size(); });
   }
-  for (const auto& account : config_->accounts) {
+  const auto accounts = config_->AccountList();
+  for (const auto& account : accounts) {
     for (const auto& key : account.keys) accounts_[key] = &account;
     account_names_[account.name] = &account;
     restricts_regions_ = restricts_regions_ || !account.allowed_regions.empty();
@@ -32,13 +33,12 @@
   }
   for (const auto& route : config_->routes) {
     std::vector<Priority> priorities;
-    if (route.is_public || config_->accounts.empty()) {
-      priorities.push_back(PriorityOf(route, nullptr));
-    } else {
-      for (const auto& account : config_->accounts) {
-        priorities.push_back(PriorityOf(route, &account));
-      }
+    for (const auto& account : accounts) {
+      if (!route.is_public) priorities.push_back(PriorityOf(route, &account));
     }
+    // Without accounts nobody may use a route that needs a key, but requests that were accepted
+    // under an earlier configuration still have a rank.
+    if (priorities.empty()) priorities.push_back(PriorityOf(route, nullptr));
     for (const auto& it : route.services) {
       auto& known = priorities_[it.service];
       known.insert(known.end(), priorities.begin(), priorities.end());
@@ -76,6 +76,8 @@
 }
 
 const Account* RouteTable::FindAccount(const std::string& key) const {
+  // A request without a key has an empty one, which an account may list by mistake.
+  if (key.empty()) return nullptr;
   const auto it = accounts_.find(key);
   return it == accounts_.end() ? nullptr : it->second;
 }
--- a/src/serving/service_config.cc
+++ b/src/serving/service_config.cc
@@ -12,6 +12,10 @@
   return it == services.end() ? nullptr : &*it;
 }
 
+std::span<const Account> ServiceConfig::AccountList() const {
+  return accounts ? std::span<const Account>(*accounts) : std::span<const Account>();
+}
+
 namespace {
 
 /// An empty name is how endpoints of an unknown region are represented.
@@ -69,7 +73,7 @@
     }
   }
   std::set<std::string> keys;
-  for (const auto& account : config.accounts) {
+  for (const auto& account : config.AccountList()) {
     ValidateRegions(account.allowed_regions, "account " + account.name);
     const std::set<std::string> distinct_keys(account.keys.begin(), account.keys.end());
     for (const auto& key : distinct_keys) {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <functional>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
@@ -14,6 +15,7 @@
 #include "platform/request_headers.h"
 #include "platform/service_config.h"
 #include "platform/settings.h"
+#include "wagtailslip/serving/route_table.h"
 
 namespace wagtailslip::platform {
 namespace {
@@ -81,6 +83,7 @@
   CPPUNIT_TEST(RejectsInvalidSettings);
   CPPUNIT_TEST(DecodesConfiguration);
   CPPUNIT_TEST(DecodesAllowedRegions);
+  CPPUNIT_TEST(DecodesWhetherKeysAreNeeded);
   CPPUNIT_TEST(RejectsInvalidConfiguration);
   CPPUNIT_TEST(ParsesControlCalls);
   CPPUNIT_TEST(RejectsInvalidAnnouncements);
@@ -159,7 +162,7 @@
     CPPUNIT_ASSERT_EQUAL(std::string("172.20.0.3:80"), config.FindService("weights")->origin);
     CPPUNIT_ASSERT(!config.FindService("bookings")->engine);
     CPPUNIT_ASSERT(config.limits.idle_timeout == std::chrono::seconds(12));
-    CPPUNIT_ASSERT(config.accounts[0].priority == std::uint32_t{2});
+    CPPUNIT_ASSERT(config.accounts->at(0).priority == std::uint32_t{2});
     CPPUNIT_ASSERT_EQUAL(0.0, config.FindService("assistant")->warmup_per_second);
     json limited = ConfigFile();
     limited["backends"][0]["warmup-s"] = 3.5;
@@ -187,11 +190,51 @@
       file["tenants"][0]["allowed-regions"] = it.field;
       const auto config = DecodeServiceConfig(file.dump());
       CPPUNIT_ASSERT_MESSAGE(it.name, config.routes[0].allowed_regions == it.regions);
-      CPPUNIT_ASSERT_MESSAGE(it.name, config.accounts[0].allowed_regions == it.regions);
+      CPPUNIT_ASSERT_MESSAGE(it.name, config.accounts->at(0).allowed_regions == it.regions);
       CPPUNIT_ASSERT_MESSAGE(it.name, config.routes[1].allowed_regions.empty());
     }
   }
 
+  // Guards against an account list whose last account or key was removed and that opens all routes,
+  // against keys that stay needed without a list, and against a request without a key that counts
+  // as one with an empty key.
+  void DecodesWhetherKeysAreNeeded() {
+    struct Case {
+      const char* name;
+      /// Value of the field; absent if it is discarded.
+      json field;
+      bool needs_key;
+      bool has_k1;
+    };
+    const json discarded(json::value_t::discarded);
+    const Case cases[] = {
+        {"absent", discarded, false, false},
+        {"empty list", json::array(), true, false},
+        {"account without keys", json::array({{{"name", "a"}, {"api-keys", json::array()}}}), true,
+         false},
+        {"account with a key", json::array({{{"name", "a"}, {"api-keys", {"k1"}}}}), true, true},
+        {"empty key", json::array({{{"name", "a"}, {"api-keys", {"", "k1"}}}}), true, true},
+    };
+    for (const auto& it : cases) {
+      json file = ConfigFile();
+      file.erase("tenants");
+      if (!it.field.is_discarded()) file["tenants"] = it.field;
+      const serving::RouteTable routes(
+          std::make_shared<const serving::ServiceConfig>(DecodeServiceConfig(file.dump())));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.needs_key, routes.needs_key());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(it.name, it.has_k1, routes.FindAccount("k1") != nullptr);
+      CPPUNIT_ASSERT_MESSAGE(it.name, routes.FindAccount("") == nullptr);
+      // Requests that arrived under an earlier configuration are still ranked.
+      CPPUNIT_ASSERT_MESSAGE(it.name, routes.RankCount("assistant") >= 1);
+    }
+    for (const json& invalid : {json(nullptr), json(""), json(0), json(false), json::object()}) {
+      json file = ConfigFile();
+      file["tenants"] = invalid;
+      CPPUNIT_ASSERT_THROW_MESSAGE(file.dump(), DecodeServiceConfig(file.dump()),
+                                   serving::ServingError);
+    }
+  }
+
   // An invalid or truncated configuration must be rejected, not applied without the invalid part.
   void RejectsInvalidConfiguration() {
     const std::vector<std::function<void(json&)>> faults{
@@ -602,7 +645,7 @@
     json file = ConfigFile();
     file["tenants"].push_back({{"name", "desk"}, {"api-keys", {"k2"}}});
     const auto config = DecodeServiceConfig(file.dump());
-    CPPUNIT_ASSERT(!config.accounts[1].priority);
+    CPPUNIT_ASSERT(!config.accounts->at(1).priority);
     file["tenants"][1]["priority"] = "high";
     CPPUNIT_ASSERT_THROW(DecodeServiceConfig(file.dump()), serving::ServingError);
   }
--- a/tests/regions_test.cc
+++ b/tests/regions_test.cc
@@ -41,7 +41,7 @@
   route.services = {{"bookings", 1}};
   route.allowed_regions = route_regions;
   config.routes = {route};
-  config.accounts = {{"shop", {"key"}, 0, account_regions}};
+  config.accounts = std::vector<Account>{{"shop", {"key"}, 0, account_regions}};
   return config;
 }
 
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -44,7 +44,7 @@
   config.services.push_back({"assistant", "/healthz", 10, std::nullopt, ""});
   config.routes = {MakeRoute("desk.example", "/a/"), MakeRoute("desk.example", "/a/b/"),
                    MakeRoute("other.example", "/")};
-  config.accounts = {{"shop", {"key-1", "key-2"}, 1}, {"seller", {"key-3"}, 0}};
+  config.accounts = std::vector<Account>{{"shop", {"key-1", "key-2"}, 1}, {"seller", {"key-3"}, 0}};
   return config;
 }
 
@@ -84,7 +84,8 @@
         {"zero weight", [](ServiceConfig& c) { c.routes[0].services[0].weight = 0; }},
         {"no service at all", [](ServiceConfig& c) { c.routes[0].services.clear(); }},
         {"no timeout", [](ServiceConfig& c) { c.routes[2].timeout = Duration::zero(); }},
-        {"key of two accounts", [](ServiceConfig& c) { c.accounts[1].keys.push_back("key-1"); }},
+        {"key of two accounts",
+         [](ServiceConfig& c) { c.accounts->at(1).keys.push_back("key-1"); }},
         {"repeated service", [](ServiceConfig& c) { c.services[1].name = "bookings"; }},
     };
     Validate(MakeConfig());
@@ -94,7 +95,7 @@
       CPPUNIT_ASSERT_THROW_MESSAGE(it.name, Validate(config), ServingError);
     }
     ServiceConfig same_account = MakeConfig();
-    same_account.accounts[0].keys.push_back("key-1");
+    same_account.accounts->at(0).keys.push_back("key-1");
     Validate(same_account);
   }
 
@@ -137,7 +138,7 @@
     config.routes.resize(2);
     config.routes[0].priority = 2;
     config.routes[1].priority = 1;
-    config.accounts.push_back({"desk", {"key-4"}, std::nullopt});
+    config.accounts->push_back({"desk", {"key-4"}, std::nullopt});
     const RouteTable table(std::make_shared<const ServiceConfig>(config));
     struct Case {
       const char* key;
