--- a/benchmark/incident_benchmark.cc
+++ b/benchmark/incident_benchmark.cc
@@ -117,7 +117,8 @@
           guard.OnBroken({endpoint, 1, now, subjects, "m", true}, now);
           guard.OnEndpointEnded(endpoint, 1, now);
         } else {
-          guard.OnProven(subjects, "m", now);
+          guard.OnBegun("m", now);
+          guard.OnDelivered(subjects, "m", now);
         }
       }
     });
--- a/include/wagtailslip/serving/crash_evidence.h
+++ b/include/wagtailslip/serving/crash_evidence.h
@@ -16,8 +16,32 @@
 
 namespace wagtailslip::serving {
 
-/// An attempt that was at an endpoint, without proof that the endpoint can serve it, when the
-/// endpoint ended.
+/// Stage of a response, by the events that its endpoint has generated: an index into kStageStarts.
+/// A plain response has no events before it is whole.
+using AttemptStage = std::size_t;
+/// Number of events from which on a response is at a stage. The first event may still leave an
+/// engine that ends under the request.
+inline constexpr std::array<std::uint64_t, 11> kStageStarts{0, 2, 3, 4, 6, 8, 12, 16, 24, 32, 64};
+/// The stage before the response has begun.
+inline constexpr AttemptStage kStarting = 0;
+AttemptStage StageOf(std::uint64_t events);
+
+/// Attempts at a service, by what became of them.
+struct AttemptTotals {
+  /// Got beyond kStarting, whatever became of them later.
+  std::uint64_t begun = 0;
+  std::uint64_t delivered = 0;
+  /// Ended with their endpoint, by stage.
+  std::array<std::uint64_t, kStageStarts.size()> ended{};
+
+  void Add(const AttemptTotals& other);
+  /// Number that ended at a stage or before it.
+  std::uint64_t EndedBy(AttemptStage stage) const;
+  /// Number that is known to have got beyond a stage.
+  std::uint64_t Beyond(AttemptStage stage) const;
+};
+
+/// An attempt whose response was not whole yet when its endpoint ended.
 struct EndedAttempt {
   /// Address of the endpoint, and start of its incarnation; 0 if it announced none.
   std::string endpoint;
@@ -29,33 +53,34 @@
   /// False if the endpoint could not be reached to find out whether it ended. Such an end counts
   /// against requests only, and for suspicion only.
   bool confirmed = true;
+  /// Events that the endpoint had generated.
+  std::uint64_t events = 0;
 };
 
 /// A subject that may be the cause of endpoints' ends.
 struct SuspectSubject {
   CrashSubject subject;
-  /// Endpoints that ended with an unproven attempt of it.
+  /// Endpoints that ended with an attempt of it.
   std::uint32_t ends = 0;
 };
 
 /// Finds the subjects under which endpoints end.
 ///
-/// An attempt is proven once its endpoint has answered so far that the subject did not end it. A
-/// subject with a recent proof is cleared, however many endpoints end beside it. A subject is
-/// condemned if endpoints have ended under its attempts at several separate times, none of its
-/// attempts was proven, and this is too unlikely for a sound subject, of which as many attempts are
-/// ended as of all others at the service.
+/// An attempt is a proof once its endpoint has generated the whole response: an endpoint may end
+/// under a subject at any event. A subject with a recent proof is cleared, however many endpoints
+/// end beside it. A subject is condemned if endpoints have ended under its attempts at several
+/// separate times, there was no proof, and this is too unlikely for a sound subject, of which as
+/// many attempts end by the same stage as of all others at the service.
 class CrashEvidence {
  public:
   /// Number of ends from which on a subject is a suspect.
   static constexpr std::uint32_t kSuspectEnds = 2;
 
-  /// Adds attempts at a service that were proven, and ended ones, since the last call.
-  void AddTotals(const std::string& service, std::uint64_t proven, std::uint64_t ended,
-                 TimePoint now);
+  /// Adds attempts at a service since the last call.
+  void AddTotals(const std::string& service, const AttemptTotals& totals, TimePoint now);
   /// @return false if the attempt is explained by a condemned subject
   bool AddEnd(const EndedAttempt& attempt, TimePoint now);
-  /// An attempt with the subject was proven at the given time.
+  /// The response of an attempt with the subject was whole at the given time.
   void AddProof(const CrashSubject& subject, TimePoint at, TimePoint now);
   /// The subject to condemn, which explains the ends of others beside it from then on.
   /// @param allowed whether a subject may be condemned
@@ -84,6 +109,8 @@
     EndpointRun run;
     TimePoint at{};
     bool confirmed = true;
+    /// The latest of the attempts at this endpoint.
+    AttemptStage stage = kStarting;
   };
   struct State {
     std::deque<End> ends;
@@ -98,8 +125,7 @@
   /// Attempts at a service in an interval.
   struct Interval {
     TimePoint from{};
-    std::uint64_t proven = 0;
-    std::uint64_t ended = 0;
+    AttemptTotals totals;
   };
 
   static bool SameEnd(const End& end, const EndpointRun& run, TimePoint at);
@@ -110,7 +136,10 @@
   /// Whether endpoints ended under the subject often enough, and at separate times.
   static bool EndsRepeatedly(const State& state);
   bool MustBeGuilty(const CrashSubject& subject, const State& state) const;
-  /// Share of the attempts of other subjects in the time of the ends that were ended.
+  /// Stage by which all attempts of the subject had ended.
+  static AttemptStage LatestStage(const State& state);
+  /// Share of the attempts of other subjects, in the time of the ends, that ended by the same
+  /// stage.
   double EndedShare(const CrashSubject& subject, const State& state) const;
   void ExplainEnds(const State& condemned, const CrashSubject& name);
   static void ExpireEnds(const CrashSubject& subject, State& state, TimePoint now);
--- a/include/wagtailslip/serving/crash_guard.h
+++ b/include/wagtailslip/serving/crash_guard.h
@@ -76,12 +76,15 @@
   /// The request of a kTrial decision has ended.
   void EndTrial(const CrashSubject& subject);
 
-  /// An endpoint has generated several events of a request, or its whole response.
-  void OnProven(const std::vector<CrashSubject>& subjects, const std::string& service,
-                TimePoint now);
-  /// The connection of an unproven attempt broke. Whether its endpoint ended is not known yet.
+  /// An attempt has got beyond kStarting.
+  void OnBegun(const std::string& service, TimePoint now);
+  /// The response of an attempt is whole.
+  /// @param proven subjects of which this is a proof; none if another endpoint began the response
+  void OnDelivered(const std::vector<CrashSubject>& proven, const std::string& service,
+                   TimePoint now);
+  /// The connection of an attempt broke. Whether its endpoint ended is not known yet.
   void OnBroken(EndedAttempt attempt, TimePoint now);
-  /// The caller of an unproven attempt left. If its endpoint ends at once, the attempt may be the
+  /// The caller of an attempt left. If its endpoint ends at once, the attempt may be the
   /// cause all the same.
   void OnCallerLeft(EndedAttempt attempt, TimePoint now);
   /// The endpoint of a broken attempt cannot be reached to find out whether it ended.
@@ -150,6 +153,7 @@
   void EndGrant(const CrashSubject& subject, Grant& grant, TrialOutcome outcome);
   void RememberProof(const std::string& part, TimePoint now);
   void AddEnd(const EndedAttempt& attempt, TimePoint now);
+  void AddTotals(const std::string& service, const AttemptTotals& totals, TimePoint now);
   void AddUnclear(EndedAttempt attempt, bool caller_left);
   void Expire(TimePoint now);
   void EndUnusedGrants(TimePoint now);
--- a/include/wagtailslip/serving/crash_judge.h
+++ b/include/wagtailslip/serving/crash_judge.h
@@ -18,11 +18,6 @@
     CrashSubject subject;
     TimePoint at{};
   };
-  /// Attempts at a service since the last report.
-  struct Totals {
-    std::uint64_t proven = 0;
-    std::uint64_t ended = 0;
-  };
   struct TrialEnd {
     CrashSubject subject;
     /// CrashVerdict::revision of the grant.
@@ -32,7 +27,8 @@
   std::vector<EndedAttempt> ends;
   /// Proofs of subjects that are suspects, or that have just been blamed.
   std::vector<Proof> proofs;
-  std::map<std::string, Totals> totals;
+  /// Attempts since the last report, by service.
+  std::map<std::string, AttemptTotals> totals;
   /// Condemned subjects that were asked for since the last report.
   std::vector<CrashSubject> refused;
   /// Suspects of which the process has a request, so that it could try them.
--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -2964,6 +2964,11 @@
 void AttemptEnd::__set_unconfirmed(const bool val) {
   this->unconfirmed = val;
 }
+
+void AttemptEnd::__set_events(const int64_t val) {
+  this->events = val;
+__isset.events = true;
+}
 std::ostream& operator<<(std::ostream& out, const AttemptEnd& obj)
 {
   obj.printTo(out);
@@ -3060,6 +3065,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->events);
+          this->__isset.events = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3114,6 +3127,11 @@
   xfer += oprot->writeBool(this->unconfirmed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.events) {
+    xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->events);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3128,6 +3146,7 @@
   swap(a.request, b.request);
   swap(a.service_name, b.service_name);
   swap(a.unconfirmed, b.unconfirmed);
+  swap(a.events, b.events);
   swap(a.__isset, b.__isset);
 }
 
@@ -3139,6 +3158,7 @@
   request = other80.request;
   service_name = other80.service_name;
   unconfirmed = other80.unconfirmed;
+  events = other80.events;
   __isset = other80.__isset;
 }
 AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other81) {
@@ -3149,6 +3169,7 @@
   request = other81.request;
   service_name = other81.service_name;
   unconfirmed = other81.unconfirmed;
+  events = other81.events;
   __isset = other81.__isset;
   return *this;
 }
@@ -3162,6 +3183,7 @@
   out << ", " << "request="; (__isset.request ? (out << to_string(request)) : (out << "<null>"));
   out << ", " << "service_name=" << to_string(service_name);
   out << ", " << "unconfirmed=" << to_string(unconfirmed);
+  out << ", " << "events="; (__isset.events ? (out << to_string(events)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3418,13 +3440,23 @@
   this->service_name = val;
 }
 
-void ServiceAttempts::__set_proven(const int64_t val) {
-  this->proven = val;
+void ServiceAttempts::__set_begun(const int64_t val) {
+  this->begun = val;
 }
 
 void ServiceAttempts::__set_ended(const int64_t val) {
   this->ended = val;
 }
+
+void ServiceAttempts::__set_delivered(const int64_t val) {
+  this->delivered = val;
+__isset.delivered = true;
+}
+
+void ServiceAttempts::__set_ended_later(const std::vector<int64_t> & val) {
+  this->ended_later = val;
+__isset.ended_later = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServiceAttempts& obj)
 {
   obj.printTo(out);
@@ -3463,8 +3495,8 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->proven);
-          this->__isset.proven = true;
+          xfer += iprot->readI64(this->begun);
+          this->__isset.begun = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3477,6 +3509,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->delivered);
+          this->__isset.delivered = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended_later.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->ended_later.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += iprot->readI64(this->ended_later[_i90]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended_later = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3498,14 +3558,32 @@
   xfer += oprot->writeString(this->service_name);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("proven", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->proven);
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->begun);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_I64, 3);
   xfer += oprot->writeI64(this->ended);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.delivered) {
+    xfer += oprot->writeFieldBegin("delivered", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->delivered);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.ended_later) {
+    xfer += oprot->writeFieldBegin("ended_later", ::apache::thrift::protocol::T_LIST, 5);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ended_later.size()));
+      std::vector<int64_t> ::const_iterator _iter91;
+      for (_iter91 = this->ended_later.begin(); _iter91 != this->ended_later.end(); ++_iter91)
+      {
+        xfer += oprot->writeI64((*_iter91));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3514,30 +3592,38 @@
 void swap(ServiceAttempts &a, ServiceAttempts &b) {
   using ::std::swap;
   swap(a.service_name, b.service_name);
-  swap(a.proven, b.proven);
+  swap(a.begun, b.begun);
   swap(a.ended, b.ended);
+  swap(a.delivered, b.delivered);
+  swap(a.ended_later, b.ended_later);
   swap(a.__isset, b.__isset);
 }
 
-ServiceAttempts::ServiceAttempts(const ServiceAttempts& other86) {
-  service_name = other86.service_name;
-  proven = other86.proven;
-  ended = other86.ended;
-  __isset = other86.__isset;
-}
-ServiceAttempts& ServiceAttempts::operator=(const ServiceAttempts& other87) {
-  service_name = other87.service_name;
-  proven = other87.proven;
-  ended = other87.ended;
-  __isset = other87.__isset;
+ServiceAttempts::ServiceAttempts(const ServiceAttempts& other92) {
+  service_name = other92.service_name;
+  begun = other92.begun;
+  ended = other92.ended;
+  delivered = other92.delivered;
+  ended_later = other92.ended_later;
+  __isset = other92.__isset;
+}
+ServiceAttempts& ServiceAttempts::operator=(const ServiceAttempts& other93) {
+  service_name = other93.service_name;
+  begun = other93.begun;
+  ended = other93.ended;
+  delivered = other93.delivered;
+  ended_later = other93.ended_later;
+  __isset = other93.__isset;
   return *this;
 }
 void ServiceAttempts::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "ServiceAttempts(";
   out << "service_name=" << to_string(service_name);
-  out << ", " << "proven=" << to_string(proven);
+  out << ", " << "begun=" << to_string(begun);
   out << ", " << "ended=" << to_string(ended);
+  out << ", " << "delivered="; (__isset.delivered ? (out << to_string(delivered)) : (out << "<null>"));
+  out << ", " << "ended_later="; (__isset.ended_later ? (out << to_string(ended_later)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3651,17 +3737,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TrialEnd::TrialEnd(const TrialEnd& other88) {
-  subject = other88.subject;
-  revision = other88.revision;
-  outcome = other88.outcome;
-  __isset = other88.__isset;
+TrialEnd::TrialEnd(const TrialEnd& other94) {
+  subject = other94.subject;
+  revision = other94.revision;
+  outcome = other94.outcome;
+  __isset = other94.__isset;
 }
-TrialEnd& TrialEnd::operator=(const TrialEnd& other89) {
-  subject = other89.subject;
-  revision = other89.revision;
-  outcome = other89.outcome;
-  __isset = other89.__isset;
+TrialEnd& TrialEnd::operator=(const TrialEnd& other95) {
+  subject = other95.subject;
+  revision = other95.revision;
+  outcome = other95.outcome;
+  __isset = other95.__isset;
   return *this;
 }
 void TrialEnd::printTo(std::ostream& out) const {
@@ -3705,6 +3791,11 @@
 void CrashReport::__set_trial_ends(const std::vector<TrialEnd> & val) {
   this->trial_ends = val;
 }
+
+void CrashReport::__set_later_ends(const std::vector<AttemptEnd> & val) {
+  this->later_ends = val;
+__isset.later_ends = true;
+}
 std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
 {
   obj.printTo(out);
@@ -3737,14 +3828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->ends.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size96;
+            ::apache::thrift::protocol::TType _etype99;
+            xfer += iprot->readListBegin(_etype99, _size96);
+            this->ends.resize(_size96);
+            uint32_t _i100;
+            for (_i100 = 0; _i100 < _size96; ++_i100)
             {
-              xfer += this->ends[_i94].read(iprot);
+              xfer += this->ends[_i100].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3757,14 +3848,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proofs.clear();
-            uint32_t _size95;
-            ::apache::thrift::protocol::TType _etype98;
-            xfer += iprot->readListBegin(_etype98, _size95);
-            this->proofs.resize(_size95);
-            uint32_t _i99;
-            for (_i99 = 0; _i99 < _size95; ++_i99)
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _etype104;
+            xfer += iprot->readListBegin(_etype104, _size101);
+            this->proofs.resize(_size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
             {
-              xfer += this->proofs[_i99].read(iprot);
+              xfer += this->proofs[_i105].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3777,14 +3868,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size100;
-            ::apache::thrift::protocol::TType _etype103;
-            xfer += iprot->readListBegin(_etype103, _size100);
-            this->refused.resize(_size100);
-            uint32_t _i104;
-            for (_i104 = 0; _i104 < _size100; ++_i104)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->refused.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += iprot->readString(this->refused[_i104]);
+              xfer += iprot->readString(this->refused[_i110]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3797,14 +3888,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size105;
-            ::apache::thrift::protocol::TType _etype108;
-            xfer += iprot->readListBegin(_etype108, _size105);
-            this->attempts.resize(_size105);
-            uint32_t _i109;
-            for (_i109 = 0; _i109 < _size105; ++_i109)
+            uint32_t _size111;
+            ::apache::thrift::protocol::TType _etype114;
+            xfer += iprot->readListBegin(_etype114, _size111);
+            this->attempts.resize(_size111);
+            uint32_t _i115;
+            for (_i115 = 0; _i115 < _size111; ++_i115)
             {
-              xfer += this->attempts[_i109].read(iprot);
+              xfer += this->attempts[_i115].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3817,14 +3908,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused_requests.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->refused_requests.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->refused_requests.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += iprot->readString(this->refused_requests[_i114]);
+              xfer += iprot->readString(this->refused_requests[_i120]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3837,14 +3928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _etype118;
-            xfer += iprot->readListBegin(_etype118, _size115);
-            this->asks.resize(_size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size121;
+            ::apache::thrift::protocol::TType _etype124;
+            xfer += iprot->readListBegin(_etype124, _size121);
+            this->asks.resize(_size121);
+            uint32_t _i125;
+            for (_i125 = 0; _i125 < _size121; ++_i125)
             {
-              xfer += iprot->readString(this->asks[_i119]);
+              xfer += iprot->readString(this->asks[_i125]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3857,14 +3948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->trial_ends.clear();
-            uint32_t _size120;
-            ::apache::thrift::protocol::TType _etype123;
-            xfer += iprot->readListBegin(_etype123, _size120);
-            this->trial_ends.resize(_size120);
-            uint32_t _i124;
-            for (_i124 = 0; _i124 < _size120; ++_i124)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->trial_ends.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->trial_ends[_i124].read(iprot);
+              xfer += this->trial_ends[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3873,6 +3964,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->later_ends.clear();
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _etype134;
+            xfer += iprot->readListBegin(_etype134, _size131);
+            this->later_ends.resize(_size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
+            {
+              xfer += this->later_ends[_i135].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.later_ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3893,10 +4004,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<AttemptEnd> ::const_iterator _iter125;
-    for (_iter125 = this->ends.begin(); _iter125 != this->ends.end(); ++_iter125)
+    std::vector<AttemptEnd> ::const_iterator _iter136;
+    for (_iter136 = this->ends.begin(); _iter136 != this->ends.end(); ++_iter136)
     {
-      xfer += (*_iter125).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3905,10 +4016,10 @@
   xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
-    std::vector<SubjectProof> ::const_iterator _iter126;
-    for (_iter126 = this->proofs.begin(); _iter126 != this->proofs.end(); ++_iter126)
+    std::vector<SubjectProof> ::const_iterator _iter137;
+    for (_iter137 = this->proofs.begin(); _iter137 != this->proofs.end(); ++_iter137)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3917,10 +4028,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused.size()));
-    std::vector<std::string> ::const_iterator _iter127;
-    for (_iter127 = this->refused.begin(); _iter127 != this->refused.end(); ++_iter127)
+    std::vector<std::string> ::const_iterator _iter138;
+    for (_iter138 = this->refused.begin(); _iter138 != this->refused.end(); ++_iter138)
     {
-      xfer += oprot->writeString((*_iter127));
+      xfer += oprot->writeString((*_iter138));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3929,10 +4040,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<ServiceAttempts> ::const_iterator _iter128;
-    for (_iter128 = this->attempts.begin(); _iter128 != this->attempts.end(); ++_iter128)
+    std::vector<ServiceAttempts> ::const_iterator _iter139;
+    for (_iter139 = this->attempts.begin(); _iter139 != this->attempts.end(); ++_iter139)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3941,10 +4052,10 @@
   xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused_requests.size()));
-    std::vector<std::string> ::const_iterator _iter129;
-    for (_iter129 = this->refused_requests.begin(); _iter129 != this->refused_requests.end(); ++_iter129)
+    std::vector<std::string> ::const_iterator _iter140;
+    for (_iter140 = this->refused_requests.begin(); _iter140 != this->refused_requests.end(); ++_iter140)
     {
-      xfer += oprot->writeString((*_iter129));
+      xfer += oprot->writeString((*_iter140));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3953,10 +4064,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->asks.size()));
-    std::vector<std::string> ::const_iterator _iter130;
-    for (_iter130 = this->asks.begin(); _iter130 != this->asks.end(); ++_iter130)
+    std::vector<std::string> ::const_iterator _iter141;
+    for (_iter141 = this->asks.begin(); _iter141 != this->asks.end(); ++_iter141)
     {
-      xfer += oprot->writeString((*_iter130));
+      xfer += oprot->writeString((*_iter141));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3965,15 +4076,28 @@
   xfer += oprot->writeFieldBegin("trial_ends", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->trial_ends.size()));
-    std::vector<TrialEnd> ::const_iterator _iter131;
-    for (_iter131 = this->trial_ends.begin(); _iter131 != this->trial_ends.end(); ++_iter131)
+    std::vector<TrialEnd> ::const_iterator _iter142;
+    for (_iter142 = this->trial_ends.begin(); _iter142 != this->trial_ends.end(); ++_iter142)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter142).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.later_ends) {
+    xfer += oprot->writeFieldBegin("later_ends", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->later_ends.size()));
+      std::vector<AttemptEnd> ::const_iterator _iter143;
+      for (_iter143 = this->later_ends.begin(); _iter143 != this->later_ends.end(); ++_iter143)
+      {
+        xfer += (*_iter143).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3988,28 +4112,31 @@
   swap(a.refused_requests, b.refused_requests);
   swap(a.asks, b.asks);
   swap(a.trial_ends, b.trial_ends);
+  swap(a.later_ends, b.later_ends);
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other132) {
-  ends = other132.ends;
-  proofs = other132.proofs;
-  refused = other132.refused;
-  attempts = other132.attempts;
-  refused_requests = other132.refused_requests;
-  asks = other132.asks;
-  trial_ends = other132.trial_ends;
-  __isset = other132.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other133) {
-  ends = other133.ends;
-  proofs = other133.proofs;
-  refused = other133.refused;
-  attempts = other133.attempts;
-  refused_requests = other133.refused_requests;
-  asks = other133.asks;
-  trial_ends = other133.trial_ends;
-  __isset = other133.__isset;
+CrashReport::CrashReport(const CrashReport& other144) {
+  ends = other144.ends;
+  proofs = other144.proofs;
+  refused = other144.refused;
+  attempts = other144.attempts;
+  refused_requests = other144.refused_requests;
+  asks = other144.asks;
+  trial_ends = other144.trial_ends;
+  later_ends = other144.later_ends;
+  __isset = other144.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other145) {
+  ends = other145.ends;
+  proofs = other145.proofs;
+  refused = other145.refused;
+  attempts = other145.attempts;
+  refused_requests = other145.refused_requests;
+  asks = other145.asks;
+  trial_ends = other145.trial_ends;
+  later_ends = other145.later_ends;
+  __isset = other145.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -4022,6 +4149,7 @@
   out << ", " << "refused_requests=" << to_string(refused_requests);
   out << ", " << "asks=" << to_string(asks);
   out << ", " << "trial_ends=" << to_string(trial_ends);
+  out << ", " << "later_ends="; (__isset.later_ends ? (out << to_string(later_ends)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4135,17 +4263,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectSubject::SuspectSubject(const SuspectSubject& other134) {
-  id = other134.id;
-  ends = other134.ends;
-  kind = other134.kind;
-  __isset = other134.__isset;
+SuspectSubject::SuspectSubject(const SuspectSubject& other146) {
+  id = other146.id;
+  ends = other146.ends;
+  kind = other146.kind;
+  __isset = other146.__isset;
 }
-SuspectSubject& SuspectSubject::operator=(const SuspectSubject& other135) {
-  id = other135.id;
-  ends = other135.ends;
-  kind = other135.kind;
-  __isset = other135.__isset;
+SuspectSubject& SuspectSubject::operator=(const SuspectSubject& other147) {
+  id = other147.id;
+  ends = other147.ends;
+  kind = other147.kind;
+  __isset = other147.__isset;
   return *this;
 }
 void SuspectSubject::printTo(std::ostream& out) const {
@@ -4352,27 +4480,27 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdict::CrashVerdict(const CrashVerdict& other136) {
-  id = other136.id;
-  state = other136.state;
-  times = other136.times;
-  trial_process = other136.trial_process;
-  kind = other136.kind;
-  trials = other136.trials;
-  revision = other136.revision;
-  held = other136.held;
-  __isset = other136.__isset;
-}
-CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other137) {
-  id = other137.id;
-  state = other137.state;
-  times = other137.times;
-  trial_process = other137.trial_process;
-  kind = other137.kind;
-  trials = other137.trials;
-  revision = other137.revision;
-  held = other137.held;
-  __isset = other137.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other148) {
+  id = other148.id;
+  state = other148.state;
+  times = other148.times;
+  trial_process = other148.trial_process;
+  kind = other148.kind;
+  trials = other148.trials;
+  revision = other148.revision;
+  held = other148.held;
+  __isset = other148.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other149) {
+  id = other149.id;
+  state = other149.state;
+  times = other149.times;
+  trial_process = other149.trial_process;
+  kind = other149.kind;
+  trials = other149.trials;
+  revision = other149.revision;
+  held = other149.held;
+  __isset = other149.__isset;
   return *this;
 }
 void CrashVerdict::printTo(std::ostream& out) const {
@@ -4441,14 +4569,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->rows.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size150;
+            ::apache::thrift::protocol::TType _etype153;
+            xfer += iprot->readListBegin(_etype153, _size150);
+            this->rows.resize(_size150);
+            uint32_t _i154;
+            for (_i154 = 0; _i154 < _size150; ++_i154)
             {
-              xfer += this->rows[_i142].read(iprot);
+              xfer += this->rows[_i154].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4481,10 +4609,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<CrashVerdict> ::const_iterator _iter143;
-    for (_iter143 = this->rows.begin(); _iter143 != this->rows.end(); ++_iter143)
+    std::vector<CrashVerdict> ::const_iterator _iter155;
+    for (_iter155 = this->rows.begin(); _iter155 != this->rows.end(); ++_iter155)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter155).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4502,15 +4630,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdicts::CrashVerdicts(const CrashVerdicts& other144) {
-  revision = other144.revision;
-  rows = other144.rows;
-  __isset = other144.__isset;
+CrashVerdicts::CrashVerdicts(const CrashVerdicts& other156) {
+  revision = other156.revision;
+  rows = other156.rows;
+  __isset = other156.__isset;
 }
-CrashVerdicts& CrashVerdicts::operator=(const CrashVerdicts& other145) {
-  revision = other145.revision;
-  rows = other145.rows;
-  __isset = other145.__isset;
+CrashVerdicts& CrashVerdicts::operator=(const CrashVerdicts& other157) {
+  revision = other157.revision;
+  rows = other157.rows;
+  __isset = other157.__isset;
   return *this;
 }
 void CrashVerdicts::printTo(std::ostream& out) const {
@@ -4648,19 +4776,19 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainEnd::DrainEnd(const DrainEnd& other146) {
-  domain = other146.domain;
-  revision = other146.revision;
-  age_ms = other146.age_ms;
-  utc_ms = other146.utc_ms;
-  __isset = other146.__isset;
+DrainEnd::DrainEnd(const DrainEnd& other158) {
+  domain = other158.domain;
+  revision = other158.revision;
+  age_ms = other158.age_ms;
+  utc_ms = other158.utc_ms;
+  __isset = other158.__isset;
 }
-DrainEnd& DrainEnd::operator=(const DrainEnd& other147) {
-  domain = other147.domain;
-  revision = other147.revision;
-  age_ms = other147.age_ms;
-  utc_ms = other147.utc_ms;
-  __isset = other147.__isset;
+DrainEnd& DrainEnd::operator=(const DrainEnd& other159) {
+  domain = other159.domain;
+  revision = other159.revision;
+  age_ms = other159.age_ms;
+  utc_ms = other159.utc_ms;
+  __isset = other159.__isset;
   return *this;
 }
 void DrainEnd::printTo(std::ostream& out) const {
@@ -4729,14 +4857,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->domains.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->domains.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size160;
+            ::apache::thrift::protocol::TType _etype163;
+            xfer += iprot->readListBegin(_etype163, _size160);
+            this->domains.resize(_size160);
+            uint32_t _i164;
+            for (_i164 = 0; _i164 < _size160; ++_i164)
             {
-              xfer += iprot->readString(this->domains[_i152]);
+              xfer += iprot->readString(this->domains[_i164]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4749,14 +4877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size153;
-            ::apache::thrift::protocol::TType _etype156;
-            xfer += iprot->readListBegin(_etype156, _size153);
-            this->ended.resize(_size153);
-            uint32_t _i157;
-            for (_i157 = 0; _i157 < _size153; ++_i157)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _etype168;
+            xfer += iprot->readListBegin(_etype168, _size165);
+            this->ended.resize(_size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              xfer += this->ended[_i157].read(iprot);
+              xfer += this->ended[_i169].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4789,10 +4917,10 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::vector<std::string> ::const_iterator _iter158;
-    for (_iter158 = this->domains.begin(); _iter158 != this->domains.end(); ++_iter158)
+    std::vector<std::string> ::const_iterator _iter170;
+    for (_iter170 = this->domains.begin(); _iter170 != this->domains.end(); ++_iter170)
     {
-      xfer += oprot->writeString((*_iter158));
+      xfer += oprot->writeString((*_iter170));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4801,10 +4929,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<DrainEnd> ::const_iterator _iter159;
-    for (_iter159 = this->ended.begin(); _iter159 != this->ended.end(); ++_iter159)
+    std::vector<DrainEnd> ::const_iterator _iter171;
+    for (_iter171 = this->ended.begin(); _iter171 != this->ended.end(); ++_iter171)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4823,17 +4951,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainedDomains::DrainedDomains(const DrainedDomains& other160) {
-  revision = other160.revision;
-  domains = other160.domains;
-  ended = other160.ended;
-  __isset = other160.__isset;
+DrainedDomains::DrainedDomains(const DrainedDomains& other172) {
+  revision = other172.revision;
+  domains = other172.domains;
+  ended = other172.ended;
+  __isset = other172.__isset;
 }
-DrainedDomains& DrainedDomains::operator=(const DrainedDomains& other161) {
-  revision = other161.revision;
-  domains = other161.domains;
-  ended = other161.ended;
-  __isset = other161.__isset;
+DrainedDomains& DrainedDomains::operator=(const DrainedDomains& other173) {
+  revision = other173.revision;
+  domains = other173.domains;
+  ended = other173.ended;
+  __isset = other173.__isset;
   return *this;
 }
 void DrainedDomains::printTo(std::ostream& out) const {
@@ -4955,17 +5083,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainDrain::DomainDrain(const DomainDrain& other162) {
-  domain = other162.domain;
-  drained = other162.drained;
-  utc_ms = other162.utc_ms;
-  __isset = other162.__isset;
+DomainDrain::DomainDrain(const DomainDrain& other174) {
+  domain = other174.domain;
+  drained = other174.drained;
+  utc_ms = other174.utc_ms;
+  __isset = other174.__isset;
 }
-DomainDrain& DomainDrain::operator=(const DomainDrain& other163) {
-  domain = other163.domain;
-  drained = other163.drained;
-  utc_ms = other163.utc_ms;
-  __isset = other163.__isset;
+DomainDrain& DomainDrain::operator=(const DomainDrain& other175) {
+  domain = other175.domain;
+  drained = other175.drained;
+  utc_ms = other175.utc_ms;
+  __isset = other175.__isset;
   return *this;
 }
 void DomainDrain::printTo(std::ostream& out) const {
@@ -5087,17 +5215,17 @@
   swap(a.__isset, b.__isset);
 }
 
-WarmupLeaseRow::WarmupLeaseRow(const WarmupLeaseRow& other164) {
-  endpoint = other164.endpoint;
-  started_ms = other164.started_ms;
-  granted = other164.granted;
-  __isset = other164.__isset;
+WarmupLeaseRow::WarmupLeaseRow(const WarmupLeaseRow& other176) {
+  endpoint = other176.endpoint;
+  started_ms = other176.started_ms;
+  granted = other176.granted;
+  __isset = other176.__isset;
 }
-WarmupLeaseRow& WarmupLeaseRow::operator=(const WarmupLeaseRow& other165) {
-  endpoint = other165.endpoint;
-  started_ms = other165.started_ms;
-  granted = other165.granted;
-  __isset = other165.__isset;
+WarmupLeaseRow& WarmupLeaseRow::operator=(const WarmupLeaseRow& other177) {
+  endpoint = other177.endpoint;
+  started_ms = other177.started_ms;
+  granted = other177.granted;
+  __isset = other177.__isset;
   return *this;
 }
 void WarmupLeaseRow::printTo(std::ostream& out) const {
@@ -5185,14 +5313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->rows.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->rows.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->rows[_i170].read(iprot);
+              xfer += this->rows[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5233,10 +5361,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WarmupLeaseRow> ::const_iterator _iter171;
-    for (_iter171 = this->rows.begin(); _iter171 != this->rows.end(); ++_iter171)
+    std::vector<WarmupLeaseRow> ::const_iterator _iter183;
+    for (_iter183 = this->rows.begin(); _iter183 != this->rows.end(); ++_iter183)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5256,19 +5384,19 @@
   swap(a.__isset, b.__isset);
 }
 
-WarmupLeases::WarmupLeases(const WarmupLeases& other172) {
-  grant = other172.grant;
-  asked_at_ns = other172.asked_at_ns;
-  lifetime_ms = other172.lifetime_ms;
-  rows = other172.rows;
-  __isset = other172.__isset;
+WarmupLeases::WarmupLeases(const WarmupLeases& other184) {
+  grant = other184.grant;
+  asked_at_ns = other184.asked_at_ns;
+  lifetime_ms = other184.lifetime_ms;
+  rows = other184.rows;
+  __isset = other184.__isset;
 }
-WarmupLeases& WarmupLeases::operator=(const WarmupLeases& other173) {
-  grant = other173.grant;
-  asked_at_ns = other173.asked_at_ns;
-  lifetime_ms = other173.lifetime_ms;
-  rows = other173.rows;
-  __isset = other173.__isset;
+WarmupLeases& WarmupLeases::operator=(const WarmupLeases& other185) {
+  grant = other185.grant;
+  asked_at_ns = other185.asked_at_ns;
+  lifetime_ms = other185.lifetime_ms;
+  rows = other185.rows;
+  __isset = other185.__isset;
   return *this;
 }
 void WarmupLeases::printTo(std::ostream& out) const {
@@ -5430,14 +5558,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->members.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->members.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->members[_i178].read(iprot);
+              xfer += this->members[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5450,14 +5578,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->instances.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->instances.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->instances[_i183].read(iprot);
+              xfer += this->instances[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5470,14 +5598,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->readings.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->readings.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += this->readings[_i188].read(iprot);
+              xfer += this->readings[_i200].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5498,14 +5626,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->targets.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->targets.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += this->targets[_i193].read(iprot);
+              xfer += this->targets[_i205].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5518,14 +5646,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->sources.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->sources.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->sources[_i198].read(iprot);
+              xfer += this->sources[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5554,14 +5682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size199;
-            ::apache::thrift::protocol::TType _etype202;
-            xfer += iprot->readListBegin(_etype202, _size199);
-            this->expected.resize(_size199);
-            uint32_t _i203;
-            for (_i203 = 0; _i203 < _size199; ++_i203)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->expected.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += this->expected[_i203].read(iprot);
+              xfer += this->expected[_i215].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5582,14 +5710,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->limits.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->limits.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->limits[_i208].read(iprot);
+              xfer += this->limits[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5618,14 +5746,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->suspects.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->suspects.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += this->suspects[_i213].read(iprot);
+              xfer += this->suspects[_i225].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5708,10 +5836,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter214;
-      for (_iter214 = this->members.begin(); _iter214 != this->members.end(); ++_iter214)
+      std::vector<MeshMember> ::const_iterator _iter226;
+      for (_iter226 = this->members.begin(); _iter226 != this->members.end(); ++_iter226)
       {
-        xfer += (*_iter214).write(oprot);
+        xfer += (*_iter226).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5721,10 +5849,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter215;
-      for (_iter215 = this->instances.begin(); _iter215 != this->instances.end(); ++_iter215)
+      std::vector<InstanceRecord> ::const_iterator _iter227;
+      for (_iter227 = this->instances.begin(); _iter227 != this->instances.end(); ++_iter227)
       {
-        xfer += (*_iter215).write(oprot);
+        xfer += (*_iter227).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5734,10 +5862,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter216;
-      for (_iter216 = this->readings.begin(); _iter216 != this->readings.end(); ++_iter216)
+      std::vector<InstanceReading> ::const_iterator _iter228;
+      for (_iter228 = this->readings.begin(); _iter228 != this->readings.end(); ++_iter228)
       {
-        xfer += (*_iter216).write(oprot);
+        xfer += (*_iter228).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5752,10 +5880,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter217;
-      for (_iter217 = this->targets.begin(); _iter217 != this->targets.end(); ++_iter217)
+      std::vector<WeightsTarget> ::const_iterator _iter229;
+      for (_iter229 = this->targets.begin(); _iter229 != this->targets.end(); ++_iter229)
       {
-        xfer += (*_iter217).write(oprot);
+        xfer += (*_iter229).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5765,10 +5893,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter218;
-      for (_iter218 = this->sources.begin(); _iter218 != this->sources.end(); ++_iter218)
+      std::vector<ModelSource> ::const_iterator _iter230;
+      for (_iter230 = this->sources.begin(); _iter230 != this->sources.end(); ++_iter230)
       {
-        xfer += (*_iter218).write(oprot);
+        xfer += (*_iter230).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5788,10 +5916,10 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter219;
-      for (_iter219 = this->expected.begin(); _iter219 != this->expected.end(); ++_iter219)
+      std::vector<WeightsTarget> ::const_iterator _iter231;
+      for (_iter231 = this->expected.begin(); _iter231 != this->expected.end(); ++_iter231)
       {
-        xfer += (*_iter219).write(oprot);
+        xfer += (*_iter231).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5806,10 +5934,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<EndpointLimit> ::const_iterator _iter220;
-      for (_iter220 = this->limits.begin(); _iter220 != this->limits.end(); ++_iter220)
+      std::vector<EndpointLimit> ::const_iterator _iter232;
+      for (_iter232 = this->limits.begin(); _iter232 != this->limits.end(); ++_iter232)
       {
-        xfer += (*_iter220).write(oprot);
+        xfer += (*_iter232).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5829,10 +5957,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectSubject> ::const_iterator _iter221;
-      for (_iter221 = this->suspects.begin(); _iter221 != this->suspects.end(); ++_iter221)
+      std::vector<SuspectSubject> ::const_iterator _iter233;
+      for (_iter233 = this->suspects.begin(); _iter233 != this->suspects.end(); ++_iter233)
       {
-        xfer += (*_iter221).write(oprot);
+        xfer += (*_iter233).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5899,53 +6027,53 @@
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other222) {
-  hello = other222.hello;
-  members = other222.members;
-  instances = other222.instances;
-  readings = other222.readings;
-  service_config = other222.service_config;
-  targets = other222.targets;
-  sources = other222.sources;
-  agreement = other222.agreement;
-  join = other222.join;
-  expected = other222.expected;
-  permits = other222.permits;
-  limits = other222.limits;
-  retries = other222.retries;
-  crash_report = other222.crash_report;
-  suspects = other222.suspects;
-  crash_verdicts = other222.crash_verdicts;
-  drained_domains = other222.drained_domains;
-  member_changes = other222.member_changes;
-  instance_summary = other222.instance_summary;
-  instance_request = other222.instance_request;
-  warmup_leases = other222.warmup_leases;
-  __isset = other222.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other223) {
-  hello = other223.hello;
-  members = other223.members;
-  instances = other223.instances;
-  readings = other223.readings;
-  service_config = other223.service_config;
-  targets = other223.targets;
-  sources = other223.sources;
-  agreement = other223.agreement;
-  join = other223.join;
-  expected = other223.expected;
-  permits = other223.permits;
-  limits = other223.limits;
-  retries = other223.retries;
-  crash_report = other223.crash_report;
-  suspects = other223.suspects;
-  crash_verdicts = other223.crash_verdicts;
-  drained_domains = other223.drained_domains;
-  member_changes = other223.member_changes;
-  instance_summary = other223.instance_summary;
-  instance_request = other223.instance_request;
-  warmup_leases = other223.warmup_leases;
-  __isset = other223.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other234) {
+  hello = other234.hello;
+  members = other234.members;
+  instances = other234.instances;
+  readings = other234.readings;
+  service_config = other234.service_config;
+  targets = other234.targets;
+  sources = other234.sources;
+  agreement = other234.agreement;
+  join = other234.join;
+  expected = other234.expected;
+  permits = other234.permits;
+  limits = other234.limits;
+  retries = other234.retries;
+  crash_report = other234.crash_report;
+  suspects = other234.suspects;
+  crash_verdicts = other234.crash_verdicts;
+  drained_domains = other234.drained_domains;
+  member_changes = other234.member_changes;
+  instance_summary = other234.instance_summary;
+  instance_request = other234.instance_request;
+  warmup_leases = other234.warmup_leases;
+  __isset = other234.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other235) {
+  hello = other235.hello;
+  members = other235.members;
+  instances = other235.instances;
+  readings = other235.readings;
+  service_config = other235.service_config;
+  targets = other235.targets;
+  sources = other235.sources;
+  agreement = other235.agreement;
+  join = other235.join;
+  expected = other235.expected;
+  permits = other235.permits;
+  limits = other235.limits;
+  retries = other235.retries;
+  crash_report = other235.crash_report;
+  suspects = other235.suspects;
+  crash_verdicts = other235.crash_verdicts;
+  drained_domains = other235.drained_domains;
+  member_changes = other235.member_changes;
+  instance_summary = other235.instance_summary;
+  instance_request = other235.instance_request;
+  warmup_leases = other235.warmup_leases;
+  __isset = other235.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -6129,21 +6257,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other224) {
-  service_config = other224.service_config;
-  target = other224.target;
-  retry_blocks = other224.retry_blocks;
-  crash_verdict = other224.crash_verdict;
-  domain_drain = other224.domain_drain;
-  __isset = other224.__isset;
-}
-ControlCommand& ControlCommand::operator=(const ControlCommand& other225) {
-  service_config = other225.service_config;
-  target = other225.target;
-  retry_blocks = other225.retry_blocks;
-  crash_verdict = other225.crash_verdict;
-  domain_drain = other225.domain_drain;
-  __isset = other225.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other236) {
+  service_config = other236.service_config;
+  target = other236.target;
+  retry_blocks = other236.retry_blocks;
+  crash_verdict = other236.crash_verdict;
+  domain_drain = other236.domain_drain;
+  __isset = other236.__isset;
+}
+ControlCommand& ControlCommand::operator=(const ControlCommand& other237) {
+  service_config = other237.service_config;
+  target = other237.target;
+  retry_blocks = other237.retry_blocks;
+  crash_verdict = other237.crash_verdict;
+  domain_drain = other237.domain_drain;
+  __isset = other237.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -6225,14 +6353,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->targets.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->targets.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->targets[_i230].read(iprot);
+              xfer += this->targets[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6290,10 +6418,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter231;
-    for (_iter231 = this->targets.begin(); _iter231 != this->targets.end(); ++_iter231)
+    std::vector<WeightsTarget> ::const_iterator _iter243;
+    for (_iter243 = this->targets.begin(); _iter243 != this->targets.end(); ++_iter243)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter243).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6329,21 +6457,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other232) {
-  service_config = other232.service_config;
-  targets = other232.targets;
-  retry_blocks = other232.retry_blocks;
-  crash_verdicts = other232.crash_verdicts;
-  drained_domains = other232.drained_domains;
-  __isset = other232.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other233) {
-  service_config = other233.service_config;
-  targets = other233.targets;
-  retry_blocks = other233.retry_blocks;
-  crash_verdicts = other233.crash_verdicts;
-  drained_domains = other233.drained_domains;
-  __isset = other233.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other244) {
+  service_config = other244.service_config;
+  targets = other244.targets;
+  retry_blocks = other244.retry_blocks;
+  crash_verdicts = other244.crash_verdicts;
+  drained_domains = other244.drained_domains;
+  __isset = other244.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other245) {
+  service_config = other245.service_config;
+  targets = other245.targets;
+  retry_blocks = other245.retry_blocks;
+  crash_verdicts = other245.crash_verdicts;
+  drained_domains = other245.drained_domains;
+  __isset = other245.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -1230,7 +1230,7 @@
 std::ostream& operator<<(std::ostream& out, const Retries& obj);
 
 typedef struct _AttemptEnd__isset {
-  _AttemptEnd__isset() : endpoint(false), started_ms(false), age_ms(false), parts(false), request(false), service_name(false), unconfirmed(false) {}
+  _AttemptEnd__isset() : endpoint(false), started_ms(false), age_ms(false), parts(false), request(false), service_name(false), unconfirmed(false), events(false) {}
   bool endpoint :1;
   bool started_ms :1;
   bool age_ms :1;
@@ -1238,6 +1238,7 @@
   bool request :1;
   bool service_name :1;
   bool unconfirmed :1;
+  bool events :1;
 } _AttemptEnd__isset;
 
 class AttemptEnd : public virtual ::apache::thrift::TBase {
@@ -1251,7 +1252,8 @@
                age_ms(0),
                request(),
                service_name(),
-               unconfirmed(0) {
+               unconfirmed(0),
+               events(0) {
   }
 
   virtual ~AttemptEnd() noexcept;
@@ -1262,6 +1264,7 @@
   std::string request;
   std::string service_name;
   bool unconfirmed;
+  int64_t events;
 
   _AttemptEnd__isset __isset;
 
@@ -1279,6 +1282,8 @@
 
   void __set_unconfirmed(const bool val);
 
+  void __set_events(const int64_t val);
+
   bool operator == (const AttemptEnd & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -1297,6 +1302,10 @@
       return false;
     if (!(unconfirmed == rhs.unconfirmed))
       return false;
+    if (__isset.events != rhs.__isset.events)
+      return false;
+    else if (__isset.events && !(events == rhs.events))
+      return false;
     return true;
   }
   bool operator != (const AttemptEnd &rhs) const {
@@ -1423,10 +1432,12 @@
 std::ostream& operator<<(std::ostream& out, const SubjectProof& obj);
 
 typedef struct _ServiceAttempts__isset {
-  _ServiceAttempts__isset() : service_name(false), proven(false), ended(false) {}
+  _ServiceAttempts__isset() : service_name(false), begun(false), ended(false), delivered(false), ended_later(false) {}
   bool service_name :1;
-  bool proven :1;
+  bool begun :1;
   bool ended :1;
+  bool delivered :1;
+  bool ended_later :1;
 } _ServiceAttempts__isset;
 
 class ServiceAttempts : public virtual ::apache::thrift::TBase {
@@ -1436,31 +1447,46 @@
   ServiceAttempts& operator=(const ServiceAttempts&);
   ServiceAttempts() noexcept
                   : service_name(),
-                    proven(0),
-                    ended(0) {
+                    begun(0),
+                    ended(0),
+                    delivered(0) {
   }
 
   virtual ~ServiceAttempts() noexcept;
   std::string service_name;
-  int64_t proven;
+  int64_t begun;
   int64_t ended;
+  int64_t delivered;
+  std::vector<int64_t>  ended_later;
 
   _ServiceAttempts__isset __isset;
 
   void __set_service_name(const std::string& val);
 
-  void __set_proven(const int64_t val);
+  void __set_begun(const int64_t val);
 
   void __set_ended(const int64_t val);
 
+  void __set_delivered(const int64_t val);
+
+  void __set_ended_later(const std::vector<int64_t> & val);
+
   bool operator == (const ServiceAttempts & rhs) const
   {
     if (!(service_name == rhs.service_name))
       return false;
-    if (!(proven == rhs.proven))
+    if (!(begun == rhs.begun))
       return false;
     if (!(ended == rhs.ended))
       return false;
+    if (__isset.delivered != rhs.__isset.delivered)
+      return false;
+    else if (__isset.delivered && !(delivered == rhs.delivered))
+      return false;
+    if (__isset.ended_later != rhs.__isset.ended_later)
+      return false;
+    else if (__isset.ended_later && !(ended_later == rhs.ended_later))
+      return false;
     return true;
   }
   bool operator != (const ServiceAttempts &rhs) const {
@@ -1536,7 +1562,7 @@
 std::ostream& operator<<(std::ostream& out, const TrialEnd& obj);
 
 typedef struct _CrashReport__isset {
-  _CrashReport__isset() : ends(false), proofs(false), refused(false), attempts(false), refused_requests(false), asks(false), trial_ends(false) {}
+  _CrashReport__isset() : ends(false), proofs(false), refused(false), attempts(false), refused_requests(false), asks(false), trial_ends(false), later_ends(false) {}
   bool ends :1;
   bool proofs :1;
   bool refused :1;
@@ -1544,6 +1570,7 @@
   bool refused_requests :1;
   bool asks :1;
   bool trial_ends :1;
+  bool later_ends :1;
 } _CrashReport__isset;
 
 class CrashReport : public virtual ::apache::thrift::TBase {
@@ -1562,6 +1589,7 @@
   std::vector<std::string>  refused_requests;
   std::vector<std::string>  asks;
   std::vector<TrialEnd>  trial_ends;
+  std::vector<AttemptEnd>  later_ends;
 
   _CrashReport__isset __isset;
 
@@ -1579,6 +1607,8 @@
 
   void __set_trial_ends(const std::vector<TrialEnd> & val);
 
+  void __set_later_ends(const std::vector<AttemptEnd> & val);
+
   bool operator == (const CrashReport & rhs) const
   {
     if (!(ends == rhs.ends))
@@ -1595,6 +1625,10 @@
       return false;
     if (!(trial_ends == rhs.trial_ends))
       return false;
+    if (__isset.later_ends != rhs.__isset.later_ends)
+      return false;
+    else if (__isset.later_ends && !(later_ends == rhs.later_ends))
+      return false;
     return true;
   }
   bool operator != (const CrashReport &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -158,7 +158,7 @@
   7: list<RetryRow> rows
 }
 
-// An attempt that was at an endpoint, not proven yet, when the endpoint ended.
+// An attempt whose response was not whole yet when its endpoint ended.
 struct AttemptEnd {
   1: string endpoint
   2: i64 started_ms
@@ -169,6 +169,8 @@
   6: string service_name
   // The endpoint could not be reached to find out whether it ended.
   7: bool unconfirmed
+  // Events that the endpoint had generated.
+  8: optional i64 events
 }
 
 // What of a request may be the cause of ends; the kind is a serving::SubjectKind.
@@ -186,8 +188,13 @@
 // Attempts at a service since the last report.
 struct ServiceAttempts {
   1: string service_name
-  2: i64 proven
+  // Got beyond serving::kStarting.
+  2: i64 begun
+  // Ended at that stage.
   3: i64 ended
+  4: optional i64 delivered
+  // Ended at a later stage, in the order of the stages.
+  5: optional list<i64> ended_later
 }
 
 struct TrialEnd {
@@ -208,6 +215,9 @@
   // Requests that the process could try.
   8: list<string> asks
   9: list<TrialEnd> trial_ends
+  // Ends at later stages than serving::kStarting. Apart from the others, as earlier
+  // releases judge all ends by the attempts that ended at that stage.
+  10: optional list<AttemptEnd> later_ends
 }
 
 struct SuspectSubject {
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -253,7 +253,6 @@
       subjects.push_back({serving::SubjectKind::kPromptPart, it});
     }
   }
-  if (request_proven_) return subjects;
   // The key takes a pass over the body, so it is computed only where something is known of requests
   // like this one.
   if (!request_prehash_) request_prehash_ = serving::RequestPrehash(Identity());
@@ -264,8 +263,7 @@
 }
 
 bool Exchange::SubjectsAllowRepeat() {
-  return attempt_proven_ || !history_.may_have_run ||
-         !node_.crash_guard().Suspicious(Subjects(), MonotonicNow());
+  return !history_.may_have_run || !node_.crash_guard().Suspicious(Subjects(), MonotonicNow());
 }
 
 Task<void> Exchange::RejectSubject(serving::CrashSubject subject) {
@@ -475,7 +473,8 @@
     attempt_events_ = 0;
     progress_.SetMaxTokens(request_.max_output_tokens);
     progress_.BeginAttempt(MonotonicNow());
-    attempt_proven_ = false;
+    attempt_begun_ = false;
+    attempt_resumes_ = last_event_id_ || request_.last_event_id;
     attempt_sent_ = false;
     const TimePoint attempt_started = MonotonicNow();
     response_pending_ = true;
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -69,7 +69,7 @@
   net::Task<serving::AttemptOutcome> Send(net::HttpConnection& upstream,
                                           const serving::PlacementResult& placed);
   /// What of the request may end endpoints. Without the request itself where nothing is known of
-  /// it, unless an attempt is to be recorded as evidence, and once it is proven.
+  /// it, unless an attempt is to be recorded as evidence.
   std::vector<serving::CrashSubject> Subjects(bool for_evidence = false);
   /// Judges the request by its subjects, and waits for a trial that may be granted soon.
   /// @return false if it may not be sent; the caller has been sent an error response or has left
@@ -107,8 +107,10 @@
   /// @return false if the event ids have a gap
   net::Task<bool> RelayEvents(const std::vector<serving::StreamEvent>& events,
                               const std::string& header_lines);
-  /// Records once per attempt that the endpoint can serve the request.
-  void MarkProven();
+  /// Records once per attempt that the endpoint has generated the first events.
+  void MarkBegun();
+  /// Records that the response of the attempt is whole.
+  void RecordDelivery();
   /// Reports once per attempt that the response has started, or that the attempt ended without one.
   void ClearResponsePending(const std::string& endpoint);
   /// Reports the outcome of an attempt to endpoint selection.
@@ -185,13 +187,13 @@
   unsigned last_status_ = 0;
   /// Request limit that the last response named.
   std::optional<double> last_request_limit_;
-  /// New events of the current attempt: the endpoint can serve the request.
+  /// New events of the current attempt.
   std::uint64_t attempt_events_ = 0;
-  bool attempt_proven_ = false;
+  bool attempt_begun_ = false;
+  /// The current attempt goes on with a stream that another one began.
+  bool attempt_resumes_ = false;
   /// The request was sent in the current attempt.
   bool attempt_sent_ = false;
-  /// An attempt of the request was proven.
-  bool request_proven_ = false;
   /// Suspect subjects that this request tries.
   std::vector<serving::CrashSubject> trials_;
   /// See serving::RequestPrehash and serving::RequestKey; unset until they are needed.
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -17,8 +17,6 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(350);
 constexpr Duration kIdempotentReadTimeout = std::chrono::milliseconds(350);
 constexpr Duration kEndProbeTimeout = std::chrono::milliseconds(100);
-// The first event may still leave an engine that ends under the request.
-constexpr std::uint64_t kProvingEvents = 2;
 constexpr unsigned kMinRedirectStatus = 300;
 // Largest response that is buffered, equal to the default limit on caller requests. Bounds the
 // memory that a faulty endpoint can use by never ending its response.
@@ -157,16 +155,24 @@
   co_return co_await ReadFullResponse(upstream, response, decoded);
 }
 
-void Exchange::MarkProven() {
-  if (attempt_proven_) return;
-  attempt_proven_ = true;
-  node_.crash_guard().OnProven(Subjects(), service_, MonotonicNow());
-  request_proven_ = true;
+void Exchange::MarkBegun() {
+  if (attempt_begun_) return;
+  attempt_begun_ = true;
+  node_.crash_guard().OnBegun(service_, MonotonicNow());
+}
+
+void Exchange::RecordDelivery() {
+  MarkBegun();
+  // An endpoint that only went on with a stream has not generated what the one before it ended
+  // under.
+  const bool whole = !attempt_resumes_;
+  node_.crash_guard().OnDelivered(whole ? Subjects() : std::vector<serving::CrashSubject>(),
+                                  service_, MonotonicNow());
 }
 
 Task<void> Exchange::RecordCrashEvidence(serving::PlacementResult placed, AttemptOutcome outcome) {
-  if (outcome == AttemptOutcome::kDelivered) MarkProven();
-  if (!attempt_sent_ || attempt_proven_) co_return;
+  if (outcome == AttemptOutcome::kDelivered) co_return RecordDelivery();
+  if (!attempt_sent_) co_return;
   const bool left = outcome == AttemptOutcome::kCallerDisconnected;
   const bool silent = outcome == AttemptOutcome::kResponseTimeout;
   const bool broken =
@@ -174,8 +180,8 @@
   if (!left && !silent && !broken) co_return;
   auto& guard = node_.crash_guard();
   const TimePoint ended_at = MonotonicNow();
-  const serving::EndedAttempt attempt{placed.address, placed.started_ms, ended_at,
-                                      Subjects(true), service_,          true};
+  const serving::EndedAttempt attempt{
+      placed.address, placed.started_ms, ended_at, Subjects(true), service_, true, attempt_events_};
   if (left) co_return guard.OnCallerLeft(attempt, ended_at);
   guard.OnBroken(attempt, ended_at);
   if (guard.KnownEnded(placed.address, placed.started_ms)) co_return;
@@ -321,7 +327,7 @@
       ClearResponsePending(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
       if (!co_await RelayEvents(events, lines)) failed = true;
-      if (attempt_events_ >= kProvingEvents) MarkProven();
+      if (serving::StageOf(attempt_events_) != serving::kStarting) MarkBegun();
       if (progress_.TooManyEvents()) co_return AttemptOutcome::kStreamTooLong;
     }
     if (progress_.TooManyBytes()) failed = true;
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -540,6 +540,7 @@
                                                 {"started_ms", it.started_ms},
                                                 {"age_ms", ToMilliseconds(now - it.at)},
                                                 {"confirmed", it.confirmed},
+                                                {"events", it.events},
                                                 {"subjects", subjects}});
   }
   for (const auto& it : report->trial_ends) {
--- a/src/mesh/codec.cc
+++ b/src/mesh/codec.cc
@@ -294,22 +294,44 @@
   return w;
 }
 
+wire::AttemptEnd ToWire(const serving::EndedAttempt& attempt, TimePoint now) {
+  using serving::SubjectKind;
+  wire::AttemptEnd end;
+  end.endpoint = attempt.endpoint;
+  end.started_ms = attempt.started_ms;
+  end.age_ms = ClampedMilliseconds(now - attempt.at);
+  end.parts = Ids(attempt.subjects, SubjectKind::kPromptPart);
+  const auto requests = Ids(attempt.subjects, SubjectKind::kRequest);
+  if (!requests.empty()) end.__set_request(requests.front());
+  end.service_name = attempt.service;
+  end.unconfirmed = !attempt.confirmed;
+  end.__set_events(static_cast<std::int64_t>(attempt.events));
+  return end;
+}
+
+serving::EndedAttempt FromWire(const wire::AttemptEnd& w, TimePoint now) {
+  using serving::SubjectKind;
+  serving::EndedAttempt attempt;
+  attempt.endpoint = w.endpoint;
+  attempt.started_ms = w.started_ms;
+  attempt.at = now - std::chrono::milliseconds(Unsigned(w.age_ms));
+  AddSubjects(attempt.subjects, w.parts, SubjectKind::kPromptPart);
+  if (w.__isset.request) attempt.subjects.push_back({SubjectKind::kRequest, w.request});
+  attempt.service = w.service_name;
+  attempt.confirmed = !w.unconfirmed;
+  attempt.events = static_cast<std::uint64_t>(std::max<std::int64_t>(w.events, 0));
+  return attempt;
+}
+
 }  // namespace
 
 wire::CrashReport ToWire(const serving::CrashReport& report, TimePoint now) {
   using serving::SubjectKind;
   wire::CrashReport w;
   for (const auto& it : report.ends) {
-    wire::AttemptEnd end;
-    end.endpoint = it.endpoint;
-    end.started_ms = it.started_ms;
-    end.age_ms = ClampedMilliseconds(now - it.at);
-    end.parts = Ids(it.subjects, SubjectKind::kPromptPart);
-    const auto requests = Ids(it.subjects, SubjectKind::kRequest);
-    if (!requests.empty()) end.__set_request(requests.front());
-    end.service_name = it.service;
-    end.unconfirmed = !it.confirmed;
-    w.ends.push_back(std::move(end));
+    const bool starting = serving::StageOf(it.events) == serving::kStarting;
+    if (!starting) w.__isset.later_ends = true;
+    (starting ? w.ends : w.later_ends).push_back(ToWire(it, now));
   }
   for (const auto& it : report.proofs) {
     wire::SubjectProof proof;
@@ -321,8 +343,11 @@
   for (const auto& [service, it] : report.totals) {
     wire::ServiceAttempts attempts;
     attempts.service_name = service;
-    attempts.proven = static_cast<std::int64_t>(it.proven);
-    attempts.ended = static_cast<std::int64_t>(it.ended);
+    attempts.begun = static_cast<std::int64_t>(it.begun);
+    attempts.ended = static_cast<std::int64_t>(it.ended.front());
+    attempts.__set_delivered(static_cast<std::int64_t>(it.delivered));
+    attempts.__isset.ended_later = true;
+    attempts.ended_later.assign(it.ended.begin() + 1, it.ended.end());
     w.attempts.push_back(std::move(attempts));
   }
   w.refused = Ids(report.refused, SubjectKind::kPromptPart);
@@ -342,12 +367,8 @@
   using serving::SubjectKind;
   const auto age = [now](std::int32_t ms) { return now - std::chrono::milliseconds(Unsigned(ms)); };
   serving::CrashReport report;
-  for (const auto& it : w.ends) {
-    serving::EndedAttempt end{it.endpoint, it.started_ms,   age(it.age_ms),
-                              {},          it.service_name, !it.unconfirmed};
-    AddSubjects(end.subjects, it.parts, SubjectKind::kPromptPart);
-    if (it.__isset.request) end.subjects.push_back({SubjectKind::kRequest, it.request});
-    report.ends.push_back(std::move(end));
+  for (const auto* ends : {&w.ends, &w.later_ends}) {
+    for (const auto& it : *ends) report.ends.push_back(FromWire(it, now));
   }
   for (const auto& it : w.proofs) {
     report.proofs.push_back({SubjectFromWire(it.kind, it.id), age(it.age_ms)});
@@ -356,7 +377,13 @@
     const auto count = [](std::int64_t n) {
       return static_cast<std::uint64_t>(std::max<std::int64_t>(n, 0));
     };
-    report.totals[it.service_name] = {count(it.proven), count(it.ended)};
+    serving::AttemptTotals totals;
+    totals.begun = count(it.begun);
+    totals.delivered = count(it.delivered);
+    totals.ended.front() = count(it.ended);
+    const std::size_t stages = std::min(it.ended_later.size(), totals.ended.size() - 1);
+    for (std::size_t i = 0; i < stages; ++i) totals.ended[i + 1] = count(it.ended_later[i]);
+    report.totals[it.service_name] = totals;
   }
   AddSubjects(report.refused, w.refused, SubjectKind::kPromptPart);
   AddSubjects(report.refused, w.refused_requests, SubjectKind::kRequest);
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -83,7 +83,7 @@
     {Event::kRetryAllocatorRegained, "retries.allocator_regained", Severity::kInfo,
      "a control process grants permits for retries again"},
     {Event::kAttemptEndedWithEndpoint, "crashes.attempt_ended", Severity::kWarning,
-     "an endpoint ended while it had a request that it had not proven to survive"},
+     "an endpoint ended before it had generated the whole response to a request"},
     {Event::kCrashSuspectsChanged, "crashes.suspected", Severity::kWarning,
      "what several endpoints ended under and no verdict is on has changed"},
     {Event::kCrashSubjectJudged, "crashes.judged", Severity::kWarning,
--- a/src/serving/crash_evidence.cc
+++ b/src/serving/crash_evidence.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
+#include <numeric>
 #include <tuple>
 
 namespace wagtailslip::serving {
@@ -32,14 +34,37 @@
 
 }  // namespace
 
-void CrashEvidence::AddTotals(const std::string& service, std::uint64_t proven, std::uint64_t ended,
+AttemptStage StageOf(std::uint64_t events) {
+  const auto next = std::upper_bound(kStageStarts.begin(), kStageStarts.end(), events);
+  return static_cast<AttemptStage>(next - kStageStarts.begin()) - 1;
+}
+
+void AttemptTotals::Add(const AttemptTotals& other) {
+  begun += other.begun;
+  delivered += other.delivered;
+  for (std::size_t i = 0; i < ended.size(); ++i) ended[i] += other.ended[i];
+}
+
+std::uint64_t AttemptTotals::EndedBy(AttemptStage stage) const {
+  return std::accumulate(ended.begin(), ended.begin() + 1 + static_cast<std::ptrdiff_t>(stage),
+                         std::uint64_t{0});
+}
+
+std::uint64_t AttemptTotals::Beyond(AttemptStage stage) const {
+  // Counted as attempts begin, so that the first seconds of a fault have a figure.
+  if (stage == kStarting) return begun;
+  return delivered + EndedBy(kStageStarts.size() - 1) - EndedBy(stage);
+}
+
+void CrashEvidence::AddTotals(const std::string& service, const AttemptTotals& totals,
                               TimePoint now) {
   if (!totals_.contains(service) && totals_.size() >= kMaxServices) return;
-  auto& totals = totals_[service];
-  if (totals.empty() || now - totals.back().from >= kTotalsInterval) totals.push_back({now, 0, 0});
-  totals.back().proven += proven;
-  totals.back().ended += ended;
-  while (now - totals.front().from > kTotalsTtl) totals.pop_front();
+  auto& intervals = totals_[service];
+  if (intervals.empty() || now - intervals.back().from >= kTotalsInterval) {
+    intervals.push_back({now, {}});
+  }
+  intervals.back().totals.Add(totals);
+  while (now - intervals.front().from > kTotalsTtl) intervals.pop_front();
 }
 
 bool CrashEvidence::SameEnd(const End& end, const EndpointRun& run, TimePoint at) {
@@ -80,12 +105,13 @@
 
 bool CrashEvidence::AddEnd(const EndedAttempt& attempt, TimePoint now) {
   const EndpointRun run{attempt.endpoint, attempt.started_ms};
+  const AttemptStage stage = StageOf(attempt.events);
   const auto known_end = [&](State& state) {
     return std::find_if(state.ends.begin(), state.ends.end(),
                         [&](const End& it) { return SameEnd(it, run, attempt.at); });
   };
   const auto add = [&](State& state) {
-    state.ends.push_back({run, attempt.at, attempt.confirmed});
+    state.ends.push_back({run, attempt.at, attempt.confirmed, stage});
     if (state.ends.size() > kMaxEndsPerSubject) state.ends.pop_front();
   };
   bool explained = std::any_of(condemned_.begin(), condemned_.end(), [&](const CrashSubject& id) {
@@ -109,6 +135,7 @@
     ++state.attempts;
     if (const auto known = known_end(state); known != state.ends.end()) {
       known->confirmed = known->confirmed || attempt.confirmed;
+      known->stage = std::max(known->stage, stage);
       continue;
     }
     if (now - attempt.at > PolicyOf(id).end_ttl) continue;
@@ -155,6 +182,12 @@
   return count;
 }
 
+AttemptStage CrashEvidence::LatestStage(const State& state) {
+  AttemptStage latest = kStarting;
+  for (const auto& it : state.ends) latest = std::max(latest, it.stage);
+  return latest;
+}
+
 double CrashEvidence::EndedShare(const CrashSubject& subject, const State& state) const {
   TimePoint first = state.ends.front().at;
   TimePoint last = first;
@@ -162,14 +195,15 @@
     first = std::min(first, it.at);
     last = std::max(last, it.at);
   }
-  std::uint64_t proven = 0;
+  const AttemptStage latest = LatestStage(state);
+  std::uint64_t beyond = 0;
   std::uint64_t ended = 0;
   if (const auto totals = totals_.find(state.service); totals != totals_.end()) {
     for (const auto& it : totals->second) {
       if (it.from + kTotalsInterval < first - kTotalsBefore) continue;
       if (it.from > last + kTotalsAfter) continue;
-      proven += it.proven;
-      ended += it.ended;
+      beyond += it.totals.Beyond(latest);
+      ended += it.totals.EndedBy(latest);
     }
   }
   // Ends under other guilty subjects tell nothing of sound ones.
@@ -180,14 +214,14 @@
     if (!other.condemned && !EndsRepeatedly(other)) continue;
     explained += static_cast<std::uint64_t>(
         std::count_if(other.ends.begin(), other.ends.end(), [&](const End& end) {
-          return end.at >= first &&
+          return end.at >= first && end.stage <= latest &&
                  std::none_of(state.ends.begin(), state.ends.end(),
                               [&](const End& it) { return SameEnd(it, end.run, end.at); });
         }));
   }
   const double others = static_cast<double>(ended - std::min(ended, explained));
   // One more of each, so that few attempts prove little.
-  return std::max(kMinEndedShare, (others + 1) / (others + static_cast<double>(proven) + 2));
+  return std::max(kMinEndedShare, (others + 1) / (others + static_cast<double>(beyond) + 2));
 }
 
 bool CrashEvidence::EndsRepeatedly(const State& state) {
--- a/src/serving/crash_guard.cc
+++ b/src/serving/crash_guard.cc
@@ -11,10 +11,12 @@
 // Trials of a suspect part over all processes, per process: each of them sends one in this time
 // times the number of processes. A verdict needs ends at several separate times.
 constexpr Duration kTrialIntervalPerProcess = std::chrono::milliseconds(250);
-// Number of ends after which each further one doubles the interval: an endpoint that ends proves
-// less and less.
+// From the fifth end on, each one makes the interval four times as long. An end late in the
+// responses proves little where many endpoints end, so the evidence may take long to suffice; this
+// bounds the endpoints that end meanwhile.
 constexpr std::uint32_t kEndsBeforeSlowTrials = 4;
-constexpr std::uint32_t kMaxTrialDoublings = 6;
+constexpr std::uint32_t kDoublingsPerEnd = 2;
+constexpr std::uint32_t kMaxTrialDoublings = 8;
 // Shared suspects count no more if the leader has not repeated them for this long.
 constexpr Duration kSharedSuspectsTtl = std::chrono::seconds(5);
 // Bounds the memory if each request brings new parts. Parts that are used often stay.
@@ -193,8 +195,8 @@
   const auto sharing =
       verdicts_.contains(subject) ? 1 : static_cast<int>(std::max<std::size_t>(processes, 1));
   const std::uint32_t ends = Ends(subject, now);
-  const std::uint32_t doublings =
-      std::min(ends > kEndsBeforeSlowTrials ? ends - kEndsBeforeSlowTrials : 0, kMaxTrialDoublings);
+  const std::uint32_t slow_ends = ends > kEndsBeforeSlowTrials ? ends - kEndsBeforeSlowTrials : 0;
+  const std::uint32_t doublings = std::min(slow_ends * kDoublingsPerEnd, kMaxTrialDoublings);
   return kTrialIntervalPerProcess * sharing * (1 << doublings);
 }
 
@@ -252,11 +254,23 @@
   proven_[part] = {now, proven_order_.begin()};
 }
 
-void CrashGuard::OnProven(const std::vector<CrashSubject>& subjects, const std::string& service,
-                          TimePoint now) {
-  ++report_.totals[service].proven;
-  own_.AddTotals(service, 1, 0, now);
-  for (const auto& it : subjects) {
+void CrashGuard::AddTotals(const std::string& service, const AttemptTotals& totals, TimePoint now) {
+  report_.totals[service].Add(totals);
+  own_.AddTotals(service, totals, now);
+}
+
+void CrashGuard::OnBegun(const std::string& service, TimePoint now) {
+  AttemptTotals totals;
+  totals.begun = 1;
+  AddTotals(service, totals, now);
+}
+
+void CrashGuard::OnDelivered(const std::vector<CrashSubject>& proven, const std::string& service,
+                             TimePoint now) {
+  AttemptTotals totals;
+  totals.delivered = 1;
+  AddTotals(service, totals, now);
+  for (const auto& it : proven) {
     if (it.kind == SubjectKind::kPromptPart) RememberProof(it.id, now);
     const bool asked =
         verdicts_.contains(it) || shared_suspects_.contains(it) || own_.Ends(it, now) > 0;
@@ -276,8 +290,9 @@
   ++counters_.ended_attempts;
   // Ends that are not confirmed tell nothing of how likely ends are.
   if (attempt.confirmed) {
-    ++report_.totals[attempt.service].ended;
-    own_.AddTotals(attempt.service, 0, 1, now);
+    AttemptTotals totals;
+    totals.ended[StageOf(attempt.events)] = 1;
+    AddTotals(attempt.service, totals, now);
   }
   own_.AddEnd(attempt, now);
   tracked_stale_ = true;
@@ -390,8 +405,9 @@
   next_expiry_ = now + kExpiryPeriod;
   own_.Expire(now);
   tracked_stale_ = true;
-  std::erase_if(unclear_,
-                [now](const UnclearAttempt& it) { return now - it.attempt.at >= kUnclearTtl; });
+  std::erase_if(unclear_, [now](const UnclearAttempt& it) {
+    return now - it.attempt.at >= (it.caller_left ? kCallerLeftTtl : kUnclearTtl);
+  });
   std::erase_if(ended_, [now](const auto& it) { return now - it.second >= kEndedTtl; });
   std::erase_if(own_verdicts_, [&](const auto& it) {
     if (now - it.second < kEndedTtl) return false;
--- a/src/serving/crash_judge.cc
+++ b/src/serving/crash_judge.cc
@@ -11,7 +11,7 @@
 
 void CrashJudge::OnReport(const CrashReport& report, const std::string& process, TimePoint now) {
   for (const auto& [service, it] : report.totals) {
-    evidence_.AddTotals(service, it.proven, it.ended, now);
+    evidence_.AddTotals(service, it, now);
   }
   for (const auto& it : report.ends) {
     for (const auto& subject : it.subjects) review_.OnEnd(subject, process);
--- a/tests/crash_guard_test.cc
+++ b/tests/crash_guard_test.cc
@@ -49,6 +49,9 @@
   /// Guilty parts, and the share of all requests that have one of them.
   std::size_t guilty = 1;
   double guilty_share = 0.02;
+  /// Time from the first event of an answer on a guilty part to the end of its engine. Several
+  /// times take turns.
+  std::vector<Duration> ends_after{Duration::zero()};
   /// Share of the sound requests with the same part, and when they begin.
   double hot_share = 0;
   Duration hot_from{};
@@ -94,12 +97,15 @@
 constexpr Duration kStep = milliseconds(5);
 constexpr Duration kNetworkDelay = milliseconds(3);
 constexpr Duration kCommitTime = milliseconds(30);
+constexpr Duration kEventGap = milliseconds(60);
+constexpr Duration kAnswerTime = seconds(2);
 constexpr Duration kEngineDownTime = milliseconds(3500);
 constexpr Duration kGuiltyFrom = seconds(4);
 constexpr std::size_t kControls = 3;
 
 /// Callers, ingress processes with the product's guards, control processes with its evidence and
-/// verdicts, and engines that end at the first token of a guilty request; in virtual time.
+/// verdicts, and engines that end under a guilty request some time after its first event; in
+/// virtual time.
 class Model {
  public:
   explicit Model(const Scenario& scenario)
@@ -140,8 +146,11 @@
     std::int64_t process_run = 0;
     std::vector<std::string> parts;
     bool guilty = false;
-    bool proven = false;
     bool repeated = false;
+    /// When the engine generated the first event; unset before.
+    TimePoint begun_at{};
+    /// What earlier engines have generated of the answer.
+    Duration generated{};
     std::vector<CrashSubject> trials;
   };
   struct Process {
@@ -253,13 +262,24 @@
     After(milliseconds(60 + static_cast<int>(200 * Draw())), [this, i, id, run, guilty] {
       Engine& engine = engines_[i];
       if (engine.started_ms != run || !engine.attempts.contains(id)) return;
-      if (!guilty.empty()) {
-        result_.guilty[guilty].ends.push_back(now_);
-        return EndEngine(i);
-      }
-      if (!engine.attempts[id].repeated) ++result_.sound_begun;
-      After(milliseconds(60), [this, i, id, run] { Prove(i, id, run); });
-      After(seconds(2), [this, i, id] { engines_[i].attempts.erase(id); });
+      Attempt& attempt = engine.attempts[id];
+      attempt.begun_at = now_;
+      After(kEventGap, [this, i, id, run] { OnBegun(i, id, run); });
+      After(kAnswerTime - attempt.generated, [this, i, id, run] { Deliver(i, id, run); });
+      if (!guilty.empty()) return EndUnder(guilty, i, id);
+      if (!attempt.repeated) ++result_.sound_begun;
+    });
+  }
+
+  /// The engine has generated the first event of a request with a guilty part. It does not end if
+  /// the rest of an answer that other engines began is too short for it.
+  void EndUnder(const std::string& guilty, std::size_t i, std::uint64_t id) {
+    const Duration delay = scenario_.ends_after[last_guilty_++ % scenario_.ends_after.size()];
+    if (delay >= kAnswerTime - engines_[i].attempts[id].generated) return;
+    After(delay, [this, i, guilty, run = engines_[i].started_ms] {
+      if (engines_[i].started_ms != run) return;
+      result_.guilty[guilty].ends.push_back(now_);
+      EndEngine(i);
     });
   }
 
@@ -269,15 +289,31 @@
     for (const auto& it : attempt.trials) process.guard.EndTrial(it);
   }
 
-  void Prove(std::size_t i, std::uint64_t id, std::int64_t run) {
+  /// The attempt that an engine still has, if the process that sent it has not been restarted.
+  std::map<std::uint64_t, Attempt>::iterator Running(std::size_t i, std::uint64_t id,
+                                                     std::int64_t run) {
     Engine& engine = engines_[i];
     const auto it = engine.attempts.find(id);
-    if (engine.started_ms != run || it == engine.attempts.end()) return;
-    it->second.proven = true;
-    Process& process = processes_[it->second.process];
-    if (process.run != it->second.process_run) return;
-    process.guard.OnProven(Parts(it->second.parts), kService, now_);
-    EndTrial(it->second);
+    const bool ours = it != engine.attempts.end() && engine.started_ms == run &&
+                      processes_[it->second.process].run == it->second.process_run;
+    return ours ? it : engine.attempts.end();
+  }
+
+  void OnBegun(std::size_t i, std::uint64_t id, std::int64_t run) {
+    const auto it = Running(i, id, run);
+    if (it == engines_[i].attempts.end()) return;
+    processes_[it->second.process].guard.OnBegun(kService, now_);
+  }
+
+  void Deliver(std::size_t i, std::uint64_t id, std::int64_t run) {
+    if (const auto it = Running(i, id, run); it != engines_[i].attempts.end()) {
+      const Attempt& attempt = it->second;
+      const bool whole = attempt.generated == Duration::zero();
+      processes_[attempt.process].guard.OnDelivered(
+          whole ? Parts(attempt.parts) : std::vector<CrashSubject>(), kService, now_);
+      EndTrial(attempt);
+    }
+    if (engines_[i].started_ms == run) engines_[i].attempts.erase(id);
   }
 
   void EndEngine(std::size_t i) {
@@ -289,14 +325,21 @@
     const auto attempts = std::move(engine.attempts);
     engine.attempts.clear();
     for (const auto& [id, attempt] : attempts) {
-      After(kNetworkDelay, [this, i, run, attempt = attempt] { OnBroken(i, run, attempt); });
+      const Duration generated =
+          attempt.begun_at == TimePoint{} ? Duration::zero() : now_ - attempt.begun_at;
+      const std::uint64_t events = attempt.begun_at == TimePoint{} ? 0 : 1 + generated / kEventGap;
+      After(kNetworkDelay, [this, i, run, attempt = attempt, generated, events]() mutable {
+        attempt.generated += generated;
+        OnBroken(i, run, attempt, events);
+      });
     }
   }
 
-  void OnBroken(std::size_t i, std::int64_t run, Attempt attempt) {
+  void OnBroken(std::size_t i, std::int64_t run, Attempt attempt, std::uint64_t events) {
     Process& process = processes_[attempt.process];
-    if (process.run != attempt.process_run || attempt.proven) return;
-    process.guard.OnBroken({Address(i), run, now_, Parts(attempt.parts), kService, true}, now_);
+    if (process.run != attempt.process_run) return;
+    process.guard.OnBroken({Address(i), run, now_, Parts(attempt.parts), kService, true, events},
+                           now_);
     process.guard.OnEndpointEnded(Address(i), run, now_);
     EndTrial(attempt);
     attempt.trials.clear();
@@ -306,6 +349,7 @@
       return;
     }
     attempt.repeated = true;
+    attempt.begun_at = TimePoint{};
     Send(std::move(attempt));
   }
 
@@ -317,7 +361,7 @@
     After(kNetworkDelay, [this, i, report = *report] {
       for (std::size_t c = 0; c < kControls; ++c) {
         for (const auto& [service, it] : report.totals) {
-          evidence_[c].AddTotals(service, it.proven, it.ended, now_);
+          evidence_[c].AddTotals(service, it, now_);
         }
         for (const auto& it : report.ends) evidence_[c].AddEnd(it, now_);
         for (const auto& it : report.proofs) evidence_[c].AddProof(it.subject, it.at, now_);
@@ -366,6 +410,7 @@
   std::multimap<TimePoint, std::function<void()>> events_;
   TimePoint next_suspects_at_{};
   std::uint64_t last_attempt_ = 0;
+  std::size_t last_guilty_ = 0;
   std::uint64_t last_part_ = 0;
   Result result_;
 };
@@ -396,6 +441,22 @@
   list.back().troubles = Series(Trouble::kProcessesKilled, 0.5, seconds(4), milliseconds(1500), 10);
   list.push_back(Named("one guilty part, leaders change"));
   list.back().troubles = Series(Trouble::kNoLeader, 1, milliseconds(4300), seconds(2), 8);
+  const std::vector<Duration> ends_after[] = {
+      {kEventGap},
+      {3 * kEventGap},
+      {milliseconds(600)},
+      {milliseconds(1200)},
+      {kAnswerTime - kEventGap},
+      {Duration::zero(), kEventGap, milliseconds(500), kAnswerTime - kEventGap}};
+  for (const std::size_t engines : {9, 14, 34}) {
+    for (const auto& it : ends_after) {
+      list.push_back(Named("engines end " + std::to_string(ToMilliseconds(it.back())) +
+                           " ms after the first event, " + std::to_string(engines) + " engines"));
+      list.back().engines = engines;
+      list.back().requests = 12 * static_cast<double>(engines);
+      list.back().ends_after = it;
+    }
+  }
   list.push_back(Named("one guilty part, 59 processes, 120 engines"));
   list.back().processes = 59;
   list.back().engines = 120;
@@ -443,16 +504,29 @@
         Series(trouble, draw(0.05, 1), time(2, 12), time(0.3, 3), 1 + static_cast<int>(draw(0, 8)));
     scenario.troubles.insert(scenario.troubles.end(), series.begin(), series.end());
   }
+  scenario.ends_after.clear();
+  for (int i = static_cast<int>(draw(1, 4)); i > 0; --i) {
+    scenario.ends_after.push_back(
+        milliseconds(static_cast<int>(draw(0, 1) * draw(0, 1) * kAnswerTime / milliseconds(1))));
+  }
   return scenario;
 }
 
-/// A part with `ends` separate ends and none proven, beside `proven` attempts of others.
-CrashEvidence EvidenceWith(int ends, Duration gap, std::uint64_t proven, std::uint64_t ended) {
+/// Attempts that have begun, and others that ended before.
+AttemptTotals Totals(std::uint64_t begun, std::uint64_t ended) {
+  AttemptTotals totals;
+  totals.begun = begun;
+  totals.ended.front() = ended;
+  return totals;
+}
+
+/// A part with `ends` separate ends and no proof, beside `begun` attempts of others.
+CrashEvidence EvidenceWith(int ends, Duration gap, std::uint64_t begun, std::uint64_t ended) {
   CrashEvidence evidence;
-  evidence.AddTotals(kService, proven, ended, kStart);
+  evidence.AddTotals(kService, Totals(begun, ended), kStart);
   for (int i = 0; i < ends; ++i) {
     const TimePoint at = kStart + gap * i;
-    evidence.AddTotals(kService, 0, 1, at);
+    evidence.AddTotals(kService, Totals(0, 1), at);
     evidence.AddEnd({"e" + std::to_string(i), 1, at, Parts({"first", "part"}), kService, true}, at);
     evidence.AddProof(Part("first"), at + milliseconds(1), at + milliseconds(1));
   }
@@ -463,7 +537,7 @@
   const char* name;
   int ends;
   Duration gap;
-  std::uint64_t proven;
+  std::uint64_t begun;
   std::uint64_t ended;
   bool condemned;
 };
@@ -477,9 +551,33 @@
     {"ten ends and no proof of any request", 10, milliseconds(400), 0, 0, false},
 };
 
+/// Ends of a part at certain events, and attempts of others by the event at which they ended.
+struct StageRow {
+  const char* name;
+  std::vector<std::uint64_t> events;
+  std::uint64_t delivered;
+  std::map<std::uint64_t, std::uint64_t> others_ended;
+  bool condemned;
+};
+const StageRow kStageRows[] = {
+    {"at the second event, others end later", {2, 2, 2, 2, 2}, 500, {{16, 200}}, true},
+    {"at the second event, others as well", {2, 2, 2, 2, 2}, 500, {{2, 200}}, false},
+    {"at the second event, others before it", {2, 2, 2, 2, 2}, 500, {{0, 200}}, false},
+    {"at a late event, others seldom end", {12, 13, 14, 12, 13}, 500, {{3, 2}, {12, 2}}, true},
+    {"at a late event, others often end", {12, 13, 14, 12, 13}, 500, {{3, 80}, {12, 80}}, false},
+    {"once at a late event, where others often end", {2, 2, 2, 2, 16}, 500, {{16, 200}}, false},
+    {"often, where others often end",
+     {12, 13, 14, 12, 13, 12, 13, 14, 12, 13, 12, 13},
+     500,
+     {{3, 80}, {12, 80}},
+     true},
+    {"nothing is delivered", {12, 13, 14, 12, 13, 12, 13, 14}, 0, {{12, 20}}, false},
+};
+
 class CrashGuardTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashGuardTest);
   CPPUNIT_TEST(CondemnsOnEnoughEvidenceOnly);
+  CPPUNIT_TEST(ComparesEndsAtTheSameStage);
   CPPUNIT_TEST(ForgetsOldEnds);
   CPPUNIT_TEST(ProofClearsAPart);
   CPPUNIT_TEST(ExplainsTheEndsOfOthers);
@@ -494,13 +592,39 @@
  public:
   void CondemnsOnEnoughEvidenceOnly() {
     for (const auto& row : kCondemnRows) {
-      auto evidence = EvidenceWith(row.ends, row.gap, row.proven, row.ended);
+      auto evidence = EvidenceWith(row.ends, row.gap, row.begun, row.ended);
       const auto part = evidence.Condemn(kStart + row.gap * row.ends);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.condemned, part.has_value());
       if (part) CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("part"), part->id);
     }
   }
 
+  // Guards against a part that is not found because its engines end after the first events, and
+  // against condemning a sound part because long answers are more likely to be broken off.
+  void ComparesEndsAtTheSameStage() {
+    for (const auto& row : kStageRows) {
+      CrashEvidence evidence;
+      AttemptTotals totals;
+      totals.delivered = row.delivered;
+      totals.begun = row.delivered;
+      for (const auto& [events, n] : row.others_ended) {
+        totals.ended[StageOf(events)] += n;
+        if (StageOf(events) != kStarting) totals.begun += n;
+      }
+      evidence.AddTotals(kService, totals, kStart);
+      TimePoint at = kStart;
+      for (const std::uint64_t events : row.events) {
+        at += milliseconds(400);
+        AttemptTotals end;
+        end.ended[StageOf(events)] = 1;
+        evidence.AddTotals(kService, end, at);
+        const std::string endpoint = "e" + std::to_string(ToSeconds(at.time_since_epoch()));
+        evidence.AddEnd({endpoint, 1, at, Parts({"part"}), kService, true, events}, at);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.condemned, evidence.Condemn(at).has_value());
+    }
+  }
+
   // Guards against a process that condemns by ends of long ago when it begins to lead.
   void ForgetsOldEnds() {
     auto evidence = EvidenceWith(20, milliseconds(400), 500, 2);
@@ -544,7 +668,7 @@
     CrashGuard guard = CrashGuard();
     for (int i = 0; i < 20000; ++i) {
       const TimePoint now = kStart + milliseconds(i);
-      guard.OnProven(Parts({"proven-" + std::to_string(i)}), kService, now);
+      guard.OnDelivered(Parts({"proven-" + std::to_string(i)}), kService, now);
       evidence.AddEnd(
           {"e" + std::to_string(i), 1, now, Parts({"ended-" + std::to_string(i)}), kService, true},
           now);
@@ -679,7 +803,9 @@
           std::count_if(it.sent.begin(), it.sent.end(),
                         [bound = it.ends[4] + kContact](TimePoint at) { return at > bound; }));
       if (late <= kAllowedAfterContact) continue;
-      failures << scenario.name << ": " << late << " requests with " << part << " too late\n";
+      failures << scenario.name << ": " << late << " requests with " << part << " too late, "
+               << it.ends.size() << " ends, verdict " << ToSeconds(it.in_force - it.ends[4])
+               << " s after the fifth\n";
     }
     const bool engines_killed =
         std::any_of(scenario.troubles.begin(), scenario.troubles.end(),
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -106,16 +106,19 @@
   }
 
   // Guards against ends and proofs that seem older or newer at a process with another clock: a
-  // proof clears the ends before it.
+  // proof clears the ends before it. And against ends late in a response that an earlier release
+  // would take for ends before it, of which it knows how likely they are.
   void CrashReportKeepsAges() {
     using serving::SubjectKind;
     const std::vector<serving::CrashSubject> subjects{{SubjectKind::kPromptPart, "a"},
                                                       {SubjectKind::kPromptPart, "b"},
                                                       {SubjectKind::kRequest, "r"}};
     serving::CrashReport report;
-    report.ends = {{"10.0.0.1:80", 42, kSenderNow - milliseconds(300), subjects, "orders", false}};
+    report.ends = {
+        {"10.0.0.1:80", 42, kSenderNow - milliseconds(300), subjects, "orders", false},
+        {"10.0.0.2:80", 43, kSenderNow - milliseconds(200), subjects, "orders", true, 12}};
     report.proofs = {{subjects[0], kSenderNow - seconds(2)}, {subjects[2], kSenderNow}};
-    report.totals["orders"] = {7, 2};
+    report.totals["orders"] = {7, 5, {2, 0, 3}};
     report.refused = {subjects[1], subjects[2]};
     report.asks = {subjects[2]};
     report.trial_ends = {{subjects[2], 9, serving::TrialOutcome::kUnsent}};
@@ -127,10 +130,18 @@
     CPPUNIT_ASSERT(end.endpoint == "10.0.0.1:80" && end.started_ms == 42);
     CPPUNIT_ASSERT(end.at == kReceiverNow - milliseconds(300));
     CPPUNIT_ASSERT(end.subjects == subjects && end.service == "orders" && !end.confirmed);
+    CPPUNIT_ASSERT(end.events == 0 && received.ends[1].events == 12 && received.ends[1].confirmed);
+    CPPUNIT_ASSERT(transmitted.ends.size() == 1 && transmitted.later_ends.size() == 1);
     CPPUNIT_ASSERT(received.proofs.front().at == kReceiverNow - seconds(2));
     CPPUNIT_ASSERT(received.proofs[1].subject == subjects[2]);
     const auto& totals = received.totals.at("orders");
-    CPPUNIT_ASSERT(totals.proven == 7 && totals.ended == 2);
+    CPPUNIT_ASSERT(totals.begun == 7 && totals.delivered == 5);
+    CPPUNIT_ASSERT(totals.ended == report.totals["orders"].ended);
+    // An earlier release counts neither.
+    transmitted.attempts.front().ended_later.clear();
+    transmitted.attempts.front().delivered = 0;
+    const auto earlier = FromWire(transmitted, kReceiverNow).totals.at("orders");
+    CPPUNIT_ASSERT(earlier.begun == 7 && earlier.EndedBy(serving::kStageStarts.size() - 1) == 2);
     CPPUNIT_ASSERT(received.refused == report.refused && received.asks == report.asks);
     const auto& trial = received.trial_ends.front();
     CPPUNIT_ASSERT(trial.subject == subjects[2] && trial.revision == 9);
--- a/tests/system/crashing_request_test.cc
+++ b/tests/system/crashing_request_test.cc
@@ -1,4 +1,5 @@
-// A request under which endpoints end, on control, ingress and sidecar processes over loopback.
+// Requests and parts of prompts under which endpoints end, on control, ingress and sidecar
+// processes over loopback.
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -17,8 +18,11 @@
 constexpr int kEndpoints = 5;
 constexpr int kPropagationMs = 3000;
 constexpr const char* kCrashBody = "guilty";
-// From the third end on, requests sent later than the contact time may reach endpoints three times.
-constexpr std::size_t kEndsOfRule = 3;
+constexpr const char* kCrashPart = "dead0000beef0000";
+// From the third end under a request on, or the fifth under a part, requests sent later than the
+// contact time may reach endpoints three times.
+constexpr std::size_t kEndsUnderRequest = 3;
+constexpr std::size_t kEndsUnderPart = 5;
 constexpr Duration kContact = 3s;
 constexpr std::size_t kAllowedSends = 3;
 constexpr Duration kRunTime = 14s;
@@ -30,21 +34,31 @@
   bool engines;
   /// The leader is killed, and an ingress process restarts, while the requests come.
   bool processes_fail;
+  /// Events of a stream, and those before an end; responses are plain without them.
+  int stream_events = 0;
+  int events_before_crash = 0;
+  /// Endpoints end under a part of prompts that differ, not under one request.
+  bool part = false;
 };
 const ServiceRow kRows[] = {
     {"engines", "idempotent", true, false},
     {"plain service, requests that may not be repeated", "non_idempotent", false, false},
     {"engines, processes fail", "idempotent", true, true},
     {"plain service, processes fail", "non_idempotent", false, true},
+    {"streams, a request, second event", "streaming", true, false, 20, 2},
+    {"streams, a part, second event", "streaming", true, false, 20, 2, true},
+    {"streams, a part, late event", "streaming", true, false, 20, 12, true},
+    {"streams, a part, last event", "streaming", true, false, 20, 19, true},
 };
 
 /// Callers of all ingress processes in turn: one that repeats the request under which endpoints
 /// end, and others.
 class Callers {
  public:
-  explicit Callers(const std::vector<std::string>& addresses) {
-    threads_.emplace_back([this, addresses] { Run(addresses, kCrashBody, 100ms); });
-    for (int i = 0; i < 2; ++i) {
+  /// @param part endpoints end under a part of prompts
+  Callers(const std::vector<std::string>& addresses, bool part) : part_(part) {
+    threads_.emplace_back([this, addresses] { Run(addresses, kCrashBody, part_ ? 400ms : 100ms); });
+    for (int i = 0; i < (part_ ? 12 : 2); ++i) {
       threads_.emplace_back(
           [this, addresses, i] { Run(addresses, "sound " + std::to_string(i), 10ms); });
     }
@@ -67,13 +81,18 @@
     for (std::size_t n = 0; !finish_; ++n) {
       std::this_thread::sleep_for(pause);
       if (guilty && !armed_) continue;
-      const net::HttpHeaders headers{{"Host", "m.example"},
-                                     {"Attempt-Id", body + std::to_string(n)},
-                                     {"Deadline-Ms", "1500"},
-                                     {"Model", "m"},
-                                     {"Token-Usage", "10,10"}};
-      // Sound requests differ from each other.
-      const std::string content = guilty ? body : body + std::to_string(n);
+      const std::string attempt = body + std::to_string(n);
+      // All requests share the first part.
+      const std::string second_part = guilty && part_ ? kCrashPart : "50" + std::to_string(n % 20);
+      const net::HttpHeaders headers{
+          {"Host", "m.example"},
+          {"Attempt-Id", attempt},
+          {"Deadline-Ms", "1500"},
+          {"Model", "m"},
+          {"Token-Usage", "10,100"},
+          {"Prefix-Hash", "f1:4," + second_part + ":4," + std::to_string(n) + ":2"}};
+      // Sound requests differ from each other, and so do those with a part.
+      const std::string content = guilty && !part_ ? body : attempt;
       const auto reply =
           Send(addresses[n % addresses.size()], verb::post, "/m/1", content, headers, 2s);
       if (!guilty && reply.status == 200) ++served_;
@@ -81,6 +100,7 @@
     }
   }
 
+  bool part_;
   std::atomic<bool> finish_{false};
   std::atomic<bool> armed_{false};
   std::atomic<std::size_t> served_{0};
@@ -122,6 +142,7 @@
                           {"target-latency-ms", 300},
                           {"backend", "m"},
                           {"max-attempts", 2},
+                          {"stream-resume", true},
                           {"public", true}}}},
                        {"backends", Json::array({service, origin_service})}});
   }
@@ -154,10 +175,13 @@
       options.controls = Addresses(cluster, cluster.controls());
       options.weights = weights;
       options.plain = !row.engines;
-      options.crash_body = kCrashBody;
+      if (row.part) options.crash_part = kCrashPart;
+      if (!row.part) options.crash_body = kCrashBody;
+      options.stream_events = row.stream_events;
+      options.events_before_crash = row.events_before_crash;
       endpoints.push_back(std::make_unique<WeightsEngine>(options));
     }
-    Callers callers(Addresses(cluster, cluster.ingresses()));
+    Callers callers(Addresses(cluster, cluster.ingresses()), row.part);
     cluster.WaitFor("requests are served", [&] { return callers.served() > 50; });
     callers.Arm();
     std::this_thread::sleep_for(kFaultTime);
@@ -177,8 +201,9 @@
     const auto sent = Sorted(endpoints, &WeightsEngine::crash_requests);
     const auto ends = Sorted(endpoints, &WeightsEngine::crashes);
     std::size_t late = 0;
-    if (ends.size() >= kEndsOfRule) {
-      const TimePoint bound = ends[kEndsOfRule - 1] + kContact;
+    const std::size_t ends_of_rule = row.part ? kEndsUnderPart : kEndsUnderRequest;
+    if (ends.size() >= ends_of_rule) {
+      const TimePoint bound = ends[ends_of_rule - 1] + kContact;
       late = static_cast<std::size_t>(
           std::count_if(sent.begin(), sent.end(), [bound](TimePoint at) { return at > bound; }));
     }
@@ -187,8 +212,7 @@
     std::string faults;
     if (ends.empty()) faults += std::string(row.name) + ": nothing ended\n";
     if (late > kAllowedSends) {
-      faults +=
-          std::string(row.name) + ": " + std::to_string(late) + " sends after the third end\n";
+      faults += std::string(row.name) + ": " + std::to_string(late) + " late sends\n";
     }
     if (callers.condemned() > 0) faults += std::string(row.name) + ": sound requests refused\n";
     if (served_after <= served_before) faults += std::string(row.name) + ": nothing is served\n";
@@ -198,7 +222,8 @@
  public:
   // Guards against a request that ends endpoint after endpoint because each end counts as an
   // accident of the endpoint: the request came again as a new attempt, at any ingress process, and
-  // was sent to the next endpoint.
+  // was sent to the next endpoint. And against a request or a part that passes for sound because
+  // endpoints end under it only after some events.
   void CrashingRequestIsWithheld() {
     std::string faults;
     for (const auto& row : kRows) faults += RunRow(row);
--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -19,6 +19,7 @@
 constexpr Duration kAnnouncementPeriod = std::chrono::milliseconds(300);
 constexpr Duration kAnnouncementTimeout = std::chrono::milliseconds(500);
 constexpr int kSlots = 16;
+constexpr Duration kEventGap = std::chrono::milliseconds(20);
 // Versions that a staged chunk can be told to belong to.
 constexpr std::int64_t kVersions = 12;
 
@@ -386,18 +387,44 @@
   Up(true);
 }
 
+bool WeightsEngine::EndsUnder(const net::HttpExchange& exchange) const {
+  if (!options_.crash_body.empty() && exchange.request().body() == options_.crash_body) return true;
+  return !options_.crash_part.empty() &&
+         exchange.Header("Prefix-Hash").find(options_.crash_part) != std::string_view::npos;
+}
+
+Task<void> WeightsEngine::WriteEvents(net::HttpExchange& exchange, net::HttpHeaders headers,
+                                      int last) {
+  const std::string resumed_after(exchange.Header("Last-Event-Id"));
+  const int first = resumed_after.empty() ? 1 : std::stoi(resumed_after) + 1;
+  co_await exchange.StartStream(200, headers, "text/event-stream");
+  for (int i = first; i <= last; ++i) {
+    co_await Sleep(kEventGap);
+    {
+      const std::lock_guard lock(mutex_);
+      if (down_) throw net::NetError("the engine is down");
+    }
+    const std::string event = "id: " + std::to_string(i) + "\ndata: x\n\n";
+    co_await exchange.WriteChunk(event);
+  }
+}
+
 Task<void> WeightsEngine::HandleRequest(net::HttpExchange& exchange) {
-  if (!options_.crash_body.empty() && exchange.request().body() == options_.crash_body) {
+  net::HttpHeaders headers;
+  headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
+  if (EndsUnder(exchange)) {
     {
       const std::lock_guard lock(mutex_);
       crash_requests_.push_back(Now());
     }
+    if (options_.events_before_crash > 0) {
+      headers.emplace_back("Replica-Signature", options_.id);
+      co_await WriteEvents(exchange, headers, options_.events_before_crash);
+    }
     asio::co_spawn(context_, Crash(), asio::detached);
     co_await Sleep(options_.crash_delay);
     throw net::NetError("the process has ended");
   }
-  net::HttpHeaders headers;
-  headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   std::int64_t version = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -419,6 +446,11 @@
   }
   headers.emplace_back("Replica-Signature", options_.id);
   headers.emplace_back("Weight-Versions", std::to_string(version));
+  if (options_.stream_events > 0) {
+    co_await WriteEvents(exchange, headers, options_.stream_events);
+    co_await exchange.EndStream();
+    co_return;
+  }
   co_await exchange.Respond(200, body, headers);
 }
 
--- a/tests/system/weights_engine.h
+++ b/tests/system/weights_engine.h
@@ -95,6 +95,13 @@
   bool plain = false;
   /// Body of a request that ends the process when it begins to run; empty if there is none.
   std::string crash_body;
+  /// Part of prompts that ends the process when it answers a request with it; empty if there is
+  /// none.
+  std::string crash_part;
+  /// Events of each response, and those that the process generates before it ends under a request;
+  /// responses are plain if the first is 0.
+  int stream_events = 0;
+  int events_before_crash = 0;
   /// Time from such a request to the end, and from the end to the next start.
   Duration crash_delay = std::chrono::milliseconds(50);
   Duration restart_delay = std::chrono::milliseconds(800);
@@ -134,7 +141,7 @@
   bool holds_damaged_layers() const;
   std::vector<TakenLoad> loads() const;
   std::vector<ServedRequest> served() const;
-  /// Times at which requests with the crash body arrived, and those of the ends among them.
+  /// Times at which requests with the crash body or part arrived, and those of the ends among them.
   std::vector<TimePoint> crash_requests() const;
   std::vector<TimePoint> crashes() const;
   Duration Elapsed() const;
@@ -159,6 +166,11 @@
   void StartServer();
   net::Task<void> Handle(net::HttpExchange& exchange);
   net::Task<void> HandleRequest(net::HttpExchange& exchange);
+  /// Whether the process ends under a request.
+  bool EndsUnder(const net::HttpExchange& exchange) const;
+  /// Writes the events of a stream after the last one that the caller has.
+  /// @param last number of the last event to write
+  net::Task<void> WriteEvents(net::HttpExchange& exchange, net::HttpHeaders headers, int last);
   /// Ends the process under a request, and starts it again later.
   net::Task<void> Crash();
   net::Task<void> Announce();
