Let foreign announcements take nothing from endpoints of named services

What callers saw: a program of another system announced itself once, for a service that no configuration names, at the address of an endpoint.

Cause: InstanceTable::Apply gave the address to the record with the latest start, whatever its service, and left a tombstone for the endpoint, which had started before. The foreign record never expired, as no other endpoint announced its service.

Change: the table knows the services of the configuration. A record of another service yields to endpoints of named ones with the same id or address, in either order, leaves no tombstone, says nothing of ends, and expires after 12 s without an announcement. Endpoints that start before the configuration that names their service are kept and served as before.

With the rule switched off in a scratch copy, four tests of serving_test fail, and in 186 of 186 runs of endpoint_state_test with foreign writers an endpoint is not used for over 12 s (51.8 s at worst).

--- a/include/wagtailslip/serving/instance_table.h
+++ b/include/wagtailslip/serving/instance_table.h
@@ -58,7 +58,7 @@
 
 /// Effect of an announcement on the table.
 enum class AnnouncementResult {
-  kIgnored,    ///< Outdated or repeated, or a newer incarnation holds the id or the address.
+  kIgnored,    ///< Outdated or repeated, or another endpoint holds the id or the address.
   kRefreshed,  ///< Only the time of the announcement changed.
   kChanged,
   kRestored,  ///< Changed: the endpoint goes on, so the call that ended it was of another
@@ -90,20 +90,27 @@
 
 /// The endpoints known from announcements. Announcements may arrive late, out of order and more
 /// than once: the newest incarnation of an id or an address wins, then the highest sequence number.
-/// The end of an endpoint covers its incarnation and all before it, except where later
-/// announcements prove that the incarnation goes on. docs/design.md, section 6.5.
+/// An announcement of a service that the configuration does not name may be of a foreign writer: it
+/// yields to endpoints of named services, and ends none. The end of an endpoint covers its
+/// incarnation and all before it, except where later announcements prove that the incarnation goes
+/// on. docs/design.md, section 6.5.
 class InstanceTable {
  public:
+  /// Sets the services that the configuration names. Until the first call every service is named.
+  void SetServices(std::set<std::string> services);
+  /// Whether the configuration names a service.
+  bool Names(const std::string& service) const;
   /// Applies an announcement, or the end of an endpoint that another process relays (kGone).
   AnnouncementResult Apply(const EndpointRecord& record, TimePoint now);
   /// Records that an endpoint calls to leave. The call names no incarnation, so it counts for the
   /// one that is known.
   /// @return record of the end with state kGone, to be relayed; with an empty id if the
-  ///     endpoint is unknown
+  ///     endpoint is unknown, or the configuration does not name its service
   EndpointRecord Leave(const std::string& id, TimePoint now);
   /// Removes endpoints without an announcement for `ttl` if another endpoint of their service
   /// announced itself within `recent`. If all endpoints of a service are silent they are kept,
-  /// because then the announcements probably do not reach this process.
+  /// because then the announcements probably do not reach this process. Endpoints of services that
+  /// are not named are removed in any case.
   /// @return the removed ids
   std::vector<std::string> Expire(Duration ttl, Duration recent, TimePoint now);
 
@@ -139,6 +146,10 @@
   static EndpointRecord EndRecord(const std::string& id, const Tombstone& tombstone);
   /// Whether an announcement proves that its endpoint goes on.
   static bool GoesOn(const EndpointRecord& record, const Tombstone& tombstone);
+  /// Whether an endpoint of a named service holds the id or the address of the record.
+  bool HeldByNamedService(const EndpointRecord& record) const;
+  /// The endpoint with the address of the record and another id; null if there is none.
+  const EndpointRecord* OtherAtAddress(const EndpointRecord& record) const;
   AnnouncementResult ApplyEnd(const EndpointRecord& end, TimePoint now);
   /// Whether a tombstone covers the incarnation of an announcement, which does not prove that it
   /// goes on.
@@ -148,6 +159,8 @@
   Tombstone& AddTombstone(const std::string& id, const Tombstone& tombstone);
   void Remove(const std::string& id);
 
+  /// Nothing until the first call of SetServices.
+  std::optional<std::set<std::string>> services_;
   std::map<std::string, EndpointRecord> endpoints_;
   /// Endpoint ids by address.
   std::unordered_map<std::string, std::string> by_address_;
--- a/include/wagtailslip/serving/service_config.h
+++ b/include/wagtailslip/serving/service_config.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -121,6 +122,7 @@
   /// The accounts; empty without a list.
   std::span<const Account> AccountList() const;
   const Service* FindService(const std::string& name) const;
+  std::set<std::string> ServiceNames() const;
 };
 
 /// Checks constraints between fields.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -64,6 +64,7 @@
       control_discovery_(settings),
       retry_allocator_({settings.bounds.retry_budget_ratio, settings.bounds.retry_budget_extra,
                         settings.bounds.retry_window}) {
+  table_.SetServices({});
   auto self =
       mesh::MakeSelfMember(settings, MemberKind::kControl, settings.control_address, incarnation);
   self.accepting = true;
@@ -402,6 +403,9 @@
   const auto result = table_.Apply(record, now);
   if (result == serving::AnnouncementResult::kIgnored) {
     LogEvent(Event::kAnnouncementIgnored, {{"endpoint", record.id},
+                                           {"service", record.service},
+                                           {"service_named", table_.Names(record.service)},
+                                           {"address", record.address},
                                            {"started_ms", record.started_ms},
                                            {"sequence", record.sequence}});
     return;
@@ -575,6 +579,7 @@
   try {
     const auto config = platform::DecodeServiceConfig(DecompressConfig(body));
     host_regions_ = serving::HostRegions(config);
+    table_.SetServices(config.ServiceNames());
     std::string origin;
     for (const auto& it : config.services) {
       if (!it.origin.empty()) origin = it.origin;
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -81,6 +81,7 @@
       admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       retry_pool_(RetryBoundsFor(settings)),
       crash_guard_(SelfOf(settings, incarnation).Run()) {
+  table_.SetServices({});
   mesh_ =
       std::make_unique<mesh::MeshNode>(context, net::ParseAddress(settings.mesh_address()),
                                        SelfOf(settings, incarnation), mesh::MeshLimits{}, *this);
@@ -314,6 +315,7 @@
     LogEvent(Event::kServiceConfigRefused, {{"version", body.version}, {"error", e.what()}});
     return;
   }
+  table_.SetServices(routes_->config().ServiceNames());
   ApplyRankLimits();
   std::size_t max_ranks = 1;
   for (const auto& it : routes_->config().services) {
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -95,7 +95,7 @@
     {Event::kServiceEndpointRestored, "service_endpoint.restored", Severity::kWarning,
      "an endpoint goes on announcing itself long after a call to leave and is used again"},
     {Event::kAnnouncementIgnored, "service_endpoint.announcement_ignored", Severity::kInfo,
-     "an announcement is outdated or follows a call to leave, and changes nothing"},
+     "an announcement is outdated, foreign or follows a call to leave, and changes nothing"},
     {Event::kWarmupAllocatorStarted, "warmup.allocator_started", Severity::kInfo,
      "a control process that leads grants the leases on cold endpoints from now on"},
     {Event::kEndpointColdChanged, "warmup.endpoint_changed", Severity::kInfo,
--- a/src/serving/instance_table.cc
+++ b/src/serving/instance_table.cc
@@ -43,6 +43,23 @@
 
 }  // namespace
 
+void InstanceTable::SetServices(std::set<std::string> services) { services_ = std::move(services); }
+
+bool InstanceTable::Names(const std::string& service) const {
+  return !services_ || services_->contains(service);
+}
+
+const EndpointRecord* InstanceTable::OtherAtAddress(const EndpointRecord& record) const {
+  const EndpointRecord* holder = FindByAddress(record.address);
+  return holder == nullptr || holder->id == record.id ? nullptr : holder;
+}
+
+bool InstanceTable::HeldByNamedService(const EndpointRecord& record) const {
+  const EndpointRecord* known = Find(record.id);
+  const EndpointRecord* other = OtherAtAddress(record);
+  return (known != nullptr && Names(known->service)) || (other != nullptr && Names(other->service));
+}
+
 bool InstanceTable::GoesOn(const EndpointRecord& record, const Tombstone& tombstone) {
   // Announcements that were sent before the call to leave may arrive after it, and with higher
   // numbers than this process knows, but not for longer than kMaxAnnouncementDelay.
@@ -54,6 +71,8 @@
 bool InstanceTable::IsEnded(const EndpointRecord& record) {
   const auto it = tombstones_.find(record.id);
   if (it == tombstones_.end() || record.started_ms > it->second.started_ms) return false;
+  // What a foreign writer announces says nothing of the endpoint that left.
+  if (!Names(record.service)) return true;
   Tombstone& tombstone = it->second;
   if (GoesOn(record, tombstone)) return false;
   if (record.started_ms > tombstone.known_started_ms) {
@@ -102,14 +121,16 @@
   const bool names_incarnation = end.sequence > 0;
   Tombstone tombstone{end.started_ms, end.announced_at, names_incarnation ? end.started_ms : 0,
                       end.sequence};
-  if (end.started_ms == 0 && known != nullptr) tombstone.started_ms = known->started_ms;
+  // A foreign writer's record tells nothing of the incarnation that has left.
+  const bool known_named = known != nullptr && Names(known->service);
+  if (end.started_ms == 0 && known_named) tombstone.started_ms = known->started_ms;
   const Tombstone& in_force = AddTombstone(end.id, tombstone);
   if (known == nullptr || known->started_ms > in_force.started_ms || GoesOn(*known, in_force)) {
     return AnnouncementResult::kIgnored;
   }
   // The process that relays an end may have missed announcements.
   Tombstone seen = in_force;
-  if (known->started_ms >= seen.known_started_ms) {
+  if (known_named && known->started_ms >= seen.known_started_ms) {
     seen.known_sequence = known->started_ms > seen.known_started_ms
                               ? known->sequence
                               : std::max(seen.known_sequence, known->sequence);
@@ -122,10 +143,13 @@
 
 AnnouncementResult InstanceTable::Apply(const EndpointRecord& record, TimePoint now) {
   if (record.state == EndpointState::kGone) return ApplyEnd(record, now);
+  const bool named = Names(record.service);
+  if (!named && HeldByNamedService(record)) return AnnouncementResult::kIgnored;
   if (IsEnded(record)) return AnnouncementResult::kIgnored;
   const auto it = endpoints_.find(record.id);
   const EndpointRecord* known = it == endpoints_.end() ? nullptr : &it->second;
-  if (known != nullptr) {
+  // What a foreign writer has said of an id does not bind the endpoint that has it.
+  if (known != nullptr && Names(known->service) == named) {
     if (record.started_ms < known->started_ms) return AnnouncementResult::kIgnored;
     if (record.started_ms == known->started_ms && record.sequence <= known->sequence) {
       return AnnouncementResult::kIgnored;
@@ -133,15 +157,17 @@
   }
   // An address belongs to the incarnation that started last. Delayed announcements of an older one
   // may still arrive.
-  const auto holder = by_address_.find(record.address);
-  if (holder != by_address_.end() && holder->second != record.id) {
-    const auto other = endpoints_.find(holder->second);
-    if (other != endpoints_.end()) {
-      const EndpointRecord& replaced = other->second;
-      if (replaced.started_ms > record.started_ms) return AnnouncementResult::kIgnored;
-      AddTombstone(replaced.id, {replaced.started_ms, now, replaced.started_ms, replaced.sequence});
-      Remove(std::string(holder->second));
+  if (const auto* other = OtherAtAddress(record)) {
+    const bool other_named = Names(other->service);
+    if (other_named == named && other->started_ms > record.started_ms) {
+      return AnnouncementResult::kIgnored;
+    }
+    // The address of an endpoint whose service is not named proves nothing of its end: the
+    // configuration may name the service later.
+    if (named && other_named) {
+      AddTombstone(other->id, {other->started_ms, now, other->started_ms, other->sequence});
     }
+    Remove(std::string(other->id));
   }
   const auto tombstone = tombstones_.find(record.id);
   const bool restored =
@@ -158,7 +184,7 @@
 
 EndpointRecord InstanceTable::Leave(const std::string& id, TimePoint now) {
   const auto it = endpoints_.find(id);
-  if (it == endpoints_.end()) return {};
+  if (it == endpoints_.end() || !Names(it->second.service)) return {};
   EndpointRecord end = it->second;
   end.state = EndpointState::kGone;
   ++end.sequence;
@@ -264,14 +290,18 @@
   }
   std::vector<std::string> stale;
   for (const auto& [id, entry] : endpoints_) {
-    if (now - entry.announced_at >= ttl && now - seen[entry.service] < recent) stale.push_back(id);
+    // No request needs an endpoint whose service is not named.
+    const bool kept = Names(entry.service) && now - seen[entry.service] >= recent;
+    if (now - entry.announced_at >= ttl && !kept) stale.push_back(id);
   }
   for (const auto& id : stale) {
     // An endpoint that was only disconnected announces itself again under the same incarnation, so
     // the tombstone covers only earlier incarnations.
-    const std::int64_t earlier = endpoints_.at(id).started_ms - 1;
+    const EndpointRecord& entry = endpoints_.at(id);
+    const std::int64_t earlier = entry.started_ms - 1;
+    const bool named = Names(entry.service);
     Remove(id);
-    AddTombstone(id, {earlier, now, earlier, 0});
+    if (named) AddTombstone(id, {earlier, now, earlier, 0});
   }
   std::erase_if(tombstones_,
                 [now](const auto& row) { return now - row.second.at >= kTombstoneTtl; });
--- a/src/serving/service_config.cc
+++ b/src/serving/service_config.cc
@@ -12,6 +12,12 @@
   return it == services.end() ? nullptr : &*it;
 }
 
+std::set<std::string> ServiceConfig::ServiceNames() const {
+  std::set<std::string> names;
+  for (const auto& it : services) names.insert(it.name);
+  return names;
+}
+
 std::span<const Account> ServiceConfig::AccountList() const {
   return accounts ? std::span<const Account>(*accounts) : std::span<const Account>();
 }
--- a/tests/endpoint_state_model.cc
+++ b/tests/endpoint_state_model.cc
@@ -22,6 +22,9 @@
 // How long after the last fault the processes are compared: the time after which an endpoint
 // expires, and the time in which a call to leave may be found to be a late one.
 constexpr Duration kSettlingTime = seconds(25);
+const std::string kService = "bookings";
+
+std::string AddressOf(std::size_t endpoint) { return "10.0.0." + std::to_string(endpoint) + ":80"; }
 
 }  // namespace
 
@@ -207,6 +210,31 @@
   process.requester = StateRequester(process.name);
   ++process.start;
   process.held.clear();
+  ConfigureLater(number);
+}
+
+void EndpointStateModel::ConfigureLater(std::size_t number) {
+  if (!settings_.foreign_writers) return;
+  processes_[number].table.SetServices({});
+  At(now_ + Between(milliseconds(100), seconds(2)),
+     [this, number, start = processes_[number].start] {
+       if (processes_[number].start == start) processes_[number].table.SetServices({kService});
+     });
+}
+
+void EndpointStateModel::AnnounceForeign() {
+  const auto last = endpoints_.size() - 1;
+  const auto endpoint = std::uniform_int_distribution<std::size_t>(0, last)(random_);
+  const std::size_t control = AnyControl();
+  if (!Reachable(processes_[control])) return;
+  EndpointRecord record;
+  const bool own_id = Chance(0.5);
+  record.id = own_id ? "f" + std::to_string(endpoint) : endpoints_[endpoint].id;
+  record.started_ms = UtcMs() + Between(-seconds(20), seconds(20)) / milliseconds(1);
+  record.sequence = std::uniform_int_distribution<std::int64_t>(1, 1000)(random_);
+  record.service = "nobody's";
+  record.address = AddressOf(own_id || Chance(0.5) ? endpoint : endpoints_.size());
+  OnAnnouncement(control, record);
 }
 
 void EndpointStateModel::OnAnnouncement(std::size_t control, EndpointRecord record) {
@@ -250,8 +278,8 @@
   record.id = it.id;
   record.started_ms = it.started_ms;
   record.sequence = it.sequence;
-  record.service = "bookings";
-  record.address = "10.0.0." + std::to_string(endpoint) + ":80";
+  record.service = kService;
+  record.address = AddressOf(endpoint);
   const std::size_t control = AnyControl();
   Process& process = processes_[control];
   if (Reachable(process)) {
@@ -396,6 +424,11 @@
     At(at, [this, endpoint, held_up] { Stop(endpoint, held_up); });
     if (settings_.process_faults) At(at + milliseconds(100), [this] { Fault(); });
   }
+  for (std::size_t i = 0; i < processes_.size(); ++i) ConfigureLater(i);
+  for (TimePoint at = start; at < faults_end && settings_.foreign_writers;
+       at += Between(milliseconds(100), milliseconds(900))) {
+    At(at, [this] { AnnounceForeign(); });
+  }
   for (TimePoint at = start; at < end; at += kCheckInterval) At(at, [this] { Check(); });
   const bool summaries = SendsSummaries(ingresses());
   for (std::size_t i = 0; i < controls() && summaries; ++i) {
--- a/tests/endpoint_state_model.h
+++ b/tests/endpoint_state_model.h
@@ -28,6 +28,9 @@
   /// Calls to leave and announcements are held up on their way.
   bool late_calls = false;
   Duration length = std::chrono::seconds(60);
+  /// Foreign writers announce services that are not named, under ids and addresses of endpoints,
+  /// and processes learn of the configuration some time after their start.
+  bool foreign_writers = false;
 };
 
 /// What a run found.
@@ -138,6 +141,9 @@
   void CallToLeave(const std::string& id, std::int64_t started_ms, int attempts);
   static bool InUse(const Process& process, const std::string& id, std::int64_t started_ms);
   void Fault();
+  void AnnounceForeign();
+  /// A process that has started learns of the configuration later.
+  void ConfigureLater(std::size_t process);
   void Check();
   std::size_t AnyControl();
   std::int64_t UtcMs() const;
--- a/tests/endpoint_state_test.cc
+++ b/tests/endpoint_state_test.cc
@@ -30,6 +30,11 @@
     {{"faults and calls held up, medium", 5, 18, 12, true, true, seconds(60)}, 30},
     {{"faults and calls held up, large", 9, 59, 24, true, true, seconds(60)}, 6},
     {{"faults and calls held up, many ingress", 9, 40, 12, true, true, seconds(60)}, 12},
+    {{"foreign writers", 3, 4, 6, false, false, seconds(60), true}, 60},
+    {{"foreign writers, faults and calls held up", 3, 4, 6, true, true, seconds(60), true}, 120},
+    {{"foreign writers, faults and calls held up, many ingress", 9, 40, 12, true, true, seconds(60),
+      true},
+     6},
     {{"faults and calls held up, target", 9, 360, 24, true, true, seconds(40)}, 1},
 };
 
@@ -99,7 +104,8 @@
   }
 
   // Guards against an endpoint that announces itself and is not used: a call to leave of its
-  // predecessor arrived late and counts as its own.
+  // predecessor arrived late and counts as its own, or a foreign writer has announced its id or
+  // address.
   void UsesEveryEndpointThatGoesOn() {
     Report([](const EndpointStateFindings& it) {
       if (it.longest_absence <= kRecovery) return std::string();
--- a/tests/serving_test.cc
+++ b/tests/serving_test.cc
@@ -180,6 +180,10 @@
   CPPUNIT_TEST(EndsOnlyWhatStartedBeforeACallToLeave);
   CPPUNIT_TEST(TellsOthersOfTheEndsItKnows);
   CPPUNIT_TEST(KeepsAServiceWithoutAnyAnnouncements);
+  CPPUNIT_TEST(ForeignWritersTakeNothingFromEndpoints);
+  CPPUNIT_TEST(EndpointsTakeBackWhatForeignWritersHold);
+  CPPUNIT_TEST(KeepsEndpointsWhoseServiceIsNamedLater);
+  CPPUNIT_TEST(ForeignWritersSayNothingOfEnds);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -364,6 +368,124 @@
     CPPUNIT_ASSERT(table.Apply(Record("a", 5, 9, "10.0.0.1:80"), At(seconds(62))) ==
                    AnnouncementResult::kChanged);
   }
+
+  /// An announcement of a service that no configuration names.
+  static EndpointRecord Foreign(const std::string& id, std::int64_t started, std::int64_t sequence,
+                                const std::string& address = "10.0.0.1:80") {
+    auto record = Record(id, started, sequence, address);
+    record.service = "nobody's";
+    return record;
+  }
+
+  // Guards against an endpoint that is out of use for good because another writer announced a
+  // service of its own under the endpoint's address or id.
+  void ForeignWritersTakeNothingFromEndpoints() {
+    struct Row {
+      const char* name;
+      std::vector<EndpointRecord> foreign;
+    };
+    const Row rows[] = {
+        {"address, later start", {Foreign("f", 9, 1)}},
+        {"address, earlier start", {Foreign("f", 1, 1)}},
+        {"id, later start", {Foreign("i", 9, 1)}},
+        {"id, same start, higher number", {Foreign("i", 5, 900)}},
+        {"id, other address", {Foreign("i", 9, 1, "10.0.0.9:80")}},
+        {"several in a row", {Foreign("f", 9, 1), Foreign("f", 9, 2), Foreign("g", 10, 1)}},
+    };
+    const TimePoint now = At(seconds(1));
+    for (const auto& row : rows) {
+      InstanceTable table;
+      table.SetServices({"bookings"});
+      table.Apply(Record("i", 5, 4), now);
+      for (const auto& it : row.foreign) {
+        CPPUNIT_ASSERT_MESSAGE(row.name, table.Apply(it, now) == AnnouncementResult::kIgnored);
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("bookings"), table.Find("i")->service);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("i"),
+                                   table.FindByAddress("10.0.0.1:80")->id);
+      CPPUNIT_ASSERT_MESSAGE(row.name,
+                             table.Apply(Record("i", 5, 5), now) == AnnouncementResult::kRefreshed);
+      // A successor takes over at once, and the endpoint before it does not come back.
+      CPPUNIT_ASSERT_MESSAGE(
+          row.name, table.Apply(Record("next", 7, 1), now) == AnnouncementResult::kChanged);
+      CPPUNIT_ASSERT_MESSAGE(row.name,
+                             table.Apply(Record("i", 5, 6), now) == AnnouncementResult::kIgnored);
+    }
+  }
+
+  // Guards against an endpoint that stays out of use because a foreign announcement came first, or
+  // before there was a configuration.
+  void EndpointsTakeBackWhatForeignWritersHold() {
+    struct Row {
+      const char* name;
+      EndpointRecord foreign;
+      bool named_before;
+      bool endpoint_first;
+    };
+    const Row rows[] = {
+        {"address", Foreign("f", 9, 7), true, false},
+        {"id", Foreign("i", 9, 7), true, false},
+        {"address, before the configuration", Foreign("f", 9, 7), false, false},
+        {"id, before the configuration", Foreign("i", 9, 7), false, false},
+        {"address of a known endpoint, before the configuration", Foreign("f", 9, 7), false, true},
+        {"id of a known endpoint, before the configuration", Foreign("i", 9, 7), false, true},
+    };
+    const TimePoint now = At(seconds(1));
+    for (const auto& row : rows) {
+      InstanceTable table;
+      table.SetServices(row.named_before ? std::set<std::string>{"bookings"}
+                                         : std::set<std::string>{});
+      if (row.endpoint_first) table.Apply(Record("i", 5, 3), now);
+      CPPUNIT_ASSERT_MESSAGE(row.name,
+                             table.Apply(row.foreign, now) == AnnouncementResult::kChanged);
+      table.SetServices({"bookings"});
+      CPPUNIT_ASSERT_MESSAGE(row.name,
+                             table.Apply(Record("i", 5, 4), now) == AnnouncementResult::kChanged);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::string("bookings"), table.Find("i")->service);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, std::size_t{1}, table.endpoints().size());
+    }
+  }
+
+  // Guards against an endpoint that has to wait for its next announcement although its service has
+  // just been named, and against one that is taken for gone while its service is not named.
+  void KeepsEndpointsWhoseServiceIsNamedLater() {
+    InstanceTable table;
+    table.SetServices({});
+    const TimePoint now = At(seconds(1));
+    table.Apply(Record("i", 5, 4), now);
+    table.SetServices({"bookings"});
+    CPPUNIT_ASSERT_EQUAL(std::string("i"), table.FindByAddress("10.0.0.1:80")->id);
+    // The configuration drops the service, and another one's endpoint gets the address meanwhile.
+    table.SetServices({"assistant"});
+    auto other = Record("other", 7, 1);
+    other.service = "assistant";
+    CPPUNIT_ASSERT(table.Apply(other, now) == AnnouncementResult::kChanged);
+    CPPUNIT_ASSERT(table.Apply(Record("i", 5, 5), now) == AnnouncementResult::kIgnored);
+    // The service is named again, and the endpoint announces another address.
+    table.SetServices({"assistant", "bookings"});
+    CPPUNIT_ASSERT(table.Apply(Record("i", 5, 6, "10.0.0.2:80"), now) ==
+                   AnnouncementResult::kChanged);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.endpoints().size());
+  }
+
+  // Guards against foreign announcements that stay for good, and whose end or expiry bars an
+  // endpoint with the same id; and against ones that keep a late call to leave in force.
+  void ForeignWritersSayNothingOfEnds() {
+    InstanceTable table;
+    table.SetServices({"bookings"});
+    table.Apply(Foreign("i", 900, 4), At(seconds(0)));
+    const auto stale = table.Expire(seconds(10), seconds(2), At(seconds(10)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, stale.size());
+    auto record = Record("i", 5, 4);
+    CPPUNIT_ASSERT(table.Apply(record, At(seconds(11))) == AnnouncementResult::kChanged);
+    // A call to leave was late, and the endpoint goes on.
+    table.Leave("i", At(seconds(12)));
+    CPPUNIT_ASSERT(table.Apply(Foreign("i", 5, 900), At(seconds(13))) ==
+                   AnnouncementResult::kIgnored);
+    record = Record("i", 5, 5 + kMinLaterAnnouncements);
+    record.announced_at = At(seconds(12)) + kMaxAnnouncementDelay;
+    CPPUNIT_ASSERT(table.Apply(record, record.announced_at) == AnnouncementResult::kRestored);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(InstanceTableTest);
 
