Count and log answers that begin on overtaken weights

A report of VERSION could not be told apart by cause: 4007 named the version that the endpoint was believed to hold, not the one of the response; 3104 gave the age in the message, not the delay of the message; no metric counted requests that were withdrawn before a propagation bound.

4007 names the version of the response and the time to the bound, 4009 is an answer that began on overtaken weights, 3104 says how much later than by the clocks a version was taken to be named. Two counters, and the targets in the state dump of ingress processes. No decision changes.

--- a/include/wagtailslip/process/events.h
+++ b/include/wagtailslip/process/events.h
@@ -78,6 +78,7 @@
   kRequestEnded = 4006,
   kAttemptEnded = 4007,
   kStreamBrokenOff = 4008,
+  kAnswerOvertaken = 4009,
   kOperatorCommand = 5001,
   kOperatorRefused = 5002,
   kScheduleApplied = 5003,
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -52,8 +52,10 @@
   kWarmupSent,
   kWarmupMissed,
   kWarmupWithheld,
+  kWithdrawnBeforeWeightsBound,
+  kAnswersOvertaken,
 };
-inline constexpr std::size_t kCounterCount = 39;
+inline constexpr std::size_t kCounterCount = 41;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -93,7 +95,9 @@
       {Counter::kWarmupLeasesDenied, "warmup_leases_denied_total"},
       {Counter::kWarmupSent, "warmup_requests_sent_total"},
       {Counter::kWarmupMissed, "warmup_requests_missed_total"},
-      {Counter::kWarmupWithheld, "warmup_requests_withheld_total"}}}};
+      {Counter::kWarmupWithheld, "warmup_requests_withheld_total"},
+      {Counter::kWithdrawnBeforeWeightsBound, "requests_withdrawn_before_weights_bound_total"},
+      {Counter::kAnswersOvertaken, "answers_on_overtaken_weights_total"}}}};
 
 /// Present values of a process, exported under the names of kGauges.
 enum class Gauge { kDrainedDomains };
--- a/include/wagtailslip/serving/weights_targets.h
+++ b/include/wagtailslip/serving/weights_targets.h
@@ -22,6 +22,8 @@
   std::int64_t Newest(const std::string& model) const;
   /// The newest version that became a target at least `min_age` ago; 0 if there is none.
   std::int64_t NewestDue(const std::string& model, Duration min_age, TimePoint now) const;
+  /// When each target version of each model was set.
+  std::map<std::string, std::map<std::int64_t, TimePoint>> List() const;
   /// The earliest time at which a version newer than `held_version` became a target.
   std::optional<TimePoint> EarliestNewerTargetTime(const std::string& model,
                                                    std::int64_t held_version) const;
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -82,7 +82,7 @@
   1: string model
   2: i64 version
   3: i64 age_ms
-  // In the log only: when the version was named, UTC.
+  // When the version was named, UTC; 0 in messages of earlier releases.
   4: i64 named_utc_ms
 }
 
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -43,6 +43,7 @@
   w.model = model;
   w.version = target.version;
   w.age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now - target.named_at).count();
+  w.named_utc_ms = target.named_utc_ms;
   return w;
 }
 
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -378,6 +378,7 @@
                         {"load", placed.load},
                         {"slots", placed.slots},
                         {"weights", placed.weights_version},
+                        {"answered_weights", answered_version_},
                         {"outcome", serving::kAttemptOutcomes.Name(outcome)},
                         {"status", last_status_},
                         {"next", serving::kNextSteps.Name(next)},
@@ -385,6 +386,11 @@
                         {"first_event_ms", FirstEventMs()},
                         {"longest_pause_ms", ToMilliseconds(max_event_gap_)},
                         {"ms", ToMilliseconds(now - received_at_)}};
+  // Time until no request may start on the weights of the endpoint any more.
+  const auto overdue =
+      engine_ == nullptr ? std::nullopt
+                         : node_.TimeSinceWeightsBound(engine_->model, placed.weights_version, now);
+  if (overdue) fields["weights_bound_ms"] = -ToMilliseconds(*overdue);
   if (last_request_limit_) fields["limit"] = *last_request_limit_;
   // The attempts that may have ended their endpoint.
   if (outcome == AttemptOutcome::kNoValidResponse) {
@@ -479,6 +485,7 @@
     const TimePoint attempt_started = MonotonicNow();
     response_pending_ = true;
     last_request_limit_.reset();
+    answered_version_ = 0;
     current_endpoint_ = placed.id;
     if (engine_ != nullptr)
       response_start_deadline_ =
@@ -503,6 +510,9 @@
       tried_endpoints_.push_back(placed.id);
     }
     serving::RecordOutcome(history_, outcome);
+    if (outcome == AttemptOutcome::kWeightsSuperseded) {
+      metrics_.Add(Counter::kWithdrawnBeforeWeightsBound);
+    }
     co_await RecordCrashEvidence(placed, outcome);
     TimePoint now = MonotonicNow();
     // A further endpoint may end under the request as well.
--- a/src/ingress/exchange.h
+++ b/src/ingress/exchange.h
@@ -99,7 +99,8 @@
                                                       const platform::EndpointResponse& decoded);
   net::Task<serving::AttemptOutcome> RelayStream(net::HttpConnection& upstream,
                                                  const net::HttpResponse& response,
-                                                 const platform::EndpointResponse& decoded);
+                                                 const platform::EndpointResponse& decoded,
+                                                 const serving::PlacementResult& placed);
   /// Writes a part of the stream to the caller, until the deadline at most: a caller that does not
   /// read would hold the endpoint.
   net::Task<void> WriteStream(net::Task<void> write);
@@ -111,6 +112,8 @@
   void MarkBegun();
   /// Records that the response of the attempt is whole.
   void RecordDelivery();
+  /// Records the version of the weights on which the response of the attempt has begun.
+  void RecordAnswerVersion(const serving::PlacementResult& placed, std::int64_t version);
   /// Reports once per attempt that the response has started, or that the attempt ended without one.
   void ClearResponsePending(const std::string& endpoint);
   /// Reports the outcome of an attempt to endpoint selection.
@@ -202,6 +205,8 @@
   /// The endpoint of the current attempt has not started its response.
   bool response_pending_ = false;
   std::string current_endpoint_;
+  /// Version of the weights that the endpoint of the current attempt named; 0 if none.
+  std::int64_t answered_version_ = 0;
   /// Time by which the response of the current attempt must have started.
   std::optional<TimePoint> response_start_deadline_;
 };
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -4,12 +4,15 @@
 #include "exchange.h"
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/process/clock.h"
+#include "wagtailslip/process/events.h"
 
 namespace wagtailslip::ingress {
 namespace {
 
 using net::Task;
 using process::Counter;
+using process::Event;
+using process::LogEvent;
 using process::MonotonicNow;
 using serving::AttemptOutcome;
 namespace asio = net::asio;
@@ -149,7 +152,7 @@
     co_return OutcomeOfError(false, history_.response_started);
   }
   if (decoded.is_event_stream && success) {
-    co_return co_await RelayStream(upstream, response, decoded);
+    co_return co_await RelayStream(upstream, response, decoded, placed);
   }
   if (history_.response_started) co_return AttemptOutcome::kStreamInterrupted;
   co_return co_await ReadFullResponse(upstream, response, decoded);
@@ -309,7 +312,8 @@
 
 Task<AttemptOutcome> Exchange::RelayStream(net::HttpConnection& upstream,
                                            const net::HttpResponse& response,
-                                           const platform::EndpointResponse& decoded) {
+                                           const platform::EndpointResponse& decoded,
+                                           const serving::PlacementResult& placed) {
   if (decoded.weights_version && stream_version_ == 0) stream_version_ = *decoded.weights_version;
   const std::string lines = platform::RelayedHeaderLines(response);
   event_splitter_.Reset();
@@ -324,6 +328,7 @@
     if (event_splitter_.overflow() || event_splitter_.malformed()) failed = true;
     progress_.OnBytes(read.bytes->size());
     if (!events.empty()) {
+      if (response_pending_) RecordAnswerVersion(placed, decoded.weights_version.value_or(0));
       ClearResponsePending(current_endpoint_);
       metrics_.Add(Counter::kTokens, events.size());
       if (!co_await RelayEvents(events, lines)) failed = true;
@@ -349,6 +354,19 @@
   co_return AttemptOutcome::kDelivered;
 }
 
+void Exchange::RecordAnswerVersion(const serving::PlacementResult& placed, std::int64_t version) {
+  if (engine_ == nullptr || version == 0) return;
+  answered_version_ = version;
+  const auto late = node_.TimeSinceWeightsBound(engine_->model, version, MonotonicNow());
+  if (!late || *late <= Duration::zero()) return;
+  metrics_.Add(Counter::kAnswersOvertaken);
+  LogEvent(Event::kAnswerOvertaken, {{"request", request_.attempt_id},
+                                     {"endpoint", placed.id},
+                                     {"believed", placed.weights_version},
+                                     {"answered", version},
+                                     {"late_ms", ToMilliseconds(*late)}});
+}
+
 void Exchange::ClearResponsePending(const std::string& endpoint) {
   if (!response_pending_) return;
   response_pending_ = false;
--- a/src/ingress/ingress.cc
+++ b/src/ingress/ingress.cc
@@ -220,10 +220,18 @@
                                             {"trials", it.trials},
                                             {"trial_process", it.trial_process}};
     }
+    nlohmann::json targets = nlohmann::json::object();
+    for (const auto& [model, versions] : node_.weights_targets().List()) {
+      for (const auto& [version, set_at] : versions) {
+        targets[model][std::to_string(version)] = {
+            {"named_ms_ago", ToMilliseconds(process::MonotonicNow() - set_at)}};
+      }
+    }
     nlohmann::json dump{{"name", settings_.name},
                         {"ready", node_.Ready()},
                         {"config", node_.routes() ? node_.routes()->config().version : 0},
                         {"active", caller_server_->active()},
+                        {"weights_targets", targets},
                         {"waiting", node_.waiting()},
                         {"retry_permits", retry_permits},
                         {"ranks", ranks},
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -7,6 +7,7 @@
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/codec/deflate.h"
 #include "wagtailslip/mesh/codec.h"
+#include "wagtailslip/mesh/target_sync.h"
 #include "wagtailslip/net/address.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
@@ -233,11 +234,13 @@
     ScheduleVerdictDelivery();
   }
   if (message.__isset.targets) {
-    for (const auto& it : message.targets) {
-      const TimePoint since = now - std::chrono::milliseconds(it.age_ms);
-      if (!weights_targets_.AddTarget(it.model, it.version, since)) continue;
-      LogEvent(Event::kWeightsNamed,
-               {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
+    for (const auto& it :
+         mesh::ApplyTargets(message.targets, weights_targets_, now, process::UtcNow())) {
+      LogEvent(Event::kWeightsNamed, {{"model", it.model},
+                                      {"version", it.version},
+                                      {"age_ms", ToMilliseconds(it.age)},
+                                      {"delay_ms", ToMilliseconds(it.delay)},
+                                      {"from", from.process}});
     }
   }
   if (message.__isset.limits) OnRelayedLimits(message.limits, now);
@@ -384,6 +387,14 @@
   return *since + settings_.bounds.weights_propagation - kResponseStartMargin;
 }
 
+std::optional<Duration> IngressNode::TimeSinceWeightsBound(const std::string& model,
+                                                           std::int64_t weights_version,
+                                                           TimePoint now) const {
+  const auto since = weights_targets_.EarliestNewerTargetTime(model, weights_version);
+  if (!since) return std::nullopt;
+  return now - *since - settings_.bounds.weights_propagation;
+}
+
 serving::AdmissionDecision IngressNode::Offer(const serving::AdmissionRequest& applicant,
                                               VerdictCallback callback, TimePoint now) {
   auto verdict = admission_.Offer(applicant, now);
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -66,10 +66,15 @@
   void SetMinWeightsVersions(const std::string& model, serving::PlacementQuery& query,
                              TimePoint now) const;
 
+  const serving::WeightsTargets& weights_targets() const { return weights_targets_; }
   /// Time by which an endpoint with this version of the weights must have started its response;
   /// nothing if no newer version is a target.
   std::optional<TimePoint> ResponseStartDeadline(const std::string& model,
                                                  std::int64_t weights_version) const;
+  /// Time since requests must not start on this version of the weights any more; negative before
+  /// then, nothing if no newer version is a target.
+  std::optional<Duration> TimeSinceWeightsBound(const std::string& model,
+                                                std::int64_t weights_version, TimePoint now) const;
 
   using VerdictCallback = std::function<void(serving::AdmissionDecision)>;
   /// Submits a request for admission.
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -109,7 +109,9 @@
     {Event::kOrderFailed, "engine.order_failed", Severity::kWarning,
      "an engine refused or did not carry out an order"},
     {Event::kWeightsNamed, "weights.named", Severity::kInfo,
-     "a version of weights is to be served; age_ms says how long ago it was named"},
+     "a version of weights is to be served; age_ms says how long ago it was named, delay_ms how "
+     "much "
+     "later this process took it to be named than the clocks say"},
     {Event::kSwapOrdered, "weights.swap_ordered", Severity::kInfo,
      "an engine was ordered to load a version"},
     {Event::kChunkRejected, "spread.chunk_rejected", Severity::kWarning,
@@ -149,6 +151,8 @@
      "an attempt at an endpoint ended; the entry gives what chose the endpoint and what follows"},
     {Event::kStreamBrokenOff, "request.stream_broken_off", Severity::kWarning,
      "a started stream could not be continued and the connection of the caller was closed"},
+    {Event::kAnswerOvertaken, "request.answer_overtaken", Severity::kWarning,
+     "an answer began on weights that were overtaken longer ago than the propagation bound"},
     {Event::kOperatorCommand, "operator.command", Severity::kInfo,
      "an operator command was accepted"},
     {Event::kOperatorRefused, "operator.refused", Severity::kWarning,
--- a/src/serving/weights_targets.cc
+++ b/src/serving/weights_targets.cc
@@ -25,6 +25,14 @@
   return newest;
 }
 
+std::map<std::string, std::map<std::int64_t, TimePoint>> WeightsTargets::List() const {
+  std::map<std::string, std::map<std::int64_t, TimePoint>> list;
+  for (const auto& [model, targets] : targets_) {
+    for (const auto& it : targets) list[model][it.version] = it.set_at;
+  }
+  return list;
+}
+
 std::int64_t WeightsTargets::Newest(const std::string& model) const {
   const auto it = targets_.find(model);
   return it == targets_.end() ? 0 : it->second.back().version;
--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -6,6 +6,7 @@
 #include "sidecar_node.h"
 #include "wagtailslip/base/digest.h"
 #include "wagtailslip/mesh/codec.h"
+#include "wagtailslip/mesh/target_sync.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
 
@@ -105,11 +106,12 @@
     }
   }
   if (message.__isset.targets) {
-    for (const auto& it : message.targets) {
-      const TimePoint since = now - std::chrono::milliseconds(it.age_ms);
-      if (!targets_.AddTarget(it.model, it.version, since)) continue;
-      LogEvent(Event::kWeightsNamed,
-               {{"model", it.model}, {"version", it.version}, {"age_ms", it.age_ms}});
+    for (const auto& it : mesh::ApplyTargets(message.targets, targets_, now, process::UtcNow())) {
+      LogEvent(Event::kWeightsNamed, {{"model", it.model},
+                                      {"version", it.version},
+                                      {"age_ms", ToMilliseconds(it.age)},
+                                      {"delay_ms", ToMilliseconds(it.delay)},
+                                      {"from", from.process}});
     }
   }
 }
