--- a/src/codec/gen/mesh_types.cpp
+++ b/src/codec/gen/mesh_types.cpp
@@ -1594,6 +1594,118 @@
 }
 
 
+TargetsQuery::~TargetsQuery() noexcept {
+}
+
+
+void TargetsQuery::__set_answer(const bool val) {
+  this->answer = val;
+}
+
+void TargetsQuery::__set_asked_at_ns(const int64_t val) {
+  this->asked_at_ns = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetsQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetsQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answer);
+          this->__isset.answer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asked_at_ns);
+          this->__isset.asked_at_ns = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetsQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetsQuery");
+
+  xfer += oprot->writeFieldBegin("answer", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->answer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asked_at_ns", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->asked_at_ns);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetsQuery &a, TargetsQuery &b) {
+  using ::std::swap;
+  swap(a.answer, b.answer);
+  swap(a.asked_at_ns, b.asked_at_ns);
+  swap(a.__isset, b.__isset);
+}
+
+TargetsQuery::TargetsQuery(const TargetsQuery& other40) noexcept {
+  answer = other40.answer;
+  asked_at_ns = other40.asked_at_ns;
+  __isset = other40.__isset;
+}
+TargetsQuery& TargetsQuery::operator=(const TargetsQuery& other41) noexcept {
+  answer = other41.answer;
+  asked_at_ns = other41.asked_at_ns;
+  __isset = other41.__isset;
+  return *this;
+}
+void TargetsQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetsQuery(";
+  out << "answer=" << to_string(answer);
+  out << ", " << "asked_at_ns=" << to_string(asked_at_ns);
+  out << ")";
+}
+
+
 ServiceConfigBody::~ServiceConfigBody() noexcept {
 }
 
@@ -1686,15 +1798,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceConfigBody::ServiceConfigBody(const ServiceConfigBody& other40) {
-  version = other40.version;
-  body = other40.body;
-  __isset = other40.__isset;
+ServiceConfigBody::ServiceConfigBody(const ServiceConfigBody& other42) {
+  version = other42.version;
+  body = other42.body;
+  __isset = other42.__isset;
 }
-ServiceConfigBody& ServiceConfigBody::operator=(const ServiceConfigBody& other41) {
-  version = other41.version;
-  body = other41.body;
-  __isset = other41.__isset;
+ServiceConfigBody& ServiceConfigBody::operator=(const ServiceConfigBody& other43) {
+  version = other43.version;
+  body = other43.body;
+  __isset = other43.__isset;
   return *this;
 }
 void ServiceConfigBody::printTo(std::ostream& out) const {
@@ -1849,21 +1961,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ModelSource::ModelSource(const ModelSource& other42) {
-  service_name = other42.service_name;
-  model = other42.model;
-  origin = other42.origin;
-  chunks = other42.chunks;
-  layers = other42.layers;
-  __isset = other42.__isset;
+ModelSource::ModelSource(const ModelSource& other44) {
+  service_name = other44.service_name;
+  model = other44.model;
+  origin = other44.origin;
+  chunks = other44.chunks;
+  layers = other44.layers;
+  __isset = other44.__isset;
 }
-ModelSource& ModelSource::operator=(const ModelSource& other43) {
-  service_name = other43.service_name;
-  model = other43.model;
-  origin = other43.origin;
-  chunks = other43.chunks;
-  layers = other43.layers;
-  __isset = other43.__isset;
+ModelSource& ModelSource::operator=(const ModelSource& other45) {
+  service_name = other45.service_name;
+  model = other45.model;
+  origin = other45.origin;
+  chunks = other45.chunks;
+  layers = other45.layers;
+  __isset = other45.__isset;
   return *this;
 }
 void ModelSource::printTo(std::ostream& out) const {
@@ -1953,13 +2065,13 @@
   swap(a.__isset, b.__isset);
 }
 
-JoinLog::JoinLog(const JoinLog& other44) {
-  id = other44.id;
-  __isset = other44.__isset;
+JoinLog::JoinLog(const JoinLog& other46) {
+  id = other46.id;
+  __isset = other46.__isset;
 }
-JoinLog& JoinLog::operator=(const JoinLog& other45) {
-  id = other45.id;
-  __isset = other45.__isset;
+JoinLog& JoinLog::operator=(const JoinLog& other47) {
+  id = other47.id;
+  __isset = other47.__isset;
   return *this;
 }
 void JoinLog::printTo(std::ostream& out) const {
@@ -2115,21 +2227,21 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointLimit::EndpointLimit(const EndpointLimit& other46) {
-  endpoint = other46.endpoint;
-  started_ms = other46.started_ms;
-  per_second = other46.per_second;
-  sent_age_ms = other46.sent_age_ms;
-  answered_age_ms = other46.answered_age_ms;
-  __isset = other46.__isset;
+EndpointLimit::EndpointLimit(const EndpointLimit& other48) {
+  endpoint = other48.endpoint;
+  started_ms = other48.started_ms;
+  per_second = other48.per_second;
+  sent_age_ms = other48.sent_age_ms;
+  answered_age_ms = other48.answered_age_ms;
+  __isset = other48.__isset;
 }
-EndpointLimit& EndpointLimit::operator=(const EndpointLimit& other47) {
-  endpoint = other47.endpoint;
-  started_ms = other47.started_ms;
-  per_second = other47.per_second;
-  sent_age_ms = other47.sent_age_ms;
-  answered_age_ms = other47.answered_age_ms;
-  __isset = other47.__isset;
+EndpointLimit& EndpointLimit::operator=(const EndpointLimit& other49) {
+  endpoint = other49.endpoint;
+  started_ms = other49.started_ms;
+  per_second = other49.per_second;
+  sent_age_ms = other49.sent_age_ms;
+  answered_age_ms = other49.answered_age_ms;
+  __isset = other49.__isset;
   return *this;
 }
 void EndpointLimit::printTo(std::ostream& out) const {
@@ -2287,21 +2399,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PermitRow::PermitRow(const PermitRow& other48) {
-  endpoint = other48.endpoint;
-  wanted = other48.wanted;
-  granted = other48.granted;
-  next_ms = other48.next_ms;
-  queue_ms = other48.queue_ms;
-  __isset = other48.__isset;
-}
-PermitRow& PermitRow::operator=(const PermitRow& other49) {
-  endpoint = other49.endpoint;
-  wanted = other49.wanted;
-  granted = other49.granted;
-  next_ms = other49.next_ms;
-  queue_ms = other49.queue_ms;
-  __isset = other49.__isset;
+PermitRow::PermitRow(const PermitRow& other50) {
+  endpoint = other50.endpoint;
+  wanted = other50.wanted;
+  granted = other50.granted;
+  next_ms = other50.next_ms;
+  queue_ms = other50.queue_ms;
+  __isset = other50.__isset;
+}
+PermitRow& PermitRow::operator=(const PermitRow& other51) {
+  endpoint = other51.endpoint;
+  wanted = other51.wanted;
+  granted = other51.granted;
+  next_ms = other51.next_ms;
+  queue_ms = other51.queue_ms;
+  __isset = other51.__isset;
   return *this;
 }
 void PermitRow::printTo(std::ostream& out) const {
@@ -2379,14 +2491,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size50;
-            ::apache::thrift::protocol::TType _etype53;
-            xfer += iprot->readListBegin(_etype53, _size50);
-            this->rows.resize(_size50);
-            uint32_t _i54;
-            for (_i54 = 0; _i54 < _size50; ++_i54)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->rows.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->rows[_i54].read(iprot);
+              xfer += this->rows[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2423,10 +2535,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<PermitRow> ::const_iterator _iter55;
-    for (_iter55 = this->rows.begin(); _iter55 != this->rows.end(); ++_iter55)
+    std::vector<PermitRow> ::const_iterator _iter57;
+    for (_iter57 = this->rows.begin(); _iter57 != this->rows.end(); ++_iter57)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2445,17 +2557,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Permits::Permits(const Permits& other56) {
-  grant = other56.grant;
-  asked_at_ns = other56.asked_at_ns;
-  rows = other56.rows;
-  __isset = other56.__isset;
+Permits::Permits(const Permits& other58) {
+  grant = other58.grant;
+  asked_at_ns = other58.asked_at_ns;
+  rows = other58.rows;
+  __isset = other58.__isset;
 }
-Permits& Permits::operator=(const Permits& other57) {
-  grant = other57.grant;
-  asked_at_ns = other57.asked_at_ns;
-  rows = other57.rows;
-  __isset = other57.__isset;
+Permits& Permits::operator=(const Permits& other59) {
+  grant = other59.grant;
+  asked_at_ns = other59.asked_at_ns;
+  rows = other59.rows;
+  __isset = other59.__isset;
   return *this;
 }
 void Permits::printTo(std::ostream& out) const {
@@ -2539,14 +2651,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->requests.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->requests.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += iprot->readI32(this->requests[_i62]);
+              xfer += iprot->readI32(this->requests[_i64]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2619,10 +2731,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->requests.size()));
-    std::vector<int32_t> ::const_iterator _iter63;
-    for (_iter63 = this->requests.begin(); _iter63 != this->requests.end(); ++_iter63)
+    std::vector<int32_t> ::const_iterator _iter65;
+    for (_iter65 = this->requests.begin(); _iter65 != this->requests.end(); ++_iter65)
     {
-      xfer += oprot->writeI32((*_iter63));
+      xfer += oprot->writeI32((*_iter65));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2665,25 +2777,25 @@
   swap(a.__isset, b.__isset);
 }
 
-RetryRow::RetryRow(const RetryRow& other64) {
-  service_name = other64.service_name;
-  requests = other64.requests;
-  used = other64.used;
-  held = other64.held;
-  wanted = other64.wanted;
-  granted = other64.granted;
-  reserve = other64.reserve;
-  __isset = other64.__isset;
-}
-RetryRow& RetryRow::operator=(const RetryRow& other65) {
-  service_name = other65.service_name;
-  requests = other65.requests;
-  used = other65.used;
-  held = other65.held;
-  wanted = other65.wanted;
-  granted = other65.granted;
-  reserve = other65.reserve;
-  __isset = other65.__isset;
+RetryRow::RetryRow(const RetryRow& other66) {
+  service_name = other66.service_name;
+  requests = other66.requests;
+  used = other66.used;
+  held = other66.held;
+  wanted = other66.wanted;
+  granted = other66.granted;
+  reserve = other66.reserve;
+  __isset = other66.__isset;
+}
+RetryRow& RetryRow::operator=(const RetryRow& other67) {
+  service_name = other67.service_name;
+  requests = other67.requests;
+  used = other67.used;
+  held = other67.held;
+  wanted = other67.wanted;
+  granted = other67.granted;
+  reserve = other67.reserve;
+  __isset = other67.__isset;
   return *this;
 }
 void RetryRow::printTo(std::ostream& out) const {
@@ -2811,14 +2923,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->rows.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->rows.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->rows[_i70].read(iprot);
+              xfer += this->rows[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2871,10 +2983,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<RetryRow> ::const_iterator _iter71;
-    for (_iter71 = this->rows.begin(); _iter71 != this->rows.end(); ++_iter71)
+    std::vector<RetryRow> ::const_iterator _iter73;
+    for (_iter73 = this->rows.begin(); _iter73 != this->rows.end(); ++_iter73)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2897,25 +3009,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Retries::Retries(const Retries& other72) {
-  grant = other72.grant;
-  reported_at_ns = other72.reported_at_ns;
-  granted_at_ns = other72.granted_at_ns;
-  since_grant_ns = other72.since_grant_ns;
-  lifetime_ms = other72.lifetime_ms;
-  counted = other72.counted;
-  rows = other72.rows;
-  __isset = other72.__isset;
-}
-Retries& Retries::operator=(const Retries& other73) {
-  grant = other73.grant;
-  reported_at_ns = other73.reported_at_ns;
-  granted_at_ns = other73.granted_at_ns;
-  since_grant_ns = other73.since_grant_ns;
-  lifetime_ms = other73.lifetime_ms;
-  counted = other73.counted;
-  rows = other73.rows;
-  __isset = other73.__isset;
+Retries::Retries(const Retries& other74) {
+  grant = other74.grant;
+  reported_at_ns = other74.reported_at_ns;
+  granted_at_ns = other74.granted_at_ns;
+  since_grant_ns = other74.since_grant_ns;
+  lifetime_ms = other74.lifetime_ms;
+  counted = other74.counted;
+  rows = other74.rows;
+  __isset = other74.__isset;
+}
+Retries& Retries::operator=(const Retries& other75) {
+  grant = other75.grant;
+  reported_at_ns = other75.reported_at_ns;
+  granted_at_ns = other75.granted_at_ns;
+  since_grant_ns = other75.since_grant_ns;
+  lifetime_ms = other75.lifetime_ms;
+  counted = other75.counted;
+  rows = other75.rows;
+  __isset = other75.__isset;
   return *this;
 }
 void Retries::printTo(std::ostream& out) const {
@@ -3025,14 +3137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->parts.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->parts.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += iprot->readString(this->parts[_i78]);
+              xfer += iprot->readString(this->parts[_i80]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3105,10 +3217,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->parts.size()));
-    std::vector<std::string> ::const_iterator _iter79;
-    for (_iter79 = this->parts.begin(); _iter79 != this->parts.end(); ++_iter79)
+    std::vector<std::string> ::const_iterator _iter81;
+    for (_iter81 = this->parts.begin(); _iter81 != this->parts.end(); ++_iter81)
     {
-      xfer += oprot->writeString((*_iter79));
+      xfer += oprot->writeString((*_iter81));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3150,27 +3262,27 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptEnd::AttemptEnd(const AttemptEnd& other80) {
-  endpoint = other80.endpoint;
-  started_ms = other80.started_ms;
-  age_ms = other80.age_ms;
-  parts = other80.parts;
-  request = other80.request;
-  service_name = other80.service_name;
-  unconfirmed = other80.unconfirmed;
-  events = other80.events;
-  __isset = other80.__isset;
-}
-AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other81) {
-  endpoint = other81.endpoint;
-  started_ms = other81.started_ms;
-  age_ms = other81.age_ms;
-  parts = other81.parts;
-  request = other81.request;
-  service_name = other81.service_name;
-  unconfirmed = other81.unconfirmed;
-  events = other81.events;
-  __isset = other81.__isset;
+AttemptEnd::AttemptEnd(const AttemptEnd& other82) {
+  endpoint = other82.endpoint;
+  started_ms = other82.started_ms;
+  age_ms = other82.age_ms;
+  parts = other82.parts;
+  request = other82.request;
+  service_name = other82.service_name;
+  unconfirmed = other82.unconfirmed;
+  events = other82.events;
+  __isset = other82.__isset;
+}
+AttemptEnd& AttemptEnd::operator=(const AttemptEnd& other83) {
+  endpoint = other83.endpoint;
+  started_ms = other83.started_ms;
+  age_ms = other83.age_ms;
+  parts = other83.parts;
+  request = other83.request;
+  service_name = other83.service_name;
+  unconfirmed = other83.unconfirmed;
+  events = other83.events;
+  __isset = other83.__isset;
   return *this;
 }
 void AttemptEnd::printTo(std::ostream& out) const {
@@ -3280,15 +3392,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Subject::Subject(const Subject& other82) {
-  id = other82.id;
-  kind = other82.kind;
-  __isset = other82.__isset;
+Subject::Subject(const Subject& other84) {
+  id = other84.id;
+  kind = other84.kind;
+  __isset = other84.__isset;
 }
-Subject& Subject::operator=(const Subject& other83) {
-  id = other83.id;
-  kind = other83.kind;
-  __isset = other83.__isset;
+Subject& Subject::operator=(const Subject& other85) {
+  id = other85.id;
+  kind = other85.kind;
+  __isset = other85.__isset;
   return *this;
 }
 void Subject::printTo(std::ostream& out) const {
@@ -3409,17 +3521,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SubjectProof::SubjectProof(const SubjectProof& other84) {
-  id = other84.id;
-  age_ms = other84.age_ms;
-  kind = other84.kind;
-  __isset = other84.__isset;
+SubjectProof::SubjectProof(const SubjectProof& other86) {
+  id = other86.id;
+  age_ms = other86.age_ms;
+  kind = other86.kind;
+  __isset = other86.__isset;
 }
-SubjectProof& SubjectProof::operator=(const SubjectProof& other85) {
-  id = other85.id;
-  age_ms = other85.age_ms;
-  kind = other85.kind;
-  __isset = other85.__isset;
+SubjectProof& SubjectProof::operator=(const SubjectProof& other87) {
+  id = other87.id;
+  age_ms = other87.age_ms;
+  kind = other87.kind;
+  __isset = other87.__isset;
   return *this;
 }
 void SubjectProof::printTo(std::ostream& out) const {
@@ -3521,14 +3633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended_later.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->ended_later.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _etype91;
+            xfer += iprot->readListBegin(_etype91, _size88);
+            this->ended_later.resize(_size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
             {
-              xfer += iprot->readI64(this->ended_later[_i90]);
+              xfer += iprot->readI64(this->ended_later[_i92]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3575,10 +3687,10 @@
     xfer += oprot->writeFieldBegin("ended_later", ::apache::thrift::protocol::T_LIST, 5);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ended_later.size()));
-      std::vector<int64_t> ::const_iterator _iter91;
-      for (_iter91 = this->ended_later.begin(); _iter91 != this->ended_later.end(); ++_iter91)
+      std::vector<int64_t> ::const_iterator _iter93;
+      for (_iter93 = this->ended_later.begin(); _iter93 != this->ended_later.end(); ++_iter93)
       {
-        xfer += oprot->writeI64((*_iter91));
+        xfer += oprot->writeI64((*_iter93));
       }
       xfer += oprot->writeListEnd();
     }
@@ -3599,21 +3711,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ServiceAttempts::ServiceAttempts(const ServiceAttempts& other92) {
-  service_name = other92.service_name;
-  begun = other92.begun;
-  ended = other92.ended;
-  delivered = other92.delivered;
-  ended_later = other92.ended_later;
-  __isset = other92.__isset;
-}
-ServiceAttempts& ServiceAttempts::operator=(const ServiceAttempts& other93) {
-  service_name = other93.service_name;
-  begun = other93.begun;
-  ended = other93.ended;
-  delivered = other93.delivered;
-  ended_later = other93.ended_later;
-  __isset = other93.__isset;
+ServiceAttempts::ServiceAttempts(const ServiceAttempts& other94) {
+  service_name = other94.service_name;
+  begun = other94.begun;
+  ended = other94.ended;
+  delivered = other94.delivered;
+  ended_later = other94.ended_later;
+  __isset = other94.__isset;
+}
+ServiceAttempts& ServiceAttempts::operator=(const ServiceAttempts& other95) {
+  service_name = other95.service_name;
+  begun = other95.begun;
+  ended = other95.ended;
+  delivered = other95.delivered;
+  ended_later = other95.ended_later;
+  __isset = other95.__isset;
   return *this;
 }
 void ServiceAttempts::printTo(std::ostream& out) const {
@@ -3737,17 +3849,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TrialEnd::TrialEnd(const TrialEnd& other94) {
-  subject = other94.subject;
-  revision = other94.revision;
-  outcome = other94.outcome;
-  __isset = other94.__isset;
+TrialEnd::TrialEnd(const TrialEnd& other96) {
+  subject = other96.subject;
+  revision = other96.revision;
+  outcome = other96.outcome;
+  __isset = other96.__isset;
 }
-TrialEnd& TrialEnd::operator=(const TrialEnd& other95) {
-  subject = other95.subject;
-  revision = other95.revision;
-  outcome = other95.outcome;
-  __isset = other95.__isset;
+TrialEnd& TrialEnd::operator=(const TrialEnd& other97) {
+  subject = other97.subject;
+  revision = other97.revision;
+  outcome = other97.outcome;
+  __isset = other97.__isset;
   return *this;
 }
 void TrialEnd::printTo(std::ostream& out) const {
@@ -3828,14 +3940,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->ends.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->ends.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->ends[_i100].read(iprot);
+              xfer += this->ends[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3848,14 +3960,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proofs.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _etype104;
-            xfer += iprot->readListBegin(_etype104, _size101);
-            this->proofs.resize(_size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size103;
+            ::apache::thrift::protocol::TType _etype106;
+            xfer += iprot->readListBegin(_etype106, _size103);
+            this->proofs.resize(_size103);
+            uint32_t _i107;
+            for (_i107 = 0; _i107 < _size103; ++_i107)
             {
-              xfer += this->proofs[_i105].read(iprot);
+              xfer += this->proofs[_i107].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3868,14 +3980,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->refused.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->refused.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += iprot->readString(this->refused[_i110]);
+              xfer += iprot->readString(this->refused[_i112]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3888,14 +4000,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size111;
-            ::apache::thrift::protocol::TType _etype114;
-            xfer += iprot->readListBegin(_etype114, _size111);
-            this->attempts.resize(_size111);
-            uint32_t _i115;
-            for (_i115 = 0; _i115 < _size111; ++_i115)
+            uint32_t _size113;
+            ::apache::thrift::protocol::TType _etype116;
+            xfer += iprot->readListBegin(_etype116, _size113);
+            this->attempts.resize(_size113);
+            uint32_t _i117;
+            for (_i117 = 0; _i117 < _size113; ++_i117)
             {
-              xfer += this->attempts[_i115].read(iprot);
+              xfer += this->attempts[_i117].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3908,14 +4020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->refused_requests.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->refused_requests.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->refused_requests.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += iprot->readString(this->refused_requests[_i120]);
+              xfer += iprot->readString(this->refused_requests[_i122]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3928,14 +4040,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->asks.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->asks.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readString(this->asks[_i125]);
+              xfer += iprot->readString(this->asks[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3948,14 +4060,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->trial_ends.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->trial_ends.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->trial_ends.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->trial_ends[_i130].read(iprot);
+              xfer += this->trial_ends[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3968,14 +4080,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->later_ends.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _etype134;
-            xfer += iprot->readListBegin(_etype134, _size131);
-            this->later_ends.resize(_size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->later_ends.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->later_ends[_i135].read(iprot);
+              xfer += this->later_ends[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4004,10 +4116,10 @@
   xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-    std::vector<AttemptEnd> ::const_iterator _iter136;
-    for (_iter136 = this->ends.begin(); _iter136 != this->ends.end(); ++_iter136)
+    std::vector<AttemptEnd> ::const_iterator _iter138;
+    for (_iter138 = this->ends.begin(); _iter138 != this->ends.end(); ++_iter138)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter138).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4016,10 +4128,10 @@
   xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
-    std::vector<SubjectProof> ::const_iterator _iter137;
-    for (_iter137 = this->proofs.begin(); _iter137 != this->proofs.end(); ++_iter137)
+    std::vector<SubjectProof> ::const_iterator _iter139;
+    for (_iter139 = this->proofs.begin(); _iter139 != this->proofs.end(); ++_iter139)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4028,10 +4140,10 @@
   xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused.size()));
-    std::vector<std::string> ::const_iterator _iter138;
-    for (_iter138 = this->refused.begin(); _iter138 != this->refused.end(); ++_iter138)
+    std::vector<std::string> ::const_iterator _iter140;
+    for (_iter140 = this->refused.begin(); _iter140 != this->refused.end(); ++_iter140)
     {
-      xfer += oprot->writeString((*_iter138));
+      xfer += oprot->writeString((*_iter140));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4040,10 +4152,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<ServiceAttempts> ::const_iterator _iter139;
-    for (_iter139 = this->attempts.begin(); _iter139 != this->attempts.end(); ++_iter139)
+    std::vector<ServiceAttempts> ::const_iterator _iter141;
+    for (_iter141 = this->attempts.begin(); _iter141 != this->attempts.end(); ++_iter141)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter141).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4052,10 +4164,10 @@
   xfer += oprot->writeFieldBegin("refused_requests", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->refused_requests.size()));
-    std::vector<std::string> ::const_iterator _iter140;
-    for (_iter140 = this->refused_requests.begin(); _iter140 != this->refused_requests.end(); ++_iter140)
+    std::vector<std::string> ::const_iterator _iter142;
+    for (_iter142 = this->refused_requests.begin(); _iter142 != this->refused_requests.end(); ++_iter142)
     {
-      xfer += oprot->writeString((*_iter140));
+      xfer += oprot->writeString((*_iter142));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4064,10 +4176,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->asks.size()));
-    std::vector<std::string> ::const_iterator _iter141;
-    for (_iter141 = this->asks.begin(); _iter141 != this->asks.end(); ++_iter141)
+    std::vector<std::string> ::const_iterator _iter143;
+    for (_iter143 = this->asks.begin(); _iter143 != this->asks.end(); ++_iter143)
     {
-      xfer += oprot->writeString((*_iter141));
+      xfer += oprot->writeString((*_iter143));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4076,10 +4188,10 @@
   xfer += oprot->writeFieldBegin("trial_ends", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->trial_ends.size()));
-    std::vector<TrialEnd> ::const_iterator _iter142;
-    for (_iter142 = this->trial_ends.begin(); _iter142 != this->trial_ends.end(); ++_iter142)
+    std::vector<TrialEnd> ::const_iterator _iter144;
+    for (_iter144 = this->trial_ends.begin(); _iter144 != this->trial_ends.end(); ++_iter144)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter144).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4089,10 +4201,10 @@
     xfer += oprot->writeFieldBegin("later_ends", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->later_ends.size()));
-      std::vector<AttemptEnd> ::const_iterator _iter143;
-      for (_iter143 = this->later_ends.begin(); _iter143 != this->later_ends.end(); ++_iter143)
+      std::vector<AttemptEnd> ::const_iterator _iter145;
+      for (_iter145 = this->later_ends.begin(); _iter145 != this->later_ends.end(); ++_iter145)
       {
-        xfer += (*_iter143).write(oprot);
+        xfer += (*_iter145).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -4116,27 +4228,27 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other144) {
-  ends = other144.ends;
-  proofs = other144.proofs;
-  refused = other144.refused;
-  attempts = other144.attempts;
-  refused_requests = other144.refused_requests;
-  asks = other144.asks;
-  trial_ends = other144.trial_ends;
-  later_ends = other144.later_ends;
-  __isset = other144.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other145) {
-  ends = other145.ends;
-  proofs = other145.proofs;
-  refused = other145.refused;
-  attempts = other145.attempts;
-  refused_requests = other145.refused_requests;
-  asks = other145.asks;
-  trial_ends = other145.trial_ends;
-  later_ends = other145.later_ends;
-  __isset = other145.__isset;
+CrashReport::CrashReport(const CrashReport& other146) {
+  ends = other146.ends;
+  proofs = other146.proofs;
+  refused = other146.refused;
+  attempts = other146.attempts;
+  refused_requests = other146.refused_requests;
+  asks = other146.asks;
+  trial_ends = other146.trial_ends;
+  later_ends = other146.later_ends;
+  __isset = other146.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other147) {
+  ends = other147.ends;
+  proofs = other147.proofs;
+  refused = other147.refused;
+  attempts = other147.attempts;
+  refused_requests = other147.refused_requests;
+  asks = other147.asks;
+  trial_ends = other147.trial_ends;
+  later_ends = other147.later_ends;
+  __isset = other147.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -4263,17 +4375,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SuspectSubject::SuspectSubject(const SuspectSubject& other146) {
-  id = other146.id;
-  ends = other146.ends;
-  kind = other146.kind;
-  __isset = other146.__isset;
+SuspectSubject::SuspectSubject(const SuspectSubject& other148) {
+  id = other148.id;
+  ends = other148.ends;
+  kind = other148.kind;
+  __isset = other148.__isset;
 }
-SuspectSubject& SuspectSubject::operator=(const SuspectSubject& other147) {
-  id = other147.id;
-  ends = other147.ends;
-  kind = other147.kind;
-  __isset = other147.__isset;
+SuspectSubject& SuspectSubject::operator=(const SuspectSubject& other149) {
+  id = other149.id;
+  ends = other149.ends;
+  kind = other149.kind;
+  __isset = other149.__isset;
   return *this;
 }
 void SuspectSubject::printTo(std::ostream& out) const {
@@ -4480,27 +4592,27 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdict::CrashVerdict(const CrashVerdict& other148) {
-  id = other148.id;
-  state = other148.state;
-  times = other148.times;
-  trial_process = other148.trial_process;
-  kind = other148.kind;
-  trials = other148.trials;
-  revision = other148.revision;
-  held = other148.held;
-  __isset = other148.__isset;
-}
-CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other149) {
-  id = other149.id;
-  state = other149.state;
-  times = other149.times;
-  trial_process = other149.trial_process;
-  kind = other149.kind;
-  trials = other149.trials;
-  revision = other149.revision;
-  held = other149.held;
-  __isset = other149.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other150) {
+  id = other150.id;
+  state = other150.state;
+  times = other150.times;
+  trial_process = other150.trial_process;
+  kind = other150.kind;
+  trials = other150.trials;
+  revision = other150.revision;
+  held = other150.held;
+  __isset = other150.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other151) {
+  id = other151.id;
+  state = other151.state;
+  times = other151.times;
+  trial_process = other151.trial_process;
+  kind = other151.kind;
+  trials = other151.trials;
+  revision = other151.revision;
+  held = other151.held;
+  __isset = other151.__isset;
   return *this;
 }
 void CrashVerdict::printTo(std::ostream& out) const {
@@ -4569,14 +4681,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->rows.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->rows.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->rows[_i154].read(iprot);
+              xfer += this->rows[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4609,10 +4721,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<CrashVerdict> ::const_iterator _iter155;
-    for (_iter155 = this->rows.begin(); _iter155 != this->rows.end(); ++_iter155)
+    std::vector<CrashVerdict> ::const_iterator _iter157;
+    for (_iter157 = this->rows.begin(); _iter157 != this->rows.end(); ++_iter157)
     {
-      xfer += (*_iter155).write(oprot);
+      xfer += (*_iter157).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4630,15 +4742,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdicts::CrashVerdicts(const CrashVerdicts& other156) {
-  revision = other156.revision;
-  rows = other156.rows;
-  __isset = other156.__isset;
+CrashVerdicts::CrashVerdicts(const CrashVerdicts& other158) {
+  revision = other158.revision;
+  rows = other158.rows;
+  __isset = other158.__isset;
 }
-CrashVerdicts& CrashVerdicts::operator=(const CrashVerdicts& other157) {
-  revision = other157.revision;
-  rows = other157.rows;
-  __isset = other157.__isset;
+CrashVerdicts& CrashVerdicts::operator=(const CrashVerdicts& other159) {
+  revision = other159.revision;
+  rows = other159.rows;
+  __isset = other159.__isset;
   return *this;
 }
 void CrashVerdicts::printTo(std::ostream& out) const {
@@ -4776,19 +4888,19 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainEnd::DrainEnd(const DrainEnd& other158) {
-  domain = other158.domain;
-  revision = other158.revision;
-  age_ms = other158.age_ms;
-  utc_ms = other158.utc_ms;
-  __isset = other158.__isset;
+DrainEnd::DrainEnd(const DrainEnd& other160) {
+  domain = other160.domain;
+  revision = other160.revision;
+  age_ms = other160.age_ms;
+  utc_ms = other160.utc_ms;
+  __isset = other160.__isset;
 }
-DrainEnd& DrainEnd::operator=(const DrainEnd& other159) {
-  domain = other159.domain;
-  revision = other159.revision;
-  age_ms = other159.age_ms;
-  utc_ms = other159.utc_ms;
-  __isset = other159.__isset;
+DrainEnd& DrainEnd::operator=(const DrainEnd& other161) {
+  domain = other161.domain;
+  revision = other161.revision;
+  age_ms = other161.age_ms;
+  utc_ms = other161.utc_ms;
+  __isset = other161.__isset;
   return *this;
 }
 void DrainEnd::printTo(std::ostream& out) const {
@@ -4857,14 +4969,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->domains.clear();
-            uint32_t _size160;
-            ::apache::thrift::protocol::TType _etype163;
-            xfer += iprot->readListBegin(_etype163, _size160);
-            this->domains.resize(_size160);
-            uint32_t _i164;
-            for (_i164 = 0; _i164 < _size160; ++_i164)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->domains.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += iprot->readString(this->domains[_i164]);
+              xfer += iprot->readString(this->domains[_i166]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4877,14 +4989,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _etype168;
-            xfer += iprot->readListBegin(_etype168, _size165);
-            this->ended.resize(_size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->ended.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
             {
-              xfer += this->ended[_i169].read(iprot);
+              xfer += this->ended[_i171].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4917,10 +5029,10 @@
   xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
-    std::vector<std::string> ::const_iterator _iter170;
-    for (_iter170 = this->domains.begin(); _iter170 != this->domains.end(); ++_iter170)
+    std::vector<std::string> ::const_iterator _iter172;
+    for (_iter172 = this->domains.begin(); _iter172 != this->domains.end(); ++_iter172)
     {
-      xfer += oprot->writeString((*_iter170));
+      xfer += oprot->writeString((*_iter172));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4929,10 +5041,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<DrainEnd> ::const_iterator _iter171;
-    for (_iter171 = this->ended.begin(); _iter171 != this->ended.end(); ++_iter171)
+    std::vector<DrainEnd> ::const_iterator _iter173;
+    for (_iter173 = this->ended.begin(); _iter173 != this->ended.end(); ++_iter173)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4951,17 +5063,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DrainedDomains::DrainedDomains(const DrainedDomains& other172) {
-  revision = other172.revision;
-  domains = other172.domains;
-  ended = other172.ended;
-  __isset = other172.__isset;
+DrainedDomains::DrainedDomains(const DrainedDomains& other174) {
+  revision = other174.revision;
+  domains = other174.domains;
+  ended = other174.ended;
+  __isset = other174.__isset;
 }
-DrainedDomains& DrainedDomains::operator=(const DrainedDomains& other173) {
-  revision = other173.revision;
-  domains = other173.domains;
-  ended = other173.ended;
-  __isset = other173.__isset;
+DrainedDomains& DrainedDomains::operator=(const DrainedDomains& other175) {
+  revision = other175.revision;
+  domains = other175.domains;
+  ended = other175.ended;
+  __isset = other175.__isset;
   return *this;
 }
 void DrainedDomains::printTo(std::ostream& out) const {
@@ -5083,17 +5195,17 @@
   swap(a.__isset, b.__isset);
 }
 
-DomainDrain::DomainDrain(const DomainDrain& other174) {
-  domain = other174.domain;
-  drained = other174.drained;
-  utc_ms = other174.utc_ms;
-  __isset = other174.__isset;
+DomainDrain::DomainDrain(const DomainDrain& other176) {
+  domain = other176.domain;
+  drained = other176.drained;
+  utc_ms = other176.utc_ms;
+  __isset = other176.__isset;
 }
-DomainDrain& DomainDrain::operator=(const DomainDrain& other175) {
-  domain = other175.domain;
-  drained = other175.drained;
-  utc_ms = other175.utc_ms;
-  __isset = other175.__isset;
+DomainDrain& DomainDrain::operator=(const DomainDrain& other177) {
+  domain = other177.domain;
+  drained = other177.drained;
+  utc_ms = other177.utc_ms;
+  __isset = other177.__isset;
   return *this;
 }
 void DomainDrain::printTo(std::ostream& out) const {
@@ -5215,17 +5327,17 @@
   swap(a.__isset, b.__isset);
 }
 
-WarmupLeaseRow::WarmupLeaseRow(const WarmupLeaseRow& other176) {
-  endpoint = other176.endpoint;
-  started_ms = other176.started_ms;
-  granted = other176.granted;
-  __isset = other176.__isset;
+WarmupLeaseRow::WarmupLeaseRow(const WarmupLeaseRow& other178) {
+  endpoint = other178.endpoint;
+  started_ms = other178.started_ms;
+  granted = other178.granted;
+  __isset = other178.__isset;
 }
-WarmupLeaseRow& WarmupLeaseRow::operator=(const WarmupLeaseRow& other177) {
-  endpoint = other177.endpoint;
-  started_ms = other177.started_ms;
-  granted = other177.granted;
-  __isset = other177.__isset;
+WarmupLeaseRow& WarmupLeaseRow::operator=(const WarmupLeaseRow& other179) {
+  endpoint = other179.endpoint;
+  started_ms = other179.started_ms;
+  granted = other179.granted;
+  __isset = other179.__isset;
   return *this;
 }
 void WarmupLeaseRow::printTo(std::ostream& out) const {
@@ -5313,14 +5425,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->rows.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->rows.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->rows[_i182].read(iprot);
+              xfer += this->rows[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5361,10 +5473,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<WarmupLeaseRow> ::const_iterator _iter183;
-    for (_iter183 = this->rows.begin(); _iter183 != this->rows.end(); ++_iter183)
+    std::vector<WarmupLeaseRow> ::const_iterator _iter185;
+    for (_iter185 = this->rows.begin(); _iter185 != this->rows.end(); ++_iter185)
     {
-      xfer += (*_iter183).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5384,19 +5496,19 @@
   swap(a.__isset, b.__isset);
 }
 
-WarmupLeases::WarmupLeases(const WarmupLeases& other184) {
-  grant = other184.grant;
-  asked_at_ns = other184.asked_at_ns;
-  lifetime_ms = other184.lifetime_ms;
-  rows = other184.rows;
-  __isset = other184.__isset;
+WarmupLeases::WarmupLeases(const WarmupLeases& other186) {
+  grant = other186.grant;
+  asked_at_ns = other186.asked_at_ns;
+  lifetime_ms = other186.lifetime_ms;
+  rows = other186.rows;
+  __isset = other186.__isset;
 }
-WarmupLeases& WarmupLeases::operator=(const WarmupLeases& other185) {
-  grant = other185.grant;
-  asked_at_ns = other185.asked_at_ns;
-  lifetime_ms = other185.lifetime_ms;
-  rows = other185.rows;
-  __isset = other185.__isset;
+WarmupLeases& WarmupLeases::operator=(const WarmupLeases& other187) {
+  grant = other187.grant;
+  asked_at_ns = other187.asked_at_ns;
+  lifetime_ms = other187.lifetime_ms;
+  rows = other187.rows;
+  __isset = other187.__isset;
   return *this;
 }
 void WarmupLeases::printTo(std::ostream& out) const {
@@ -5518,6 +5630,11 @@
   this->warmup_leases = val;
 __isset.warmup_leases = true;
 }
+
+void MeshMessage::__set_targets_query(const TargetsQuery& val) {
+  this->targets_query = val;
+__isset.targets_query = true;
+}
 std::ostream& operator<<(std::ostream& out, const MeshMessage& obj)
 {
   obj.printTo(out);
@@ -5558,14 +5675,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->members.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->members.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->members[_i190].read(iprot);
+              xfer += this->members[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5578,14 +5695,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->instances.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->instances.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->instances[_i195].read(iprot);
+              xfer += this->instances[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5598,14 +5715,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->readings.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->readings.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->readings.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->readings[_i200].read(iprot);
+              xfer += this->readings[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5626,14 +5743,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->targets.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size203;
+            ::apache::thrift::protocol::TType _etype206;
+            xfer += iprot->readListBegin(_etype206, _size203);
+            this->targets.resize(_size203);
+            uint32_t _i207;
+            for (_i207 = 0; _i207 < _size203; ++_i207)
             {
-              xfer += this->targets[_i205].read(iprot);
+              xfer += this->targets[_i207].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5646,14 +5763,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->sources.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->sources.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->sources.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->sources[_i210].read(iprot);
+              xfer += this->sources[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5682,14 +5799,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->expected.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->expected.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size213;
+            ::apache::thrift::protocol::TType _etype216;
+            xfer += iprot->readListBegin(_etype216, _size213);
+            this->expected.resize(_size213);
+            uint32_t _i217;
+            for (_i217 = 0; _i217 < _size213; ++_i217)
             {
-              xfer += this->expected[_i215].read(iprot);
+              xfer += this->expected[_i217].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5710,14 +5827,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->limits.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->limits.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += this->limits[_i220].read(iprot);
+              xfer += this->limits[_i222].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5746,14 +5863,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size221;
-            ::apache::thrift::protocol::TType _etype224;
-            xfer += iprot->readListBegin(_etype224, _size221);
-            this->suspects.resize(_size221);
-            uint32_t _i225;
-            for (_i225 = 0; _i225 < _size221; ++_i225)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->suspects.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += this->suspects[_i225].read(iprot);
+              xfer += this->suspects[_i227].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5810,6 +5927,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->targets_query.read(iprot);
+          this->__isset.targets_query = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5836,10 +5961,10 @@
     xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-      std::vector<MeshMember> ::const_iterator _iter226;
-      for (_iter226 = this->members.begin(); _iter226 != this->members.end(); ++_iter226)
+      std::vector<MeshMember> ::const_iterator _iter228;
+      for (_iter228 = this->members.begin(); _iter228 != this->members.end(); ++_iter228)
       {
-        xfer += (*_iter226).write(oprot);
+        xfer += (*_iter228).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5849,10 +5974,10 @@
     xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-      std::vector<InstanceRecord> ::const_iterator _iter227;
-      for (_iter227 = this->instances.begin(); _iter227 != this->instances.end(); ++_iter227)
+      std::vector<InstanceRecord> ::const_iterator _iter229;
+      for (_iter229 = this->instances.begin(); _iter229 != this->instances.end(); ++_iter229)
       {
-        xfer += (*_iter227).write(oprot);
+        xfer += (*_iter229).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5862,10 +5987,10 @@
     xfer += oprot->writeFieldBegin("readings", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->readings.size()));
-      std::vector<InstanceReading> ::const_iterator _iter228;
-      for (_iter228 = this->readings.begin(); _iter228 != this->readings.end(); ++_iter228)
+      std::vector<InstanceReading> ::const_iterator _iter230;
+      for (_iter230 = this->readings.begin(); _iter230 != this->readings.end(); ++_iter230)
       {
-        xfer += (*_iter228).write(oprot);
+        xfer += (*_iter230).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5880,10 +6005,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter229;
-      for (_iter229 = this->targets.begin(); _iter229 != this->targets.end(); ++_iter229)
+      std::vector<WeightsTarget> ::const_iterator _iter231;
+      for (_iter231 = this->targets.begin(); _iter231 != this->targets.end(); ++_iter231)
       {
-        xfer += (*_iter229).write(oprot);
+        xfer += (*_iter231).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5893,10 +6018,10 @@
     xfer += oprot->writeFieldBegin("sources", ::apache::thrift::protocol::T_LIST, 7);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->sources.size()));
-      std::vector<ModelSource> ::const_iterator _iter230;
-      for (_iter230 = this->sources.begin(); _iter230 != this->sources.end(); ++_iter230)
+      std::vector<ModelSource> ::const_iterator _iter232;
+      for (_iter232 = this->sources.begin(); _iter232 != this->sources.end(); ++_iter232)
       {
-        xfer += (*_iter230).write(oprot);
+        xfer += (*_iter232).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5916,10 +6041,10 @@
     xfer += oprot->writeFieldBegin("expected", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->expected.size()));
-      std::vector<WeightsTarget> ::const_iterator _iter231;
-      for (_iter231 = this->expected.begin(); _iter231 != this->expected.end(); ++_iter231)
+      std::vector<WeightsTarget> ::const_iterator _iter233;
+      for (_iter233 = this->expected.begin(); _iter233 != this->expected.end(); ++_iter233)
       {
-        xfer += (*_iter231).write(oprot);
+        xfer += (*_iter233).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5934,10 +6059,10 @@
     xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-      std::vector<EndpointLimit> ::const_iterator _iter232;
-      for (_iter232 = this->limits.begin(); _iter232 != this->limits.end(); ++_iter232)
+      std::vector<EndpointLimit> ::const_iterator _iter234;
+      for (_iter234 = this->limits.begin(); _iter234 != this->limits.end(); ++_iter234)
       {
-        xfer += (*_iter232).write(oprot);
+        xfer += (*_iter234).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5957,10 +6082,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectSubject> ::const_iterator _iter233;
-      for (_iter233 = this->suspects.begin(); _iter233 != this->suspects.end(); ++_iter233)
+      std::vector<SuspectSubject> ::const_iterator _iter235;
+      for (_iter235 = this->suspects.begin(); _iter235 != this->suspects.end(); ++_iter235)
       {
-        xfer += (*_iter233).write(oprot);
+        xfer += (*_iter235).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5996,6 +6121,11 @@
     xfer += this->instance_request.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.targets_query) {
+    xfer += oprot->writeFieldBegin("targets_query", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->targets_query.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6024,56 +6154,59 @@
   swap(a.instance_summary, b.instance_summary);
   swap(a.instance_request, b.instance_request);
   swap(a.warmup_leases, b.warmup_leases);
+  swap(a.targets_query, b.targets_query);
   swap(a.__isset, b.__isset);
 }
 
-MeshMessage::MeshMessage(const MeshMessage& other234) {
-  hello = other234.hello;
-  members = other234.members;
-  instances = other234.instances;
-  readings = other234.readings;
-  service_config = other234.service_config;
-  targets = other234.targets;
-  sources = other234.sources;
-  agreement = other234.agreement;
-  join = other234.join;
-  expected = other234.expected;
-  permits = other234.permits;
-  limits = other234.limits;
-  retries = other234.retries;
-  crash_report = other234.crash_report;
-  suspects = other234.suspects;
-  crash_verdicts = other234.crash_verdicts;
-  drained_domains = other234.drained_domains;
-  member_changes = other234.member_changes;
-  instance_summary = other234.instance_summary;
-  instance_request = other234.instance_request;
-  warmup_leases = other234.warmup_leases;
-  __isset = other234.__isset;
-}
-MeshMessage& MeshMessage::operator=(const MeshMessage& other235) {
-  hello = other235.hello;
-  members = other235.members;
-  instances = other235.instances;
-  readings = other235.readings;
-  service_config = other235.service_config;
-  targets = other235.targets;
-  sources = other235.sources;
-  agreement = other235.agreement;
-  join = other235.join;
-  expected = other235.expected;
-  permits = other235.permits;
-  limits = other235.limits;
-  retries = other235.retries;
-  crash_report = other235.crash_report;
-  suspects = other235.suspects;
-  crash_verdicts = other235.crash_verdicts;
-  drained_domains = other235.drained_domains;
-  member_changes = other235.member_changes;
-  instance_summary = other235.instance_summary;
-  instance_request = other235.instance_request;
-  warmup_leases = other235.warmup_leases;
-  __isset = other235.__isset;
+MeshMessage::MeshMessage(const MeshMessage& other236) {
+  hello = other236.hello;
+  members = other236.members;
+  instances = other236.instances;
+  readings = other236.readings;
+  service_config = other236.service_config;
+  targets = other236.targets;
+  sources = other236.sources;
+  agreement = other236.agreement;
+  join = other236.join;
+  expected = other236.expected;
+  permits = other236.permits;
+  limits = other236.limits;
+  retries = other236.retries;
+  crash_report = other236.crash_report;
+  suspects = other236.suspects;
+  crash_verdicts = other236.crash_verdicts;
+  drained_domains = other236.drained_domains;
+  member_changes = other236.member_changes;
+  instance_summary = other236.instance_summary;
+  instance_request = other236.instance_request;
+  warmup_leases = other236.warmup_leases;
+  targets_query = other236.targets_query;
+  __isset = other236.__isset;
+}
+MeshMessage& MeshMessage::operator=(const MeshMessage& other237) {
+  hello = other237.hello;
+  members = other237.members;
+  instances = other237.instances;
+  readings = other237.readings;
+  service_config = other237.service_config;
+  targets = other237.targets;
+  sources = other237.sources;
+  agreement = other237.agreement;
+  join = other237.join;
+  expected = other237.expected;
+  permits = other237.permits;
+  limits = other237.limits;
+  retries = other237.retries;
+  crash_report = other237.crash_report;
+  suspects = other237.suspects;
+  crash_verdicts = other237.crash_verdicts;
+  drained_domains = other237.drained_domains;
+  member_changes = other237.member_changes;
+  instance_summary = other237.instance_summary;
+  instance_request = other237.instance_request;
+  warmup_leases = other237.warmup_leases;
+  targets_query = other237.targets_query;
+  __isset = other237.__isset;
   return *this;
 }
 void MeshMessage::printTo(std::ostream& out) const {
@@ -6100,6 +6233,7 @@
   out << ", " << "instance_summary="; (__isset.instance_summary ? (out << to_string(instance_summary)) : (out << "<null>"));
   out << ", " << "instance_request="; (__isset.instance_request ? (out << to_string(instance_request)) : (out << "<null>"));
   out << ", " << "warmup_leases="; (__isset.warmup_leases ? (out << to_string(warmup_leases)) : (out << "<null>"));
+  out << ", " << "targets_query="; (__isset.targets_query ? (out << to_string(targets_query)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6257,21 +6391,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlCommand::ControlCommand(const ControlCommand& other236) {
-  service_config = other236.service_config;
-  target = other236.target;
-  retry_blocks = other236.retry_blocks;
-  crash_verdict = other236.crash_verdict;
-  domain_drain = other236.domain_drain;
-  __isset = other236.__isset;
-}
-ControlCommand& ControlCommand::operator=(const ControlCommand& other237) {
-  service_config = other237.service_config;
-  target = other237.target;
-  retry_blocks = other237.retry_blocks;
-  crash_verdict = other237.crash_verdict;
-  domain_drain = other237.domain_drain;
-  __isset = other237.__isset;
+ControlCommand::ControlCommand(const ControlCommand& other238) {
+  service_config = other238.service_config;
+  target = other238.target;
+  retry_blocks = other238.retry_blocks;
+  crash_verdict = other238.crash_verdict;
+  domain_drain = other238.domain_drain;
+  __isset = other238.__isset;
+}
+ControlCommand& ControlCommand::operator=(const ControlCommand& other239) {
+  service_config = other239.service_config;
+  target = other239.target;
+  retry_blocks = other239.retry_blocks;
+  crash_verdict = other239.crash_verdict;
+  domain_drain = other239.domain_drain;
+  __isset = other239.__isset;
   return *this;
 }
 void ControlCommand::printTo(std::ostream& out) const {
@@ -6353,14 +6487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->targets.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size240;
+            ::apache::thrift::protocol::TType _etype243;
+            xfer += iprot->readListBegin(_etype243, _size240);
+            this->targets.resize(_size240);
+            uint32_t _i244;
+            for (_i244 = 0; _i244 < _size240; ++_i244)
             {
-              xfer += this->targets[_i242].read(iprot);
+              xfer += this->targets[_i244].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6418,10 +6552,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<WeightsTarget> ::const_iterator _iter243;
-    for (_iter243 = this->targets.begin(); _iter243 != this->targets.end(); ++_iter243)
+    std::vector<WeightsTarget> ::const_iterator _iter245;
+    for (_iter245 = this->targets.begin(); _iter245 != this->targets.end(); ++_iter245)
     {
-      xfer += (*_iter243).write(oprot);
+      xfer += (*_iter245).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6457,21 +6591,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlSnapshot::ControlSnapshot(const ControlSnapshot& other244) {
-  service_config = other244.service_config;
-  targets = other244.targets;
-  retry_blocks = other244.retry_blocks;
-  crash_verdicts = other244.crash_verdicts;
-  drained_domains = other244.drained_domains;
-  __isset = other244.__isset;
-}
-ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other245) {
-  service_config = other245.service_config;
-  targets = other245.targets;
-  retry_blocks = other245.retry_blocks;
-  crash_verdicts = other245.crash_verdicts;
-  drained_domains = other245.drained_domains;
-  __isset = other245.__isset;
+ControlSnapshot::ControlSnapshot(const ControlSnapshot& other246) {
+  service_config = other246.service_config;
+  targets = other246.targets;
+  retry_blocks = other246.retry_blocks;
+  crash_verdicts = other246.crash_verdicts;
+  drained_domains = other246.drained_domains;
+  __isset = other246.__isset;
+}
+ControlSnapshot& ControlSnapshot::operator=(const ControlSnapshot& other247) {
+  service_config = other247.service_config;
+  targets = other247.targets;
+  retry_blocks = other247.retry_blocks;
+  crash_verdicts = other247.crash_verdicts;
+  drained_domains = other247.drained_domains;
+  __isset = other247.__isset;
   return *this;
 }
 void ControlSnapshot::printTo(std::ostream& out) const {
--- a/src/codec/gen/mesh_types.h
+++ b/src/codec/gen/mesh_types.h
@@ -38,6 +38,8 @@
 
 class WeightsTarget;
 
+class TargetsQuery;
+
 class ServiceConfigBody;
 
 class ModelSource;
@@ -698,6 +700,56 @@
 
 std::ostream& operator<<(std::ostream& out, const WeightsTarget& obj);
 
+typedef struct _TargetsQuery__isset {
+  _TargetsQuery__isset() : answer(false), asked_at_ns(false) {}
+  bool answer :1;
+  bool asked_at_ns :1;
+} _TargetsQuery__isset;
+
+class TargetsQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetsQuery(const TargetsQuery&) noexcept;
+  TargetsQuery& operator=(const TargetsQuery&) noexcept;
+  TargetsQuery() noexcept
+               : answer(0),
+                 asked_at_ns(0) {
+  }
+
+  virtual ~TargetsQuery() noexcept;
+  bool answer;
+  int64_t asked_at_ns;
+
+  _TargetsQuery__isset __isset;
+
+  void __set_answer(const bool val);
+
+  void __set_asked_at_ns(const int64_t val);
+
+  bool operator == (const TargetsQuery & rhs) const
+  {
+    if (!(answer == rhs.answer))
+      return false;
+    if (!(asked_at_ns == rhs.asked_at_ns))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetsQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetsQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetsQuery &a, TargetsQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetsQuery& obj);
+
 typedef struct _ServiceConfigBody__isset {
   _ServiceConfigBody__isset() : version(false), body(false) {}
   bool version :1;
@@ -2142,7 +2194,7 @@
 std::ostream& operator<<(std::ostream& out, const WarmupLeases& obj);
 
 typedef struct _MeshMessage__isset {
-  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false), crash_report(false), suspects(false), crash_verdicts(false), drained_domains(false), member_changes(false), instance_summary(false), instance_request(false), warmup_leases(false) {}
+  _MeshMessage__isset() : hello(false), members(false), instances(false), readings(false), service_config(false), targets(false), sources(false), agreement(false), join(false), expected(false), permits(false), limits(false), retries(false), crash_report(false), suspects(false), crash_verdicts(false), drained_domains(false), member_changes(false), instance_summary(false), instance_request(false), warmup_leases(false), targets_query(false) {}
   bool hello :1;
   bool members :1;
   bool instances :1;
@@ -2164,6 +2216,7 @@
   bool instance_summary :1;
   bool instance_request :1;
   bool warmup_leases :1;
+  bool targets_query :1;
 } _MeshMessage__isset;
 
 class MeshMessage : public virtual ::apache::thrift::TBase {
@@ -2196,6 +2249,7 @@
   InstanceSummary instance_summary;
   InstanceRequest instance_request;
   WarmupLeases warmup_leases;
+  TargetsQuery targets_query;
 
   _MeshMessage__isset __isset;
 
@@ -2241,6 +2295,8 @@
 
   void __set_warmup_leases(const WarmupLeases& val);
 
+  void __set_targets_query(const TargetsQuery& val);
+
   bool operator == (const MeshMessage & rhs) const
   {
     if (__isset.hello != rhs.__isset.hello)
@@ -2327,6 +2383,10 @@
       return false;
     else if (__isset.warmup_leases && !(warmup_leases == rhs.warmup_leases))
       return false;
+    if (__isset.targets_query != rhs.__isset.targets_query)
+      return false;
+    else if (__isset.targets_query && !(targets_query == rhs.targets_query))
+      return false;
     return true;
   }
   bool operator != (const MeshMessage &rhs) const {
--- a/src/codec/mesh.thrift
+++ b/src/codec/mesh.thrift
@@ -86,6 +86,13 @@
   4: i64 named_utc_ms
 }
 
+// Question for all targets, or the answer to it, which has them in MeshMessage.targets.
+struct TargetsQuery {
+  1: bool answer
+  // Clock of the process that asks; returned in the answer.
+  2: i64 asked_at_ns
+}
+
 struct ServiceConfigBody {
   1: i64 version
   2: binary body
@@ -311,6 +318,7 @@
   20: optional InstanceSummary instance_summary
   22: optional InstanceRequest instance_request
   18: optional WarmupLeases warmup_leases
+  23: optional TargetsQuery targets_query
 }
 
 // An entry of the control log.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -248,10 +248,7 @@
     message.__isset.instances = true;
     for (const auto& it : table_.Snapshot()) message.instances.push_back(mesh::ToWire(it, now));
   }
-  message.__isset.targets = true;
-  for (const auto& [model, targets] : log_->state().targets) {
-    for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
-  }
+  AddTargets(message, now);
   if (member.kind == MemberKind::kSidecar) {
     message.__set_sources(sources_);
   } else {
@@ -321,6 +318,9 @@
     mesh_->Send(from.process, request);
   }
   if (message.__isset.instance_request) OnInstanceRequest(from, message.instance_request, now);
+  if (message.__isset.targets_query && !message.targets_query.answer) {
+    OnTargetsQuery(from, message.targets_query, now);
+  }
   if (message.__isset.instances) OnRecords(from, message.instances, now);
   if (message.__isset.expected) {
     for (const auto& it : message.expected) {
@@ -535,6 +535,22 @@
   mesh_->SendTo(receivers, message);
 }
 
+void ControlNode::AddTargets(wire::MeshMessage& message, TimePoint now) const {
+  message.__isset.targets = true;
+  for (const auto& [model, targets] : log_->state().targets) {
+    for (const auto& it : targets) message.targets.push_back(TargetToWire(model, it, now));
+  }
+}
+
+void ControlNode::OnTargetsQuery(const mesh::Member& from, const wire::TargetsQuery& query,
+                                 TimePoint now) {
+  wire::MeshMessage reply;
+  AddTargets(reply, now);
+  reply.__set_targets_query(query);
+  reply.targets_query.answer = true;
+  mesh_->Send(from.process, reply);
+}
+
 void ControlNode::SendTargets(TimePoint now) {
   wire::MeshMessage message;
   for (const auto& [model, targets] : log_->state().targets) {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -133,6 +133,8 @@
   void RepeatEnds(TimePoint now);
   void SendConfig(TimePoint now);
   void SendTargets(TimePoint now);
+  void AddTargets(wire::MeshMessage& message, TimePoint now) const;
+  void OnTargetsQuery(const mesh::Member& from, const wire::TargetsQuery& query, TimePoint now);
   /// Adds the drained failure domains to a message to ingress processes. Without a drain ever, the
   /// message stays as it is.
   void AddDrainedDomains(wire::MeshMessage& message, TimePoint now) const;
--- a/src/ingress/ingress_node.cc
+++ b/src/ingress/ingress_node.cc
@@ -77,6 +77,7 @@
       tick_timer_(context, kTickPeriod, [this] { Tick(); }),
       control_discovery_(settings),
       state_requester_(settings.mesh_address()),
+      target_sync_(settings.bounds.weights_propagation),
       placement_(PlacementSettingsFor(settings),
                  Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
       admission_(placement_, Hash64(settings.ip, static_cast<std::uint64_t>(incarnation))),
@@ -124,6 +125,7 @@
              {{"allocator", permit_allocator_}, {"processes", ingress_count_}});
   }
   AskForState(now);
+  target_sync_.AskIfDue(*mesh_, now);
   if (now >= next_cold_check_) {
     next_cold_check_ = now + kColdCheckPeriod;
     TrackIsolation(now);
@@ -234,8 +236,7 @@
     ScheduleVerdictDelivery();
   }
   if (message.__isset.targets) {
-    for (const auto& it :
-         mesh::ApplyTargets(message.targets, weights_targets_, now, process::UtcNow())) {
+    for (const auto& it : target_sync_.Receive(message, now, process::UtcNow())) {
       LogEvent(Event::kWeightsNamed, {{"model", it.model},
                                       {"version", it.version},
                                       {"age_ms", ToMilliseconds(it.age)},
@@ -372,17 +373,17 @@
 void IngressNode::SetMinWeightsVersions(const std::string& model, serving::PlacementQuery& query,
                                         TimePoint now) const {
   const Duration bound = settings_.bounds.weights_propagation;
-  query.newest_weights_version = weights_targets_.Newest(model);
-  query.min_weights_version = weights_targets_.NewestDue(model, bound - kWeightsMargin, now);
+  query.newest_weights_version = target_sync_.targets().Newest(model);
+  query.min_weights_version = target_sync_.targets().NewestDue(model, bound - kWeightsMargin, now);
   query.min_weights_version_if_busy =
-      weights_targets_.NewestDue(model, bound - kBusyWeightsMargin, now);
+      target_sync_.targets().NewestDue(model, bound - kBusyWeightsMargin, now);
   query.min_weights_version_if_swap_planned =
-      weights_targets_.NewestDue(model, bound - kPlannedWeightsMargin, now);
+      target_sync_.targets().NewestDue(model, bound - kPlannedWeightsMargin, now);
 }
 
 std::optional<TimePoint> IngressNode::ResponseStartDeadline(const std::string& model,
                                                             std::int64_t weights_version) const {
-  const auto since = weights_targets_.EarliestNewerTargetTime(model, weights_version);
+  const auto since = target_sync_.targets().EarliestNewerTargetTime(model, weights_version);
   if (!since) return std::nullopt;
   return *since + settings_.bounds.weights_propagation - kResponseStartMargin;
 }
@@ -390,7 +391,7 @@
 std::optional<Duration> IngressNode::TimeSinceWeightsBound(const std::string& model,
                                                            std::int64_t weights_version,
                                                            TimePoint now) const {
-  const auto since = weights_targets_.EarliestNewerTargetTime(model, weights_version);
+  const auto since = target_sync_.targets().EarliestNewerTargetTime(model, weights_version);
   if (!since) return std::nullopt;
   return now - *since - settings_.bounds.weights_propagation;
 }
--- a/src/ingress/ingress_node.h
+++ b/src/ingress/ingress_node.h
@@ -13,6 +13,7 @@
 #include "wagtailslip/deployment/node_settings.h"
 #include "wagtailslip/mesh/control_discovery.h"
 #include "wagtailslip/mesh/mesh_node.h"
+#include "wagtailslip/mesh/target_sync.h"
 #include "wagtailslip/net/asio.h"
 #include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/serving/admission.h"
@@ -23,7 +24,6 @@
 #include "wagtailslip/serving/retry_pool.h"
 #include "wagtailslip/serving/route_table.h"
 #include "wagtailslip/serving/state_requester.h"
-#include "wagtailslip/serving/weights_targets.h"
 
 namespace wagtailslip::wire {
 class CrashVerdicts;
@@ -66,7 +66,7 @@
   void SetMinWeightsVersions(const std::string& model, serving::PlacementQuery& query,
                              TimePoint now) const;
 
-  const serving::WeightsTargets& weights_targets() const { return weights_targets_; }
+  const serving::WeightsTargets& weights_targets() const { return target_sync_.targets(); }
   /// Time by which an endpoint with this version of the weights must have started its response;
   /// nothing if no newer version is a target.
   std::optional<TimePoint> ResponseStartDeadline(const std::string& model,
@@ -242,7 +242,7 @@
   serving::StateRequester state_requester_;
   /// Number of questions about endpoints that will expire soon; each goes to the next process.
   std::size_t aging_requests_ = 0;
-  serving::WeightsTargets weights_targets_;
+  mesh::TargetSync target_sync_;
   serving::Placement placement_;
   serving::Admission admission_;
   serving::RetryPool retry_pool_;
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -63,7 +63,8 @@
 
 bool SidecarNode::CurrentIsUncommitted() const {
   const std::int64_t version = current_->version;
-  if (version != proposed_version_ || targets_.Newest(current_->model) >= version) return false;
+  if (version != proposed_version_ || target_sync_.targets().Newest(current_->model) >= version)
+    return false;
   const auto& records = table_.endpoints();
   return std::none_of(records.begin(), records.end(),
                       [&](const auto& entry) { return entry.second.weights >= version; });
@@ -76,8 +77,8 @@
     return TimePoint{};
   }
   if (CurrentIsUncommitted()) return std::nullopt;
-  const auto since =
-      targets_.EarliestNewerTargetTime(current_->model, engine_state_->weights.complete_version);
+  const auto since = target_sync_.targets().EarliestNewerTargetTime(
+      current_->model, engine_state_->weights.complete_version);
   if (!since) return TimePoint{};
   std::vector<std::string> serving;
   for (const auto& [id, record] : table_.endpoints()) {
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -30,6 +30,7 @@
       source_connections_(context.get_executor()),
       upload_limiter_(static_cast<std::uint64_t>(settings.link_rate * kUploadLinkShare)),
       control_discovery_(settings),
+      target_sync_(settings.bounds.weights_propagation),
       strategy_(spread::MakeStrategy(spread::StrategyKind::kSwarm)) {
   mesh_ = std::make_unique<mesh::MeshNode>(
       context, net::ParseAddress(settings.mesh_address()),
@@ -75,6 +76,7 @@
 void SidecarNode::Tick() {
   const TimePoint now = MonotonicNow();
   UpdateControlLinks(now);
+  target_sync_.AskIfDue(*mesh_, now);
   const std::int64_t intended = IntendedVersion();
   const std::int64_t newest_started =
       std::max(current_ ? current_->version : 0, incoming_ ? incoming_->version : 0);
@@ -97,7 +99,8 @@
 
 bool SidecarNode::ShouldFinishIncoming(TimePoint now) const {
   if (!incoming_ || incoming_->session->present() == 0) return false;
-  const auto since = targets_.EarliestNewerTargetTime(incoming_->model, incoming_->version - 1);
+  const auto since =
+      target_sync_.targets().EarliestNewerTargetTime(incoming_->model, incoming_->version - 1);
   return !since ||
          serving::ShouldFinishSpreading(*since, settings_.bounds.weights_propagation, now);
 }
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -11,6 +11,7 @@
 #include "wagtailslip/deployment/node_settings.h"
 #include "wagtailslip/mesh/control_discovery.h"
 #include "wagtailslip/mesh/mesh_node.h"
+#include "wagtailslip/mesh/target_sync.h"
 #include "wagtailslip/net/http_server.h"
 #include "wagtailslip/net/periodic_timer.h"
 #include "wagtailslip/process/metrics.h"
@@ -20,7 +21,6 @@
 #include "wagtailslip/serving/placement.h"
 #include "wagtailslip/serving/stop_plan.h"
 #include "wagtailslip/serving/swap_plan.h"
-#include "wagtailslip/serving/weights_targets.h"
 #include "wagtailslip/spread/members.h"
 #include "weights.h"
 
@@ -173,7 +173,7 @@
   /// By address.
   std::map<std::string, KnownMember> known_members_;
   std::optional<Source> model_source_;
-  serving::WeightsTargets targets_;
+  mesh::TargetSync target_sync_;
   std::int64_t newest_origin_version_ = 0;
   /// Newest proposed version, which may not be committed yet. It is fetched, but an engine that has
   /// weights does not load it before it is committed.
--- a/src/sidecar/sidecar_spread.cc
+++ b/src/sidecar/sidecar_spread.cc
@@ -53,7 +53,8 @@
 
 std::int64_t SidecarNode::IntendedVersion() const {
   if (!model_source_) return 0;
-  std::int64_t version = std::max(targets_.Newest(model_source_->model), proposed_version_);
+  std::int64_t version =
+      std::max(target_sync_.targets().Newest(model_source_->model), proposed_version_);
   for (const auto& [id, record] : table_.endpoints()) version = std::max(version, record.weights);
   if (engine_state_) version = std::max(version, engine_state_->weights.complete_version);
   return std::max(version, newest_origin_version_);
@@ -201,7 +202,7 @@
   if (!manifest && !holds_weights) {
     // Meanwhile the engine can serve the version that is in use. The newest one may be a proposal
     // that is never agreed on, or the origin may be gone.
-    std::int64_t in_use = targets_.Newest(model_source_->model);
+    std::int64_t in_use = target_sync_.targets().Newest(model_source_->model);
     if (in_use >= version) in_use = 0;
     for (const auto& [id, record] : table_.endpoints()) {
       if (record.weights < version) in_use = std::max(in_use, record.weights);
--- a/tests/mesh_test.cc
+++ b/tests/mesh_test.cc
@@ -6,6 +6,7 @@
 #include "gen/mesh_types.h"
 #include "wagtailslip/codec/compact.h"
 #include "wagtailslip/mesh/codec.h"
+#include "wagtailslip/mesh/target_sync.h"
 
 namespace wagtailslip::mesh {
 namespace {
@@ -20,6 +21,20 @@
 constexpr TimePoint kSenderNow{seconds(5000)};
 constexpr TimePoint kReceiverNow{seconds(70)};
 
+constexpr Duration kTargetBound = seconds(8);
+
+/// Message that names version 2 of model "m".
+wire::MeshMessage TargetMessage(milliseconds age) {
+  wire::MeshMessage message;
+  message.__isset.targets = true;
+  wire::WeightsTarget target;
+  target.model = "m";
+  target.version = 2;
+  target.age_ms = age.count();
+  message.targets.push_back(target);
+  return message;
+}
+
 wire::MeshMessage Transmit(const wire::MeshMessage& message) {
   return codec::DecodeCompact<wire::MeshMessage>(codec::EncodeCompact(message));
 }
@@ -34,6 +49,8 @@
   CPPUNIT_TEST(DrainedDomainsKeepRevision);
   CPPUNIT_TEST(WarmupLeasesReturnClock);
   CPPUNIT_TEST(RejectsInvalidNumbers);
+  CPPUNIT_TEST(TargetsCountFromTheirNaming);
+  CPPUNIT_TEST(TargetsAreAskedForUntilAnswered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -262,6 +279,63 @@
     const auto request = PermitRequestFromWire(sent, "p", kReceiverNow);
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, request.rows.front().wanted);
   }
+
+  // Guards against a version that is taken to be named later than it was, so that requests begin on
+  // overtaken weights after the bound: the message that names it, or the answer to the question for
+  // it, waited on its way.
+  void TargetsCountFromTheirNaming() {
+    struct Row {
+      const char* name;
+      int first_delay_ms;
+      int question_delay_ms;
+      int answer_delay_ms;
+      /// How much too early the version may be taken to be named.
+      int early_ms;
+    };
+    const Row rows[] = {
+        {"nothing waits", 2, 3, 3, 3},
+        {"the process stands still over the naming", 1400, 3, 3, 3},
+        {"the link of the process is slow", 900, 700, 800, 700},
+        {"the answer waits", 2, 3, 1400, 3},
+        {"all wait", 1400, 1400, 1400, 1400},
+    };
+    for (const auto& row : rows) {
+      TargetSync sync(kTargetBound);
+      const TimePoint named = kReceiverNow;
+      TimePoint now = named + milliseconds(row.first_delay_ms);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(
+          row.name, std::size_t{1},
+          sync.Receive(Transmit(TargetMessage(milliseconds(0))), now, UtcTime{}).size());
+      const auto query = sync.NextQuery(now);
+      CPPUNIT_ASSERT_MESSAGE(row.name, query.has_value());
+      const TimePoint read = now + milliseconds(row.question_delay_ms);
+      auto answer = TargetMessage(std::chrono::duration_cast<milliseconds>(read - named));
+      answer.__set_targets_query(Transmit(*query).targets_query);
+      answer.targets_query.answer = true;
+      now = read + milliseconds(row.answer_delay_ms);
+      sync.Receive(Transmit(answer), now, UtcTime{});
+      const auto believed = sync.targets().EarliestNewerTargetTime("m", 1);
+      CPPUNIT_ASSERT_MESSAGE(row.name, believed.has_value());
+      CPPUNIT_ASSERT_MESSAGE(row.name, *believed <= named);
+      CPPUNIT_ASSERT_MESSAGE(row.name, *believed >= named - milliseconds(row.early_ms));
+      CPPUNIT_ASSERT_MESSAGE(row.name, !sync.NextQuery(now + seconds(1)));
+    }
+  }
+
+  // Guards against a time of naming that stays too late because the question or its answer is lost,
+  // and against questions without end to a process of a release that does not answer.
+  void TargetsAreAskedForUntilAnswered() {
+    TargetSync sync(kTargetBound);
+    sync.Receive(Transmit(TargetMessage(milliseconds(0))), kReceiverNow, UtcTime{});
+    CPPUNIT_ASSERT(sync.NextQuery(kReceiverNow));
+    CPPUNIT_ASSERT(!sync.NextQuery(kReceiverNow + milliseconds(20)));
+    CPPUNIT_ASSERT(sync.NextQuery(kReceiverNow + seconds(1)));
+    // A message that is no answer does not show how long it waited.
+    sync.Receive(Transmit(TargetMessage(milliseconds(1100))), kReceiverNow + milliseconds(1100),
+                 UtcTime{});
+    CPPUNIT_ASSERT(sync.NextQuery(kReceiverNow + seconds(2)));
+    CPPUNIT_ASSERT(!sync.NextQuery(kReceiverNow + kTargetBound + seconds(1)));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MeshTest);
 
