Let an engine drop overtaken weights before its bound

A caller was answered on weights that had been overtaken for longer than the propagation bound.

Cause: a request that was sent in time is called back by the close of its connection, 0.5 s before the bound. Behind a narrow link both the request and the close arrive later than any margin, and the engine, which still holds the old version because its sidecar has no newer one, begins the request on it. Class of fault: a decision of one process that another one carries out at a time without bound.

Change: the sidecar tells an engine that still holds overtaken weights 0.5 s before the bound to drop all layers but one. The command takes no link, and from its acceptance on the engine begins nothing, while running requests end.

--- a/include/wagtailslip/process/events.h
+++ b/include/wagtailslip/process/events.h
@@ -59,6 +59,7 @@
   kOrderFailed = 3103,
   kWeightsNamed = 3104,
   kSwapOrdered = 3105,
+  kWeightsDropped = 3106,
   kChunkRejected = 3201,
   kFetchFailed = 3202,
   kArtifactVerified = 3203,
--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -54,8 +54,9 @@
   kWarmupWithheld,
   kWithdrawnBeforeWeightsBound,
   kAnswersOvertaken,
+  kWeightsDropped,
 };
-inline constexpr std::size_t kCounterCount = 41;
+inline constexpr std::size_t kCounterCount = 42;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -97,7 +98,8 @@
       {Counter::kWarmupMissed, "warmup_requests_missed_total"},
       {Counter::kWarmupWithheld, "warmup_requests_withheld_total"},
       {Counter::kWithdrawnBeforeWeightsBound, "requests_withdrawn_before_weights_bound_total"},
-      {Counter::kAnswersOvertaken, "answers_on_overtaken_weights_total"}}}};
+      {Counter::kAnswersOvertaken, "answers_on_overtaken_weights_total"},
+      {Counter::kWeightsDropped, "weights_dropped_total"}}}};
 
 /// Present values of a process, exported under the names of kGauges.
 enum class Gauge { kDrainedDomains };
--- a/include/wagtailslip/serving/load_guard.h
+++ b/include/wagtailslip/serving/load_guard.h
@@ -53,6 +53,9 @@
   /// @param version version of the command
   /// @param layers layers that the engine is to hold
   void OnCommandSent(std::int64_t version, LayerRange layers);
+  /// A command to drop weights is about to be sent. What the engine then holds is never used, so
+  /// there is nothing to check, and the staged chunks may be those of another version.
+  void OnDropSent();
   /// The engine has begun to carry out the last command.
   void OnCommandAccepted();
   /// The engine has answered that it does not carry out the last command.
--- a/include/wagtailslip/serving/swap_plan.h
+++ b/include/wagtailslip/serving/swap_plan.h
@@ -25,6 +25,12 @@
 /// request may start on older weights.
 Duration LastSwapMargin();
 
+/// When an engine whose weights were overtaken, and which was not told to load newer ones, must be
+/// told to drop them. From its answer on no request begins on them, however late it arrives.
+/// @param overtaken_at when a newer version became a target
+/// @param bound time from then until older versions may no longer answer
+TimePoint DropTime(TimePoint overtaken_at, Duration bound);
+
 /// Whether to go on fetching the chunks of a version that is superseded while it is being
 /// distributed. If the processes that hold its chunks switch to the newer version, the chunks are
 /// lost to all, and the newer version may be unavailable.
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -114,6 +114,8 @@
      "later this process took it to be named than the clocks say"},
     {Event::kSwapOrdered, "weights.swap_ordered", Severity::kInfo,
      "an engine was ordered to load a version"},
+    {Event::kWeightsDropped, "weights.dropped", Severity::kWarning,
+     "an engine is told to drop weights that newer ones have overtaken and that it still holds"},
     {Event::kChunkRejected, "spread.chunk_rejected", Severity::kWarning,
      "a chunk did not match its digest; its sender is avoided"},
     {Event::kFetchFailed, "spread.fetch_failed", Severity::kInfo, "a source did not send a chunk"},
--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -71,6 +71,11 @@
   }
 }
 
+void LoadGuard::OnDropSent() {
+  if (!before_command_) before_command_ = load_;
+  BeginLoad(0);
+}
+
 void LoadGuard::OnCommandAccepted() {
   before_command_.reset();
   written_.clear();
--- a/src/serving/swap_plan.cc
+++ b/src/serving/swap_plan.cc
@@ -11,6 +11,11 @@
 // start the requests that it has accepted before the deadline.
 constexpr Duration kLastSwapMargin = std::chrono::milliseconds(1000);
 
+// The command to drop overtaken weights precedes the propagation deadline by this time. Covers a
+// poll of the engine, the command, and the delay with which this process learned of the target.
+// Requests that the engine has not begun by then are withdrawn anyway.
+constexpr Duration kDropMargin = std::chrono::milliseconds(500);
+
 }  // namespace
 
 std::size_t SwapRank(const std::string& self, std::vector<std::string> endpoints) {
@@ -28,6 +33,10 @@
   return ready + (latest - ready) * static_cast<int>(rank) / static_cast<int>(count - 1);
 }
 
+TimePoint DropTime(TimePoint overtaken_at, Duration bound) {
+  return overtaken_at + bound - kDropMargin;
+}
+
 Duration LastSwapMargin() { return kLastSwapMargin; }
 
 bool ShouldFinishSpreading(TimePoint set_at, Duration bound, TimePoint now) {
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -109,19 +109,49 @@
     return kUnloadedEnginePollPeriod;
   }
   const auto swap_at = SwapPending() ? ScheduledSwapTime() : std::nullopt;
-  if (!swap_at) return kEnginePollPeriod;
-  return std::clamp(*swap_at - now, kMinEnginePollDelay, kEnginePollPeriod);
+  // A time that has passed needs no faster polls: the engine refuses the command, or carries one
+  // out.
+  const auto drop_due = DropDue(engine_state_->weights.complete_version);
+  const auto drop_at = drop_due && *drop_due > now ? drop_due : std::nullopt;
+  const TimePoint next =
+      std::min(swap_at.value_or(TimePoint::max()), drop_at.value_or(TimePoint::max()));
+  if (next == TimePoint::max()) return kEnginePollPeriod;
+  return std::clamp(next - now, kMinEnginePollDelay, kEnginePollPeriod);
+}
+
+std::optional<TimePoint> SidecarNode::DropDue(std::int64_t version) const {
+  if (!model_source_) return std::nullopt;
+  const auto overtaken_at =
+      target_sync_.targets().EarliestNewerTargetTime(model_source_->model, version);
+  if (!overtaken_at) return std::nullopt;
+  return serving::DropTime(*overtaken_at, settings_.bounds.weights_propagation);
 }
 
 Task<void> SidecarNode::UpdateEngineWeights() {
   const auto weights = current_;
   const auto& state = *engine_state_;
+  const std::int64_t held = state.weights.complete_version;
+  const auto drop_at = held == 0 ? std::nullopt : DropDue(held);
+  // An engine that carries out a load command begins nothing before it has the newer weights.
+  if (drop_at && MonotonicNow() >= *drop_at && !state.command_in_progress) {
+    std::string problem;
+    try {
+      co_await DropOvertakenWeights();
+    } catch (const Error& e) {
+      problem = e.what();
+    }
+    if (!problem.empty()) LogEvent(Event::kOrderFailed, {{"version", held}, {"error", problem}});
+    co_return;
+  }
   if (state.weights.complete_version == load_command_version_) load_command_version_ = 0;
   // A restarted engine no longer has the load command.
   if (load_command_version_ != 0 && state.started_ms != load_command_incarnation_)
     load_command_version_ = 0;
   const bool may_load = co_await CheckLoad();
   if (!weights || !may_load) co_return;
+  // No request may begin on them any more.
+  const auto useless_at = DropDue(weights->version);
+  if (useless_at && MonotonicNow() >= *useless_at) co_return;
   if (state.weights.complete_version >= weights->version) co_return;
   const TimePoint now = MonotonicNow();
   if (load_command_version_ == weights->version && now - load_command_at_ < kLoadCommandTimeout)
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -110,13 +110,33 @@
   co_await SendLoadCommand(std::move(command));
 }
 
-Task<void> SidecarNode::SendLoadCommand(platform::LoadCommand command) {
+Task<void> SidecarNode::DropOvertakenWeights() {
+  const std::uint32_t layers = model_source_ ? model_source_->layers : 0;
+  // The engine cannot hold a part of one layer. Its requests are only withdrawn before the bound.
+  if (layers < 2) co_return;
+  const std::int64_t version = engine_state_->weights.complete_version;
+  const serving::LayerRange kept{layers - 1, layers};
+  platform::LoadCommand command{engine_state_->weights.model, version, kept,
+                                engine_state_->commands};
+  LogEvent(Event::kWeightsDropped, {{"version", version},
+                                    {"running", engine_state_->running},
+                                    {"waiting", engine_state_->waiting},
+                                    {"newer", current_ ? current_->version : 0}});
+  metrics_.Add(process::Counter::kWeightsDropped);
+  co_await SendLoadCommand(std::move(command), true);
+}
+
+Task<void> SidecarNode::SendLoadCommand(platform::LoadCommand command, bool drops) {
   const auto state = *engine_state_;
   const TimePoint sent_at = MonotonicNow();
   const Duration verified_age = sent_at - staged_read_since_;
   const std::uint32_t layer_count = model_source_ ? model_source_->layers : 0;
-  load_guard_.OnCommandSent(command.version,
-                            command.layers.value_or(serving::LayerRange{0, layer_count}));
+  if (drops) {
+    load_guard_.OnDropSent();
+  } else {
+    load_guard_.OnCommandSent(command.version,
+                              command.layers.value_or(serving::LayerRange{0, layer_count}));
+  }
   // This process may stand still or end before the answer arrives.
   SendStatus(sent_at);
   const std::int64_t version = command.version;
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -93,6 +93,11 @@
 
   /// Reads the engine state periodically, updates the engine's weights and sends the engine status.
   net::Task<void> EngineLoop();
+  /// Returns when this version is to be dropped by the engine because newer weights have overtaken
+  /// it; nothing if no newer version is a target.
+  std::optional<TimePoint> DropDue(std::int64_t version) const;
+  /// Lets the engine drop weights that it must not answer on any more.
+  net::Task<void> DropOvertakenWeights();
   /// Stages and verifies current_, and sends the engine a load command once its swap time has come.
   net::Task<void> UpdateEngineWeights();
   /// Returns whether current_ is a proposed version that is not known to be committed.
@@ -120,7 +125,8 @@
   /// Lets the engine drop all layers but one of a damaged load, so that they are loaded again.
   net::Task<void> DropDamagedLayers();
   /// Sends a load command and takes its result into account.
-  net::Task<void> SendLoadCommand(platform::LoadCommand command);
+  /// @param drops the command only lets the engine drop weights
+  net::Task<void> SendLoadCommand(platform::LoadCommand command, bool drops = false);
   /// Reads back all chunks that are staged already, and stages and reads back those that are
   /// missing or corrupt.
   /// @return whether all chunks match their digests now
--- a/tests/load_guard_test.cc
+++ b/tests/load_guard_test.cc
@@ -28,6 +28,9 @@
 Step Sent(std::int64_t version, LoadTrust trust, LayerRange layers = kAllLayers) {
   return {[=](LoadGuard& guard) { guard.OnCommandSent(version, layers); }, trust};
 }
+Step DropSent(LoadTrust trust) {
+  return {[](LoadGuard& guard) { guard.OnDropSent(); }, trust};
+}
 Step Accepted(LoadTrust trust) {
   return {[](LoadGuard& guard) { guard.OnCommandAccepted(); }, trust};
 }
@@ -55,6 +58,14 @@
 
 const SequenceRow kSequenceRows[] = {
     {"weights that the engine had at its start", {Report(1, 0, false, kUsable)}},
+    {"dropped weights are not read back, whatever is staged",
+     {Report(1, 0, false, kUsable), DropSent(kUnchecked), Accepted(kUnchecked),
+      Report(1, 1, true, kUnchecked), ReadBack(1, {0}, kUnchecked), Report(0, 1, false, kUnchecked),
+      ReadBack(1, {}, kUnchecked), Sent(2, kUnchecked), Accepted(kUnchecked),
+      Report(2, 2, false, kUnchecked), ReadBack(2, {}, kUsable)}},
+    {"a refused command to drop leaves the weights in use",
+     {Report(1, 0, false, kUsable), DropSent(kUnchecked), Rejected(kUsable),
+      Report(1, 0, false, kUsable)}},
     {"a load that ended before the process started",
      {Report(1, 3, false, kUnchecked), Report(1, 3, false, kUnchecked), ReadBack(1, {}, kUsable)}},
     {"a damaged load that ended before the process started",
--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -410,6 +410,7 @@
 }
 
 Task<void> WeightsEngine::HandleRequest(net::HttpExchange& exchange) {
+  co_await Sleep(link_delay_.load());
   net::HttpHeaders headers;
   headers.emplace_back("Attempt-Id", std::string(exchange.Header("Attempt-Id")));
   if (EndsUnder(exchange)) {
--- a/tests/system/weights_engine.h
+++ b/tests/system/weights_engine.h
@@ -132,6 +132,9 @@
   /// Starts again after Down, as a new incarnation that holds no weights.
   /// @param keep_staged false after a loss of power
   void Up(bool keep_staged);
+  /// Requests of callers, and the ends of their connections, arrive so much later than they are
+  /// sent, as on a narrow link. Calls of the sidecar take no link.
+  void SetLinkDelay(Duration delay) { link_delay_ = delay; }
   /// The thread stands still for a time, like a paused process.
   void Stall(Duration time);
 
@@ -211,6 +214,7 @@
   std::vector<ServedRequest> served_;
   std::vector<TimePoint> crash_requests_;
   std::vector<TimePoint> crashes_;
+  std::atomic<Duration> link_delay_{Duration::zero()};
   net::asio::io_context context_;
   std::unique_ptr<net::HttpServer> server_;
   std::thread thread_;
