Send nothing to engines of instances that show no sign of life

Engines worked on after their callers had left.

Cause: an instance stands still with requests in its engine. They are given up as silent after 1.8 s, and with that the mark that one of them waits is gone, so the next request, often the second attempt of the same one, is sent to an instance that stands still as well. Its caller leaves while it waits there, and the engine begins it when the instance goes on.

Change: an engine gets nothing if neither a status of its sidecar, which runs on the same instance and reports every 0.4 s, nor a response has come for 1.2 s, while other sidecars are heard of. A sidecar that ends alone takes no engine out of use that responds.

--- a/include/wagtailslip/serving/placement.h
+++ b/include/wagtailslip/serving/placement.h
@@ -83,6 +83,10 @@
   /// is named: it may have been told to load it, and from then on it holds requests, also those of
   /// callers who have left, until it has loaded. Sidecars report every 400 ms.
   Duration silent_sidecar_timeout = std::chrono::milliseconds(1000);
+  /// An engine gets no requests if neither a status of its sidecar, which runs on the same
+  /// instance, nor a response of its own has arrived for this long: the instance may stand still,
+  /// and what an engine has accepted then cannot be withdrawn. Three periods of the status.
+  Duration instance_silence_timeout = std::chrono::milliseconds(1200);
   /// How long after the load command a response may still be running. The swap waits for the
   /// longest response, and meanwhile the engine is mostly idle.
   Duration swap_overrun_allowance = std::chrono::milliseconds(300);
@@ -366,6 +370,8 @@
   /// Whether the engine may be loading newer weights without this process knowing it.
   bool MayLoadUnnoticed(const Endpoint& endpoint, std::int64_t newest_weights_version,
                         TimePoint now) const;
+  /// Whether the engine's instance may stand still.
+  bool MayStandStill(const Endpoint& endpoint, TimePoint now) const;
   /// Whether the response would end by the announced swap or within `swap_overrun_allowance` after.
   bool EndsBeforeSwap(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
   bool IsUsable(const Endpoint& endpoint, const PlacementQuery& query, TimePoint now) const;
--- a/src/serving/placement.cc
+++ b/src/serving/placement.cc
@@ -344,6 +344,12 @@
          now - any_status_at_ <= timeout;
 }
 
+bool Placement::MayStandStill(const Endpoint& endpoint, TimePoint now) const {
+  if (!endpoint.has_engine || endpoint.status_at == TimePoint{}) return false;
+  return now - endpoint.reported_at > settings_.instance_silence_timeout &&
+         now - any_status_at_ <= settings_.silent_sidecar_timeout;
+}
+
 bool Placement::EndsBeforeSwap(const Endpoint& endpoint, const PlacementQuery& query,
                                TimePoint now) const {
   const double prefill_ms =
@@ -367,6 +373,7 @@
     return false;
   }
   if (MayLoadUnnoticed(endpoint, query.newest_weights_version, now)) return false;
+  if (MayStandStill(endpoint, now)) return false;
   if (IsSwapPlanned(endpoint, now)) {
     if (endpoint.weights_version < query.min_weights_version_if_swap_planned) return false;
     if (!EndsBeforeSwap(endpoint, query, now)) return false;
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -109,12 +109,31 @@
     {"no sidecar is heard of", 2, 1100, 1100, true},
 };
 
+// Two engines, of which the first has announced a status once and nothing since.
+struct SilentInstanceRow {
+  const char* name;
+  int silent_ms;
+  /// Age of the last response of the first engine; nothing if there was none.
+  std::optional<int> response_ms;
+  /// Age of the last status of the second engine's sidecar.
+  int other_ms;
+  bool used;
+};
+constexpr SilentInstanceRow kSilentInstanceRows[] = {
+    {"neither statuses nor responses", 1300, std::nullopt, 100, false},
+    {"the last response is as old", 1300, 1250, 100, false},
+    {"only the sidecar is silent", 5000, 200, 100, true},
+    {"two statuses late", 1100, std::nullopt, 100, true},
+    {"no sidecar is heard of", 1300, std::nullopt, 1300, true},
+};
+
 class PlacementTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PlacementTest);
   CPPUNIT_TEST(AvoidsEndpointBusyWithLongPrompt);
   CPPUNIT_TEST(PlacesNoMoreRequestsThanSlots);
   CPPUNIT_TEST(DrainsEngineBeforeSwap);
   CPPUNIT_TEST(AvoidsEngineWithSilentSidecar);
+  CPPUNIT_TEST(AvoidsEngineOfSilentInstance);
   CPPUNIT_TEST(LimitsPrefillBacklog);
   CPPUNIT_TEST(AvoidsEndpointBehindSlowLink);
   CPPUNIT_TEST(AvoidsStalledEndpoint);
@@ -531,6 +550,28 @@
     }
   }
 
+  // Guards against requests that are sent to an instance that stands still: its engine begins them
+  // when the instance goes on, although their callers have left. They were sent there again once
+  // the ones before them had been given up as silent.
+  void AvoidsEngineOfSilentInstance() {
+    for (const SilentInstanceRow& row : kSilentInstanceRows) {
+      Placement placement(Settings(), 1);
+      placement.Sync(Engines(2), EngineConfig());
+      const TimePoint now = At(seconds(10));
+      placement.OnEngineStatus({"10.0.0.0:80", 1, 1, 0, 0, false, 1},
+                               now - milliseconds(row.silent_ms));
+      if (row.response_ms) {
+        placement.OnLoadReport("e0", {0, 0, kSlots, std::nullopt},
+                               now - milliseconds(*row.response_ms));
+      }
+      placement.OnEngineStatus({"10.0.0.1:80", 1, 1, 0, 0, false, 1},
+                               now - milliseconds(row.other_ms));
+      auto query = Query();
+      query.excluded = {"e1"};
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.name, row.used, placement.Choose(query, now).has_value());
+    }
+  }
+
   // Guards against speeds that are used long after they were reported, and against a status that
   // was on its way while the endpoint reported a newer speed itself.
   void UsesNewestSpeed() {
