Correct a time of naming that a slow answer made too early

Engines would drop sound weights. An age that a single control process states may also be wrong.

The best answer of each control process counts, the earliest of two holds, and only answers to questions that this process has asked are used. The deadline for the start of a response is computed once the connection is open, with what is known of targets then.

--- a/include/wagtailslip/serving/weights_targets.h
+++ b/include/wagtailslip/serving/weights_targets.h
@@ -14,9 +14,9 @@
 /// in place, and the propagation deadline of each counts from when that version was set.
 class WeightsTargets {
  public:
-  /// @param set_at when the new target was acknowledged, by this process's clock
-  /// @return whether the version is newer than all previous targets
-  bool AddTarget(const std::string& model, std::int64_t version, TimePoint set_at);
+  /// Adds a target, or corrects the time of a known one.
+  /// @param set_at when the target was acknowledged, by this process's clock
+  void SetTarget(const std::string& model, std::int64_t version, TimePoint set_at);
 
   /// The newest target version; 0 if there is none.
   std::int64_t Newest(const std::string& model) const;
--- a/src/ingress/exchange.cc
+++ b/src/ingress/exchange.cc
@@ -487,9 +487,7 @@
     last_request_limit_.reset();
     answered_version_ = 0;
     current_endpoint_ = placed.id;
-    if (engine_ != nullptr)
-      response_start_deadline_ =
-          node_.ResponseStartDeadline(engine_->model, placed.weights_version);
+    response_start_deadline_.reset();
     AttemptOutcome outcome = AttemptOutcome::kCallerDisconnected;
     try {
       outcome = co_await Attempt(placed);
--- a/src/ingress/exchange_attempt.cc
+++ b/src/ingress/exchange_attempt.cc
@@ -112,6 +112,7 @@
     node_.SetMinWeightsVersions(engine_->model, query, MonotonicNow());
     if (stream_version_ != 0 || query.min_weights_version != 0)
       headers.weights_version = placed.weights_version;
+    response_start_deadline_ = node_.ResponseStartDeadline(engine_->model, placed.weights_version);
   }
   headers.last_event_id = last_event_id_;
   auto forwarded = platform::MakeForwardedRequest(caller_.request(), headers);
--- a/src/serving/weights_targets.cc
+++ b/src/serving/weights_targets.cc
@@ -10,19 +10,17 @@
 
 }  // namespace
 
-bool WeightsTargets::AddTarget(const std::string& model, std::int64_t version, TimePoint set_at) {
+void WeightsTargets::SetTarget(const std::string& model, std::int64_t version, TimePoint set_at) {
   auto& targets = targets_[model];
-  const bool newest = targets.empty() || version > targets.back().version;
   const auto at = std::lower_bound(
       targets.begin(), targets.end(), version,
       [](const Target& target, std::int64_t value) { return target.version < value; });
   if (at != targets.end() && at->version == version) {
-    at->set_at = std::min(at->set_at, set_at);
-    return false;
+    at->set_at = set_at;
+    return;
   }
   targets.insert(at, {version, set_at});
   if (targets.size() > kMaxTargetsPerModel) targets.erase(targets.begin());
-  return newest;
 }
 
 std::map<std::string, std::map<std::int64_t, TimePoint>> WeightsTargets::List() const {
--- a/src/sidecar/sidecar_links.cc
+++ b/src/sidecar/sidecar_links.cc
@@ -106,7 +106,7 @@
     }
   }
   if (message.__isset.targets) {
-    for (const auto& it : target_sync_.Receive(message, now, process::UtcNow())) {
+    for (const auto& it : target_sync_.Receive(from.process, message, now, process::UtcNow())) {
       LogEvent(Event::kWeightsNamed, {{"model", it.model},
                                       {"version", it.version},
                                       {"age_ms", ToMilliseconds(it.age)},
