Decide apart from staging when an engine drops its weights

A sidecar that stopped after a drop waited for a check that has nothing to check.

The decision is taken on each tick, from the last state of the engine, whose number of commands guards against a state that is out of date. Newer weights that are staged are loaded instead, and others are staged while the engine ends its running requests. A refused command is repeated after 0.2 to 5 s.

--- a/include/wagtailslip/serving/load_guard.h
+++ b/include/wagtailslip/serving/load_guard.h
@@ -81,6 +81,8 @@
   /// Whether the load is unchecked, and had ended before this process started. The predecessor has
   /// announced whether it may be used meanwhile.
   bool inherited() const { return load_.inherited && load_.trust == LoadTrust::kUnchecked; }
+  /// Whether the last command that was sent, or carried out, only dropped weights.
+  bool dropping() const { return load_.dropped; }
   LoadTrust trust() const { return load_.trust; }
   /// Version of the load that is to be checked; 0 if it is not known.
   std::int64_t version() const { return load_.version; }
@@ -98,6 +100,7 @@
     std::int64_t version = 0;
     std::set<std::uint32_t> damaged;
     bool inherited = false;
+    bool dropped = false;
   };
   void BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged = {});
 
--- a/include/wagtailslip/serving/swap_plan.h
+++ b/include/wagtailslip/serving/swap_plan.h
@@ -29,7 +29,8 @@
 /// told to drop them. From its answer on no request begins on them, however late it arrives.
 /// @param overtaken_at when a newer version became a target
 /// @param bound time from then until older versions may no longer answer
-TimePoint DropTime(TimePoint overtaken_at, Duration bound);
+/// @param newer_staged newer weights are staged, and are about to be loaded instead
+TimePoint DropTime(TimePoint overtaken_at, Duration bound, bool newer_staged);
 
 /// Whether to go on fetching the chunks of a version that is superseded while it is being
 /// distributed. If the processes that hold its chunks switch to the newer version, the chunks are
--- a/src/mesh/mesh_node.cc
+++ b/src/mesh/mesh_node.cc
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "gen/mesh_types.h"
+#include "wagtailslip/base/backoff.h"
 #include "wagtailslip/codec/compact.h"
 #include "wagtailslip/mesh/codec.h"
 #include "wagtailslip/net/address.h"
@@ -28,13 +29,6 @@
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-/// Returns `initial`, doubled for each failure, but at most `max`.
-Duration ExponentialBackoff(Duration initial, int failures, Duration max) {
-  Duration value = initial;
-  for (int i = 0; i < failures && value < max; ++i) value *= 2;
-  return std::min(value, max);
-}
-
 SharedFrame MakeFrame(const wire::MeshMessage* message) {
   std::string body = message == nullptr ? std::string() : codec::EncodeCompact(*message);
   std::string frame;
--- a/src/serving/load_guard.cc
+++ b/src/serving/load_guard.cc
@@ -12,7 +12,7 @@
 }  // namespace
 
 void LoadGuard::BeginLoad(std::int64_t version, std::set<std::uint32_t> damaged) {
-  load_ = {LoadTrust::kUnchecked, version, std::move(damaged), false};
+  load_ = {LoadTrust::kUnchecked, version, std::move(damaged), false, false};
   read_back_at_ = {};
 }
 
@@ -74,6 +74,7 @@
 void LoadGuard::OnDropSent() {
   if (!before_command_) before_command_ = load_;
   BeginLoad(0);
+  load_.dropped = true;
 }
 
 void LoadGuard::OnCommandAccepted() {
--- a/src/serving/swap_plan.cc
+++ b/src/serving/swap_plan.cc
@@ -15,6 +15,8 @@
 // poll of the engine, the command, and the delay with which this process learned of the target.
 // Requests that the engine has not begun by then are withdrawn anyway.
 constexpr Duration kDropMargin = std::chrono::milliseconds(500);
+// The same where a load command is about to be sent, from which on nothing begins either.
+constexpr Duration kDropMarginIfStaged = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -33,8 +35,8 @@
   return ready + (latest - ready) * static_cast<int>(rank) / static_cast<int>(count - 1);
 }
 
-TimePoint DropTime(TimePoint overtaken_at, Duration bound) {
-  return overtaken_at + bound - kDropMargin;
+TimePoint DropTime(TimePoint overtaken_at, Duration bound, bool newer_staged) {
+  return overtaken_at + bound - (newer_staged ? kDropMarginIfStaged : kDropMargin);
 }
 
 Duration LastSwapMargin() { return kLastSwapMargin; }
--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -41,6 +41,10 @@
   bool reachable = true;
   // A process that stops does not leave a load unchecked: its successor may not have its chunks.
   while (!stopping_ || CheckPending()) {
+    if (command_in_flight_) {
+      co_await process::Sleep(kMinEnginePollDelay);
+      continue;
+    }
     std::string problem;
     try {
       co_await ReadEngineState();
@@ -95,7 +99,9 @@
 
 bool SidecarNode::LoadPending() const { return load_guard_.trust() != serving::LoadTrust::kUsable; }
 
-bool SidecarNode::CheckPending() const { return LoadPending() && !load_guard_.inherited(); }
+bool SidecarNode::CheckPending() const {
+  return LoadPending() && !load_guard_.inherited() && !load_guard_.dropping();
+}
 
 bool SidecarNode::SwapPending() const {
   return engine_state_ && current_ && staged_version_ == current_->version &&
@@ -105,58 +111,50 @@
 
 Duration SidecarNode::EnginePollDelay(TimePoint now) const {
   if (!engine_state_) return kEnginePollPeriod;
+  // The engine has nothing to load yet.
+  if (load_guard_.dropping() && !SwapPending()) return kEnginePollPeriod;
   if (engine_state_->weights.complete_version == 0 || LoadPending()) {
     return kUnloadedEnginePollPeriod;
   }
   const auto swap_at = SwapPending() ? ScheduledSwapTime() : std::nullopt;
-  // A time that has passed needs no faster polls: the engine refuses the command, or carries one
-  // out.
-  const auto drop_due = DropDue(engine_state_->weights.complete_version);
-  const auto drop_at = drop_due && *drop_due > now ? drop_due : std::nullopt;
-  const TimePoint next =
-      std::min(swap_at.value_or(TimePoint::max()), drop_at.value_or(TimePoint::max()));
-  if (next == TimePoint::max()) return kEnginePollPeriod;
-  return std::clamp(next - now, kMinEnginePollDelay, kEnginePollPeriod);
+  if (!swap_at) return kEnginePollPeriod;
+  return std::clamp(*swap_at - now, kMinEnginePollDelay, kEnginePollPeriod);
 }
 
-std::optional<TimePoint> SidecarNode::DropDue(std::int64_t version) const {
-  if (!model_source_) return std::nullopt;
+bool SidecarNode::Overtaken(std::int64_t version, bool newer_staged, TimePoint now) const {
+  if (!model_source_) return false;
   const auto overtaken_at =
       target_sync_.targets().EarliestNewerTargetTime(model_source_->model, version);
-  if (!overtaken_at) return std::nullopt;
-  return serving::DropTime(*overtaken_at, settings_.bounds.weights_propagation);
+  return overtaken_at &&
+         now >=
+             serving::DropTime(*overtaken_at, settings_.bounds.weights_propagation, newer_staged);
+}
+
+bool SidecarNode::DropDue(TimePoint now) const {
+  if (!engine_state_ || command_in_flight_ || now < next_drop_) return false;
+  const std::int64_t held = engine_state_->weights.complete_version;
+  // An engine that carries out a load command begins nothing before it has the newer weights.
+  if (held == 0 || engine_state_->command_in_progress || load_guard_.dropping()) return false;
+  // An engine cannot hold a part of one layer. Its requests are only withdrawn before the bound.
+  if (model_source_ && model_source_->layers < 2) return false;
+  return Overtaken(held, SwapPending(), now);
 }
 
 Task<void> SidecarNode::UpdateEngineWeights() {
   const auto weights = current_;
   const auto& state = *engine_state_;
-  const std::int64_t held = state.weights.complete_version;
-  const auto drop_at = held == 0 ? std::nullopt : DropDue(held);
-  // An engine that carries out a load command begins nothing before it has the newer weights.
-  if (drop_at && MonotonicNow() >= *drop_at && !state.command_in_progress) {
-    std::string problem;
-    try {
-      co_await DropOvertakenWeights();
-    } catch (const Error& e) {
-      problem = e.what();
-    }
-    if (!problem.empty()) LogEvent(Event::kOrderFailed, {{"version", held}, {"error", problem}});
-    co_return;
-  }
   if (state.weights.complete_version == load_command_version_) load_command_version_ = 0;
   // A restarted engine no longer has the load command.
   if (load_command_version_ != 0 && state.started_ms != load_command_incarnation_)
     load_command_version_ = 0;
   const bool may_load = co_await CheckLoad();
   if (!weights || !may_load) co_return;
-  // No request may begin on them any more.
-  const auto useless_at = DropDue(weights->version);
-  if (useless_at && MonotonicNow() >= *useless_at) co_return;
   if (state.weights.complete_version >= weights->version) co_return;
   const TimePoint now = MonotonicNow();
   if (load_command_version_ == weights->version && now - load_command_at_ < kLoadCommandTimeout)
     co_return;
-  if (state.command_in_progress) co_return;
+  if (state.command_in_progress && !load_guard_.dropping()) co_return;
+  if (Overtaken(weights->version, false, now)) co_return;
   std::string problem;
   try {
     const auto swap_at = ScheduledSwapTime();
@@ -172,6 +170,9 @@
     const bool slow = MonotonicNow() - staged_read_since_ >= kVerificationMaxAge;
     if (slow && !std::exchange(verification_slow_, true)) co_return;
     verification_slow_ = false;
+    // The weights may be overtaken, or the old ones dropped, since the staging began.
+    if (state.command_in_progress || command_in_flight_) co_return;
+    if (Overtaken(weights->version, false, MonotonicNow())) co_return;
     platform::LoadCommand command{weights->model, weights->version, std::nullopt, state.commands};
     co_await SendLoadCommand(std::move(command));
   } catch (const Error& e) {
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "sidecar_node.h"
+#include "wagtailslip/base/backoff.h"
 #include "wagtailslip/process/async_result.h"
 #include "wagtailslip/process/clock.h"
 #include "wagtailslip/process/events.h"
@@ -17,6 +18,8 @@
 
 // Delay before a check or a reload that failed is tried again.
 constexpr Duration kCheckRetryDelay = std::chrono::milliseconds(200);
+// An engine may refuse to hold a part of the layers for good.
+constexpr Duration kMaxDropRetryDelay = std::chrono::seconds(5);
 
 /// Layers that need one of the chunks. Chunk i of n holds the part of the model from i/n to
 /// (i + 1)/n, so a chunk at the boundary belongs to both layers.
@@ -111,19 +114,28 @@
 }
 
 Task<void> SidecarNode::DropOvertakenWeights() {
-  const std::uint32_t layers = model_source_ ? model_source_->layers : 0;
-  // The engine cannot hold a part of one layer. Its requests are only withdrawn before the bound.
-  if (layers < 2) co_return;
-  const std::int64_t version = engine_state_->weights.complete_version;
-  const serving::LayerRange kept{layers - 1, layers};
-  platform::LoadCommand command{engine_state_->weights.model, version, kept,
-                                engine_state_->commands};
+  const auto state = *engine_state_;
+  const std::uint32_t layers = model_source_->layers;
+  next_drop_ =
+      MonotonicNow() + ExponentialBackoff(kCheckRetryDelay, failed_drops_, kMaxDropRetryDelay);
+  ++failed_drops_;
+  platform::LoadCommand command{state.weights.model, state.weights.complete_version,
+                                serving::LayerRange{layers - 1, layers}, state.commands};
+  std::string problem;
+  try {
+    co_await SendLoadCommand(std::move(command), true);
+  } catch (const Error& e) {
+    problem = e.what();
+  }
+  const std::int64_t version = state.weights.complete_version;
+  if (!problem.empty()) LogEvent(Event::kOrderFailed, {{"version", version}, {"error", problem}});
+  if (!load_guard_.dropping() || !problem.empty()) co_return;
+  failed_drops_ = 0;
+  metrics_.Add(process::Counter::kWeightsDropped);
   LogEvent(Event::kWeightsDropped, {{"version", version},
-                                    {"running", engine_state_->running},
-                                    {"waiting", engine_state_->waiting},
+                                    {"running", state.running},
+                                    {"waiting", state.waiting},
                                     {"newer", current_ ? current_->version : 0}});
-  metrics_.Add(process::Counter::kWeightsDropped);
-  co_await SendLoadCommand(std::move(command), true);
 }
 
 Task<void> SidecarNode::SendLoadCommand(platform::LoadCommand command, bool drops) {
@@ -141,7 +153,16 @@
   SendStatus(sent_at);
   const std::int64_t version = command.version;
   const bool all_layers = !command.layers;
-  const auto answer = co_await engine_.SendLoadCommand(std::move(command));
+  auto answer = platform::LoadResult::kRefused;
+  std::exception_ptr problem;
+  command_in_flight_ = true;
+  try {
+    answer = co_await engine_.SendLoadCommand(std::move(command));
+  } catch (const Error&) {
+    problem = std::current_exception();
+  }
+  command_in_flight_ = false;
+  if (problem) std::rethrow_exception(problem);
   const bool accepted = answer == platform::LoadResult::kBegun;
   if (accepted) {
     load_guard_.OnCommandAccepted();
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -93,9 +93,13 @@
 
   /// Reads the engine state periodically, updates the engine's weights and sends the engine status.
   net::Task<void> EngineLoop();
-  /// Returns when this version is to be dropped by the engine because newer weights have overtaken
-  /// it; nothing if no newer version is a target.
-  std::optional<TimePoint> DropDue(std::int64_t version) const;
+  /// Returns whether newer weights have overtaken this version so long ago that no request may
+  /// begin on it any more.
+  /// @param newer_staged see serving::DropTime
+  bool Overtaken(std::int64_t version, bool newer_staged, TimePoint now) const;
+  /// Returns whether the engine has to be told to drop its weights. Decided apart from EngineLoop,
+  /// which may wait for the engine for seconds.
+  bool DropDue(TimePoint now) const;
   /// Lets the engine drop weights that it must not answer on any more.
   net::Task<void> DropOvertakenWeights();
   /// Stages and verifies current_, and sends the engine a load command once its swap time has come.
@@ -213,6 +217,12 @@
   std::int64_t load_command_version_ = 0;
   TimePoint load_command_at_{};
   std::int64_t load_command_incarnation_ = 0;
+  /// A load command was sent, and its answer has not arrived yet.
+  bool command_in_flight_ = false;
+  /// Earliest time of the next command to drop weights.
+  TimePoint next_drop_{};
+  /// Commands to drop weights that the engine has not accepted, since the last one that it has.
+  int failed_drops_ = 0;
   serving::EngineStatus sent_status_;
   TimePoint status_sent_at_{};
   bool stopping_ = false;
--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -115,6 +115,11 @@
   return loads_;
 }
 
+std::vector<Duration> WeightsEngine::refused() const {
+  const std::lock_guard lock(mutex_);
+  return refused_;
+}
+
 std::vector<ServedRequest> WeightsEngine::served() const {
   const std::lock_guard lock(mutex_);
   return served_;
@@ -437,6 +442,8 @@
         served.mixed_weights = served.mixed_weights || held.mixed;
       }
       served_.push_back(served);
+    } else {
+      refused_.push_back(Elapsed());
     }
   }
   const std::string body = "{}";
--- a/tests/system/weights_engine.h
+++ b/tests/system/weights_engine.h
@@ -144,6 +144,8 @@
   bool holds_damaged_layers() const;
   std::vector<TakenLoad> loads() const;
   std::vector<ServedRequest> served() const;
+  /// Times of the requests that were refused because the engine held no weights.
+  std::vector<Duration> refused() const;
   /// Times at which requests with the crash body or part arrived, and those of the ends among them.
   std::vector<TimePoint> crash_requests() const;
   std::vector<TimePoint> crashes() const;
@@ -212,6 +214,7 @@
   std::int64_t commands_ = 0;
   std::vector<TakenLoad> loads_;
   std::vector<ServedRequest> served_;
+  std::vector<Duration> refused_;
   std::vector<TimePoint> crash_requests_;
   std::vector<TimePoint> crashes_;
   std::atomic<Duration> link_delay_{Duration::zero()};
