Share the set-up of the system tests of weights

Cause: staged_weights_test, weights_random_test and overtaken_weights_test each had a copy of the addresses of processes, the command to the control processes, the configuration of the service with weights, the start of a sidecar and the options of its engine, and the callers.

Change: these stand once in weights_cluster.h and weights_cluster.cc. What differs is an argument: the addresses that each caller asks, the time limit of a command, which is 0.5 s in the random test, and the layers of the model. The form of the attempt ids stays as it was in each test, since ingress processes choose by their hash. No check, bound, seed, wait or row changes.

--- a/tests/system/overtaken_weights_test.cc
+++ b/tests/system/overtaken_weights_test.cc
@@ -1,11 +1,10 @@
 // Engines that do not get newer weights before older ones may no longer answer.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <atomic>
+#include <algorithm>
 #include <thread>
 
-#include "cluster.h"
-#include "weights_engine.h"
+#include "weights_cluster.h"
 
 namespace wagtailslip::system_test {
 namespace {
@@ -13,6 +12,7 @@
 constexpr int kControls = 3;
 constexpr int kIngresses = 2;
 constexpr int kEngines = 2;
+constexpr int kCallers = 8;
 constexpr int kPropagationMs = 3000;
 constexpr Duration kPropagation = std::chrono::milliseconds(kPropagationMs);
 /// From shortly after the naming on, what is sent to engines arrives so much later that all of it
@@ -35,80 +35,6 @@
     {"newer weights come late to a model of one layer", false, 1},
 };
 
-/// Sends requests to all ingress processes in turn, without waiting for the responses.
-class Callers {
- public:
-  explicit Callers(std::vector<std::string> addresses) {
-    for (int i = 0; i < kThreads; ++i) {
-      threads_.emplace_back([this, i, addresses] {
-        for (std::size_t n = 0; !finish_; ++n) {
-          const net::HttpHeaders headers{
-              {"Host", "m.example"},
-              {"Attempt-Id", "a" + std::to_string(i) + "-" + std::to_string(n)},
-              {"Deadline-Ms", "1500"},
-              {"Model", "m"},
-              {"Token-Usage", "10,10"}};
-          const auto reply =
-              Send(addresses[n % addresses.size()], verb::get, "/m/1", {}, headers, 2s);
-          if (reply.status == 200) ++served_;
-          std::this_thread::sleep_for(10ms);
-        }
-      });
-    }
-  }
-  ~Callers() { Finish(); }
-  void Finish() {
-    finish_ = true;
-    for (auto& it : threads_) {
-      if (it.joinable()) it.join();
-    }
-  }
-  std::size_t served() const { return served_; }
-
- private:
-  static constexpr int kThreads = 8;
-  std::atomic<bool> finish_{false};
-  std::atomic<std::size_t> served_{0};
-  std::vector<std::thread> threads_;
-};
-
-std::vector<std::string> Addresses(const Cluster& cluster, const std::vector<std::string>& names) {
-  std::vector<std::string> addresses;
-  for (const auto& it : names) addresses.push_back(cluster.Address(it));
-  return addresses;
-}
-
-void Post(const Cluster& cluster, const std::string& path, const Json& body) {
-  cluster.WaitFor(path + " is acknowledged", [&] {
-    for (const auto& it : cluster.controls()) {
-      if (Send(cluster.Address(it), verb::post, path, body.dump()).status == 200) return true;
-    }
-    return false;
-  });
-}
-
-Json Config(const TestWeights& weights, const std::string& origin, std::uint32_t layers) {
-  const Json runtime{{"batch-slots", 16},
-                     {"layers", layers},
-                     {"chunk-count", weights.chunks},
-                     {"chunk-bytes", weights.chunk_bytes},
-                     {"model-list", {{{"name", weights.model}}}}};
-  return {{"version", 1},
-          {"route-table",
-           {{{"name", "m"},
-             {"host", "m.example"},
-             {"path-prefix", "/m/"},
-             {"route-type", "idempotent"},
-             {"timeout-ms", 1500},
-             {"target-latency-ms", 300},
-             {"backend", "m"},
-             {"max-attempts", 2},
-             {"public", true}}}},
-          {"backends",
-           {{{"name", "m"}, {"max-connections", 100}, {"runtime", runtime}},
-            {{"name", "o"}, {"upstream", origin}, {"max-connections", 48}}}}};
-}
-
 class OvertakenWeightsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OvertakenWeightsTest);
   CPPUNIT_TEST(NoRequestBeginsOnOvertakenWeightsHoweverLateItArrives);
@@ -121,22 +47,16 @@
     const TestWeights weights;
     const std::string origin_address = cluster.ReplicaAddress(0);
     WeightsOrigin origin(origin_address, weights, 1);
-    Post(cluster, "/config/replace", Config(weights, origin_address, row.layers));
+    cluster.SetConfig(WeightsConfig(weights, origin_address, row.layers));
     std::vector<std::unique_ptr<WeightsEngine>> engines;
     for (int i = 1; i <= kEngines; ++i) {
-      cluster.StartSidecar(i, "m", kPropagationMs);
-      EngineOptions options;
-      options.id = "m" + std::to_string(i);
-      options.address = cluster.EngineAddress(i);
-      options.service = "m";
-      options.controls = Addresses(cluster, cluster.controls());
-      options.weights = weights;
-      engines.push_back(std::make_unique<WeightsEngine>(options));
+      engines.push_back(std::make_unique<WeightsEngine>(
+          StartWeightsSidecar(cluster, i, kPropagationMs, weights)));
     }
-    Callers callers(Addresses(cluster, cluster.ingresses()));
+    Callers callers(std::vector(kCallers, Addresses(cluster, cluster.ingresses())));
     cluster.WaitFor("requests are served", [&] { return callers.served() > 50; });
     // The origin does not have the version yet.
-    Post(cluster, "/version-put", {{"model-name", weights.model}, {"version", 2}});
+    NameVersion(cluster, weights.model, 2);
     std::vector<Duration> bounds_end;
     for (const auto& it : engines) bounds_end.push_back(it->Elapsed() + kPropagation);
     std::this_thread::sleep_for(kLinkDelayStart);
@@ -165,13 +85,7 @@
     }
     if (late_arrivals == 0) faults += std::string(row.name) + ": no request arrived late\n";
     origin.SetNewest(2);
-    cluster.WaitFor(
-        "all engines have loaded the new version",
-        [&] {
-          return std::all_of(engines.begin(), engines.end(),
-                             [](const auto& it) { return it->loaded_version() == 2; });
-        },
-        kLoadWait);
+    WaitLoaded(cluster, engines, 2, kLoadWait);
     const auto served_before = callers.served();
     cluster.WaitFor("requests are served again",
                     [&] { return callers.served() > served_before + 20; });
--- a/tests/system/staged_weights_test.cc
+++ b/tests/system/staged_weights_test.cc
@@ -7,8 +7,7 @@
 #include <iostream>
 #include <thread>
 
-#include "cluster.h"
-#include "weights_engine.h"
+#include "weights_cluster.h"
 
 namespace wagtailslip::system_test {
 namespace {
@@ -93,38 +92,6 @@
      Event::kSidecarPaused},
 };
 
-/// Callers that send requests to all ingress processes in turn.
-class Callers {
- public:
-  explicit Callers(std::vector<std::string> addresses) {
-    thread_ = std::thread([this, addresses = std::move(addresses)] {
-      for (std::size_t n = 0; !finish_; ++n) {
-        const net::HttpHeaders headers{{"Host", "m.example"},
-                                       {"Attempt-Id", "a" + std::to_string(n)},
-                                       {"Deadline-Ms", "1500"},
-                                       {"Model", "m"},
-                                       {"Token-Usage", "10,10"}};
-        if (Send(addresses[n % addresses.size()], verb::get, "/m/1", {}, headers, 2s).status ==
-            200) {
-          ++served_;
-        }
-        std::this_thread::sleep_for(10ms);
-      }
-    });
-  }
-  ~Callers() { Finish(); }
-  void Finish() {
-    finish_ = true;
-    if (thread_.joinable()) thread_.join();
-  }
-  std::size_t served() const { return served_; }
-
- private:
-  std::atomic<bool> finish_{false};
-  std::atomic<std::size_t> served_{0};
-  std::thread thread_;
-};
-
 /// Carries out one row on one engine, once, when its sidecar loads version 2.
 class FaultPlan {
  public:
@@ -229,65 +196,19 @@
   CPPUNIT_TEST(NoRequestRunsOnDamagedWeights);
   CPPUNIT_TEST_SUITE_END();
 
-  static std::vector<std::string> Addresses(const Cluster& cluster,
-                                            const std::vector<std::string>& names) {
-    std::vector<std::string> addresses;
-    for (const auto& it : names) addresses.push_back(cluster.Address(it));
-    return addresses;
-  }
-
-  static void Post(const Cluster& cluster, const std::string& path, const Json& body) {
-    cluster.WaitFor(path + " is acknowledged", [&] {
-      for (const auto& it : cluster.controls()) {
-        if (Send(cluster.Address(it), verb::post, path, body.dump()).status == 200) return true;
-      }
-      return false;
-    });
-  }
-
-  static void SetConfig(const Cluster& cluster, const TestWeights& weights,
-                        const std::string& origin) {
-    const Json runtime{{"batch-slots", 16},
-                       {"layers", WeightsEngine::kLayers},
-                       {"chunk-count", weights.chunks},
-                       {"chunk-bytes", weights.chunk_bytes},
-                       {"model-list", {{{"name", weights.model}}}}};
-    Post(cluster, "/config/replace",
-         {{"version", 1},
-          {"route-table",
-           {{{"name", "m"},
-             {"host", "m.example"},
-             {"path-prefix", "/m/"},
-             {"route-type", "idempotent"},
-             {"timeout-ms", 1500},
-             {"target-latency-ms", 300},
-             {"backend", "m"},
-             {"max-attempts", 2},
-             {"public", true}}}},
-          {"backends",
-           {{{"name", "m"}, {"max-connections", 100}, {"runtime", runtime}},
-            {{"name", "o"}, {"upstream", origin}, {"max-connections", 48}}}}});
-  }
-
   static std::string RunRow(const FaultRow& row) {
     Cluster cluster;
     cluster.StartDeployment(kControls, kIngresses);
     const TestWeights weights;
     const std::string origin_address = cluster.ReplicaAddress(0);
     WeightsOrigin origin(origin_address, weights, 1);
-    SetConfig(cluster, weights, origin_address);
+    cluster.SetConfig(WeightsConfig(weights, origin_address));
     std::vector<std::unique_ptr<FaultPlan>> plans;
     std::vector<std::unique_ptr<WeightsEngine>> engines;
     for (int i = 1; i <= kEngines; ++i) {
-      cluster.StartSidecar(i, "m", kPropagationMs);
+      EngineOptions options = StartWeightsSidecar(cluster, i, kPropagationMs, weights);
       plans.push_back(
           std::make_unique<FaultPlan>(cluster, row, "w" + std::to_string(i), weights.chunks));
-      EngineOptions options;
-      options.id = "m" + std::to_string(i);
-      options.address = cluster.EngineAddress(i);
-      options.service = "m";
-      options.controls = Addresses(cluster, cluster.controls());
-      options.weights = weights;
       if (row.step == Step::kWhileRequestsEnd) {
         options.take_time = TakeTime::kAfterRunningRequests;
         options.drain_time = kLongPause;
@@ -297,18 +218,12 @@
             return plan->OnCall(engine, info);
           }));
     }
-    Callers callers(Addresses(cluster, cluster.ingresses()));
+    Callers callers({Addresses(cluster, cluster.ingresses())});
     cluster.WaitFor("requests are served", [&] { return callers.served() > 50; });
     for (const auto& it : plans) it->Arm();
     origin.SetNewest(2);
-    Post(cluster, "/version-put", {{"model-name", weights.model}, {"version", 2}});
-    cluster.WaitFor(
-        "all engines have loaded the new version",
-        [&] {
-          return std::all_of(engines.begin(), engines.end(),
-                             [](const auto& it) { return it->loaded_version() == 2; });
-        },
-        kLoadWait);
+    NameVersion(cluster, weights.model, 2);
+    WaitLoaded(cluster, engines, 2, kLoadWait);
     std::this_thread::sleep_for(kSettleTime);
     callers.Finish();
     std::string faults;
--- a/tests/system/weights_random_test.cc
+++ b/tests/system/weights_random_test.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <cstdlib>
 #include <iostream>
 #include <map>
@@ -15,9 +14,8 @@
 #include <thread>
 #include <utility>
 
-#include "cluster.h"
 #include "wagtailslip/serving/swap_plan.h"
-#include "weights_engine.h"
+#include "weights_cluster.h"
 
 namespace wagtailslip::system_test {
 namespace {
@@ -37,6 +35,8 @@
 constexpr Duration kAfterwards = 1s;
 constexpr Duration kLastEnd = 2s;
 constexpr Duration kStep = 5ms;
+// Short, because no event of the day happens while a command waits for its response.
+constexpr Duration kPostTimeout = 500ms;
 constexpr std::uint64_t kDefaultSeed = 1;
 constexpr std::int64_t kDefaultSeconds = 10;
 // Share of the engines and of their chunks that a fault of the users' days damages.
@@ -230,40 +230,6 @@
   Duration late_{};
 };
 
-/// Callers that send requests to all ingress processes in turn.
-class Callers {
- public:
-  explicit Callers(const std::vector<std::string>& addresses) {
-    for (std::size_t i = 0; i < addresses.size(); ++i) {
-      threads_.emplace_back([this, i, address = addresses[i]] {
-        for (std::size_t n = 0; !finish_; ++n) {
-          const net::HttpHeaders headers{
-              {"Host", "m.example"},
-              {"Attempt-Id", "a" + std::to_string(i) + "-" + std::to_string(n)},
-              {"Deadline-Ms", "1500"},
-              {"Model", "m"},
-              {"Token-Usage", "10,10"}};
-          if (Send(address, verb::get, "/m/1", {}, headers, 2s).status == 200) ++served_;
-          std::this_thread::sleep_for(10ms);
-        }
-      });
-    }
-  }
-  ~Callers() { Finish(); }
-  void Finish() {
-    finish_ = true;
-    for (auto& it : threads_) {
-      if (it.joinable()) it.join();
-    }
-  }
-  std::size_t served() const { return served_; }
-
- private:
-  std::atomic<bool> finish_{false};
-  std::atomic<std::size_t> served_{0};
-  std::vector<std::thread> threads_;
-};
-
 /// One day: processes, engines, and the events that the seed draws.
 class Day {
  public:
@@ -272,7 +238,9 @@
     cluster_.StartDeployment(kControls, kIngresses);
     const std::string origin_address = cluster_.ReplicaAddress(0);
     origin_ = std::make_unique<WeightsOrigin>(origin_address, weights_, 1);
-    SetConfig(origin_address);
+    const Json config = WeightsConfig(weights_, origin_address);
+    cluster_.WaitFor("the configuration is acknowledged",
+                     [&] { return Post(cluster_, "/config/replace", config, kPostTimeout); });
     const auto count =
         static_cast<int>(row.fixed_times ? kMaxEngines : dice_.Between(kMinEngines, kMaxEngines));
     // Engines may copy staged chunks when they accept a load command or when they begin the load.
@@ -282,15 +250,10 @@
     log_.Add(take_late ? "chunks are taken after the running requests"
                        : "chunks are taken when a load command is accepted");
     for (const int number : NumbersInSwapOrder(count)) {
-      cluster_.StartSidecar(number, "m", kPropagationMs);
+      EngineOptions options = StartWeightsSidecar(cluster_, number, kPropagationMs, weights_);
       sidecars_.push_back("w" + std::to_string(number));
-      EngineOptions options;
       options.id = "m" + std::to_string(sidecars_.size());
       log_.Add(options.id + " is beside " + sidecars_.back());
-      options.address = cluster_.EngineAddress(number);
-      options.service = "m";
-      options.controls = Addresses(cluster_.controls());
-      options.weights = weights_;
       options.take_time = take_time;
       if (Has(Trouble::kRunningRequests)) options.drain_time = dice_.Time(0ms, 6s);
       faults_.push_back(std::make_unique<EngineFaults>(log_, options.id));
@@ -299,7 +262,9 @@
             return it->OnCall(engine, info);
           }));
     }
-    callers_ = std::make_unique<Callers>(Addresses(cluster_.ingresses()));
+    std::vector<std::vector<std::string>> targets;
+    for (const auto& it : cluster_.ingresses()) targets.push_back({cluster_.Address(it)});
+    callers_ = std::make_unique<Callers>(targets);
     cluster_.WaitFor("requests are served", [&] { return callers_->served() > 50; });
     // Every engine takes part before the first fault.
     cluster_.WaitFor("every engine runs requests", [&] {
@@ -339,44 +304,6 @@
     }
     return numbers;
   }
-  std::vector<std::string> Addresses(const std::vector<std::string>& names) const {
-    std::vector<std::string> addresses;
-    for (const auto& it : names) addresses.push_back(cluster_.Address(it));
-    return addresses;
-  }
-
-  void SetConfig(const std::string& origin) {
-    const Json runtime{{"batch-slots", 16},
-                       {"layers", WeightsEngine::kLayers},
-                       {"chunk-count", weights_.chunks},
-                       {"chunk-bytes", weights_.chunk_bytes},
-                       {"model-list", {{{"name", weights_.model}}}}};
-    const Json config{{"version", 1},
-                      {"route-table",
-                       {{{"name", "m"},
-                         {"host", "m.example"},
-                         {"path-prefix", "/m/"},
-                         {"route-type", "idempotent"},
-                         {"timeout-ms", 1500},
-                         {"target-latency-ms", 300},
-                         {"backend", "m"},
-                         {"max-attempts", 2},
-                         {"public", true}}}},
-                      {"backends",
-                       {{{"name", "m"}, {"max-connections", 100}, {"runtime", runtime}},
-                        {{"name", "o"}, {"upstream", origin}, {"max-connections", 48}}}}};
-    cluster_.WaitFor("the configuration is acknowledged",
-                     [&] { return Post("/config/replace", config); });
-  }
-  bool Post(const std::string& path, const Json& body) const {
-    for (const auto& it : cluster_.controls()) {
-      if (Send(cluster_.Address(it), verb::post, path, body.dump(), {}, 500ms).status == 200) {
-        return true;
-      }
-    }
-    return false;
-  }
-
   // Events.
 
   void At(Duration at, std::string what, std::function<void()> act) {
@@ -592,7 +519,8 @@
         continue;
       }
       if (unacknowledged_ != 0 &&
-          Post("/version-put", {{"model-name", weights_.model}, {"version", unacknowledged_}})) {
+          Post(cluster_, "/version-put",
+               {{"model-name", weights_.model}, {"version", unacknowledged_}}, kPostTimeout)) {
         log_.Add("version " + std::to_string(unacknowledged_) + " is acknowledged");
         unacknowledged_ = 0;
       }
