Refuse announcements that lack fields every endpoint sends

Callers saw non-idempotent requests run at a server of another system that had announced itself once, and got its answers as successes.

Cause: DecodeAnnouncement took defaults for absent or null batch-slots, warmup-remaining-ms and born, and did not read version, so an announcement of another writer counted as one of an endpoint.

Change: the eight fields that the protocol says a ping includes are required with their types. born stays optional, as neither that list nor the protocol's example has it; if present it must be a whole number from 0 to the year 2100. phase and model-list may be absent or null, not of another type. batch-slots above 2^31 - 1 are refused, because processes exchange them as a signed 32-bit number; 0 is accepted as before. A refused announcement is answered with 400 and changes nothing, also under the id of a known endpoint.

Control processes count refusals by reason (announcements_refused_..._total under /metrics, which they did not serve before, and announcements_refused in /debug/state). Event 3006 tells the reason and is logged once for an id and minute, for at most 64 ids a minute. Four stand-ins in tests/system announced themselves without warmup-remaining-ms and now send it.

--- a/include/wagtailslip/process/metrics.h
+++ b/include/wagtailslip/process/metrics.h
@@ -55,8 +55,13 @@
   kWithdrawnBeforeWeightsBound,
   kAnswersOvertaken,
   kWeightsDropped,
+  kAnnouncementsUnreadable,
+  kAnnouncementsMissingField,
+  kAnnouncementsWrongType,
+  kAnnouncementsOutOfRange,
+  kAnnouncementsInvalidValue,
 };
-inline constexpr std::size_t kCounterCount = 42;
+inline constexpr std::size_t kCounterCount = 47;
 inline constexpr EnumTable<Counter, kCounterCount> kCounters{
     {{{Counter::kRequests, "requests_total"},
       {Counter::kComplete, "requests_complete_total"},
@@ -99,7 +104,12 @@
       {Counter::kWarmupWithheld, "warmup_requests_withheld_total"},
       {Counter::kWithdrawnBeforeWeightsBound, "requests_withdrawn_before_weights_bound_total"},
       {Counter::kAnswersOvertaken, "answers_on_overtaken_weights_total"},
-      {Counter::kWeightsDropped, "weights_dropped_total"}}}};
+      {Counter::kWeightsDropped, "weights_dropped_total"},
+      {Counter::kAnnouncementsUnreadable, "announcements_refused_unreadable_total"},
+      {Counter::kAnnouncementsMissingField, "announcements_refused_missing_field_total"},
+      {Counter::kAnnouncementsWrongType, "announcements_refused_wrong_type_total"},
+      {Counter::kAnnouncementsOutOfRange, "announcements_refused_out_of_range_total"},
+      {Counter::kAnnouncementsInvalidValue, "announcements_refused_invalid_value_total"}}}};
 
 /// Present values of a process, exported under the names of kGauges.
 enum class Gauge { kDrainedDomains };
--- a/src/control/control_api.cc
+++ b/src/control/control_api.cc
@@ -1,7 +1,9 @@
 #include "control_api.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "drain_call.h"
 #include "platform/control_calls.h"
@@ -29,6 +31,14 @@
 // callers learn that one has stopped only from the next lookup response.
 constexpr int kMaxLookupTtlSeconds = 2;
 
+constexpr std::pair<platform::DecodeFault, process::Counter> kRefusalCounters[] = {
+    {platform::DecodeFault::kUnreadable, process::Counter::kAnnouncementsUnreadable},
+    {platform::DecodeFault::kMissingField, process::Counter::kAnnouncementsMissingField},
+    {platform::DecodeFault::kWrongType, process::Counter::kAnnouncementsWrongType},
+    {platform::DecodeFault::kOutOfRange, process::Counter::kAnnouncementsOutOfRange},
+    {platform::DecodeFault::kInvalidValue, process::Counter::kAnnouncementsInvalidValue}};
+static_assert(std::size(kRefusalCounters) == platform::kDecodeFaults.rows.size());
+
 /// Subject in a call "POST /parts/ID/lift" or "POST /requests/ID/lift"; nothing if this is another
 /// call.
 std::optional<serving::CrashSubject> SubjectToLift(const net::HttpExchange& exchange) {
@@ -112,6 +122,11 @@
       break;
   }
   if (exchange.path() == "/debug/state") co_return co_await DumpState(exchange);
+  if (exchange.path() == "/metrics") {
+    const std::string text = metrics_.Text();
+    const net::HttpHeaders headers;
+    co_return co_await exchange.Respond(200, text, headers, "text/plain; version=0.0.4");
+  }
   if (const auto lifted = SubjectToLift(exchange)) {
     co_return co_await LiftVerdict(exchange, *lifted);
   }
@@ -226,6 +241,19 @@
   co_await Commit(exchange, std::move(command));
 }
 
+void ControlApi::RecordRefusal(const std::string& endpoint, const platform::PlatformError& error,
+                               TimePoint now) {
+  for (const auto& [fault, counter] : kRefusalCounters) {
+    if (fault == error.fault()) metrics_.Add(counter);
+  }
+  const auto refused = refusal_log_.Add(endpoint, now);
+  if (!refused) return;
+  LogEvent(Event::kAnnouncementRefused, {{"endpoint", endpoint},
+                                         {"reason", platform::kDecodeFaults.Name(error.fault())},
+                                         {"error", error.what()},
+                                         {"refused", *refused}});
+}
+
 Task<void> ControlApi::Announce(net::HttpExchange& exchange, const std::string& endpoint) {
   serving::EndpointRecord record;
   std::string problem;
@@ -233,9 +261,9 @@
     record = platform::DecodeAnnouncement(endpoint, exchange.request().body());
   } catch (const platform::PlatformError& e) {
     problem = e.what();
+    RecordRefusal(endpoint, e, MonotonicNow());
   }
   if (!problem.empty()) {
-    LogEvent(Event::kAnnouncementRefused, {{"endpoint", endpoint}, {"error", problem}});
     const std::string body = ErrorBody(problem);
     co_await exchange.Respond(400, body);
     co_return;
@@ -374,6 +402,10 @@
                         {"granted", retries.counters().granted},
                         {"denied", retries.counters().denied},
                         {"lost", retries.counters().lost}}}};
+  for (const auto& [fault, counter] : kRefusalCounters) {
+    dump["announcements_refused"][std::string(platform::kDecodeFaults.Name(fault))] =
+        metrics_.Value(counter);
+  }
   const auto& drained = node_.log().state().drained_domains;
   dump["drained_domains"] = {{"revision", drained.revision}, {"domains", drained.domains}};
   for (const auto& it : serving::kSubjectPolicies) {
--- a/src/control/control_api.h
+++ b/src/control/control_api.h
@@ -3,7 +3,10 @@
 #include <memory>
 
 #include "control_node.h"
+#include "platform/json_fields.h"
+#include "refusal_log.h"
 #include "wagtailslip/net/http_server.h"
+#include "wagtailslip/process/metrics.h"
 
 namespace wagtailslip::control {
 
@@ -23,6 +26,9 @@
   net::Task<void> ReadConfig(net::HttpExchange& exchange);
   net::Task<void> NameWeights(net::HttpExchange& exchange);
   net::Task<void> Announce(net::HttpExchange& exchange, const std::string& endpoint);
+  /// Counts a refused announcement, and logs it if a line is due.
+  void RecordRefusal(const std::string& endpoint, const platform::PlatformError& error,
+                     TimePoint now);
   net::Task<void> Leave(net::HttpExchange& exchange, const std::string& endpoint);
   net::Task<void> Lookup(net::HttpExchange& exchange);
   /// Begins or finishes the drain of a failure domain.
@@ -39,6 +45,8 @@
   net::asio::io_context& context_;
   ControlNode& node_;
   deployment::NodeSettings settings_;
+  process::Metrics metrics_;
+  RefusalLog refusal_log_;
   std::vector<std::unique_ptr<net::HttpServer>> servers_;
 };
 
--- a/src/process/events.cc
+++ b/src/process/events.cc
@@ -65,7 +65,7 @@
     {Event::kServiceEndpointGone, "service_endpoint.gone", Severity::kInfo,
      "an endpoint left or was silent for too long"},
     {Event::kAnnouncementRefused, "service_endpoint.announcement_refused", Severity::kWarning,
-     "an announcement could not be read and names no endpoint"},
+     "an announcement cannot be read, or a field is missing or invalid; it names no endpoint"},
     {Event::kEndpointLimitChanged, "service_endpoint.limit_changed", Severity::kInfo,
      "an endpoint named another limit on the requests of all ingress processes, or none any more"},
     {Event::kEndpointLimitUnreadable, "service_endpoint.limit_unreadable", Severity::kWarning,
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -74,7 +74,8 @@
   return {{"backend", "assistant"}, {"address", "10.0.0.9:80"},
           {"zone", "north"},        {"state", "ready"},
           {"sequence", 4},          {"born", 1700000000123},
-          {"batch-slots", 16},      {"warmup-remaining-ms", 0}};
+          {"batch-slots", 16},      {"warmup-remaining-ms", 0},
+          {"version", "v1"}};
 }
 
 class PlatformTest : public CppUnit::TestFixture {
@@ -87,6 +88,8 @@
   CPPUNIT_TEST(RejectsInvalidConfiguration);
   CPPUNIT_TEST(ParsesControlCalls);
   CPPUNIT_TEST(RejectsInvalidAnnouncements);
+  CPPUNIT_TEST(RejectsAnnouncementsOfOtherWriters);
+  CPPUNIT_TEST(AcceptsAnnouncementsOfEndpoints);
   CPPUNIT_TEST(RejectsOddAnnouncements);
   CPPUNIT_TEST(SurvivesDamagedMessages);
   CPPUNIT_TEST(DistinguishesCompleteFromPartialWeights);
@@ -334,6 +337,115 @@
     CPPUNIT_ASSERT_THROW(DecodeAnnouncement("i-1", "\x01\x02"), PlatformError);
   }
 
+  // Guards against a server of another system that gets requests, because its announcement lacks
+  // fields that every endpoint sends or has other values in them.
+  void RejectsAnnouncementsOfOtherWriters() {
+    struct Row {
+      const char* field;
+      // Whether every endpoint sends it.
+      bool required;
+      std::vector<std::string> wrong_types;
+      std::vector<std::string> out_of_range;
+    };
+    const std::vector<std::string> no_texts{"null", "7", "true", "[]", "{}"};
+    const std::vector<std::string> no_integers{"null", R"("4")", "true", "1.5", "[4]", "{}"};
+    const Row rows[] = {
+        {"backend", true, no_texts, {}},
+        {"address", true, no_texts, {}},
+        {"zone", true, no_texts, {}},
+        {"version", true, no_texts, {}},
+        {"state", true, no_texts, {}},
+        {"batch-slots", true, no_integers, {"-1", "2147483648", "4294967296"}},
+        {"warmup-remaining-ms",
+         true,
+         {"null", R"("0")", "true", "[0]", "{}"},
+         {"-1", "-0.5", "86400001", "1e300"}},
+        {"sequence", true, no_integers, {"9223372036854775808"}},
+        {"born", false, no_integers, {"-1", "4102444800001", "18446744073709551615"}},
+        {"phase", false, {"7", "true", "[]", "{}"}, {}},
+        {"model-list", false, {"7", "true", R"("m")", "{}"}, {}},
+    };
+    CPPUNIT_ASSERT_NO_THROW(DecodeAnnouncement("i-1", Announcement().dump()));
+    std::string wrong;
+    const auto check = [&](const json& announcement, const std::string& name, DecodeFault fault) {
+      try {
+        DecodeAnnouncement("i-1", announcement.dump());
+        wrong += "\n" + name + ": accepted";
+      } catch (const PlatformError& e) {
+        if (e.fault() == fault) return;
+        wrong += "\n" + name + ": " + std::string(kDecodeFaults.Name(e.fault()));
+      }
+    };
+    for (const auto& row : rows) {
+      const std::string field = row.field;
+      json announcement = Announcement();
+      announcement.erase(field);
+      if (row.required) check(announcement, field + " absent", DecodeFault::kMissingField);
+      if (!row.required) CPPUNIT_ASSERT_NO_THROW(DecodeAnnouncement("i-1", announcement.dump()));
+      const std::pair<DecodeFault, const std::vector<std::string>*> faults[] = {
+          {DecodeFault::kWrongType, &row.wrong_types},
+          {DecodeFault::kOutOfRange, &row.out_of_range}};
+      for (const auto& [fault, values] : faults) {
+        for (const auto& value : *values) {
+          announcement[field] = json::parse(value);
+          check(announcement, field + " " + value, fault);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), wrong);
+    const std::pair<const char*, DecodeFault> bodies[] = {
+        {"\x01\x02", DecodeFault::kUnreadable},
+        {"[]", DecodeFault::kUnreadable},
+        {"", DecodeFault::kUnreadable},
+        {R"({"backend":"\xff"})", DecodeFault::kUnreadable}};
+    for (const auto& [body, fault] : bodies) {
+      try {
+        DecodeAnnouncement("i-1", body);
+        CPPUNIT_FAIL(body);
+      } catch (const PlatformError& e) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(body, std::string(kDecodeFaults.Name(fault)),
+                                     std::string(kDecodeFaults.Name(e.fault())));
+      }
+    }
+  }
+
+  // Guards against an endpoint that is out of use because its announcement is refused: the example
+  // of the protocol, which has no start; services without models; and values at their bounds.
+  void AcceptsAnnouncementsOfEndpoints() {
+    const auto example = DecodeAnnouncement(
+        "i-7f3a91c2",
+        R"({"backend":"huvo11a","address":"10.128.0.9:8080","zone":"bne-a","version":"v1",)"
+        R"("batch-slots":16,"state":"ready","warmup-remaining-ms":0,"phase":"unified",)"
+        R"("model-list":[{"name":"daka510000","version":1,"loras":[]}],"sequence":4})");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, example.started_ms);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{16}, example.slots);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{1}, example.weights);
+    const std::pair<const char*, const char*> values[] = {
+        {"born", "0"},
+        {"born", "4102444800000"},
+        {"batch-slots", "0"},
+        {"batch-slots", "2147483647"},
+        {"warmup-remaining-ms", "0.0"},
+        {"warmup-remaining-ms", "2499.7"},
+        {"warmup-remaining-ms", "86400000"},
+        {"sequence", "0"},
+        {"sequence", "9223372036854775807"},
+        {"version", R"("")"},
+        {"state", R"("draining")"},
+        {"phase", R"("prefill")"},
+        {"phase", "null"},
+        {"model-list", "[]"},
+        {"model-list", "null"},
+        {"other", R"({"a":[1]})"},
+    };
+    for (const auto& [field, value] : values) {
+      json announcement = Announcement();
+      announcement[field] = json::parse(value);
+      CPPUNIT_ASSERT_NO_THROW_MESSAGE(announcement.dump(),
+                                      DecodeAnnouncement("i-1", announcement.dump()));
+    }
+  }
+
   // An engine must not count as serving a version of which some layers are not loaded.
   void DistinguishesCompleteFromPartialWeights() {
     struct Case {
--- a/tests/system/endpoint_leave_test.cc
+++ b/tests/system/endpoint_leave_test.cc
@@ -36,10 +36,15 @@
   static bool Announce(const Cluster& cluster, const std::string& control, int number,
                        int sequence) {
     const std::string id = "e" + std::to_string(number);
-    const Json announcement{{"backend", kService},  {"address", cluster.ReplicaAddress(number)},
-                            {"zone", "za"},         {"version", "v1"},
-                            {"batch-slots", 4},     {"state", "ready"},
-                            {"sequence", sequence}, {"born", 1000}};
+    const Json announcement{{"backend", kService},
+                            {"address", cluster.ReplicaAddress(number)},
+                            {"zone", "za"},
+                            {"version", "v1"},
+                            {"batch-slots", 4},
+                            {"state", "ready"},
+                            {"sequence", sequence},
+                            {"born", 1000},
+                            {"warmup-remaining-ms", 0}};
     return Send(cluster.Address(control), verb::post, "/replicas/" + id + "/heartbeat",
                 announcement.dump())
                .status == 200;
--- a/tests/system/hostile_replicas.cc
+++ b/tests/system/hostile_replicas.cc
@@ -135,8 +135,9 @@
   asio::steady_timer timer(context_);
   for (const auto& it : replicas_) {
     const nlohmann::json announcement{
-        {"backend", it.service}, {"address", it.address}, {"zone", "za"},  {"version", "v1"},
-        {"batch-slots", kSlots}, {"state", "ready"},      {"sequence", 1}, {"born", started_ms}};
+        {"backend", it.service}, {"address", it.address}, {"zone", "za"},
+        {"version", "v1"},       {"batch-slots", kSlots}, {"state", "ready"},
+        {"sequence", 1},         {"born", started_ms},    {"warmup-remaining-ms", 0}};
     const std::string path = "/replicas/" + it.id + "/heartbeat";
     bool acknowledged = false;
     while (!acknowledged) {
--- a/tests/system/limited_replicas.cc
+++ b/tests/system/limited_replicas.cc
@@ -85,10 +85,10 @@
   asio::steady_timer timer(context_);
   for (std::int64_t sequence = 1;; ++sequence) {
     for (const auto& plan : plans_) {
-      const nlohmann::json announcement{{"backend", service_},   {"address", plan.address},
-                                        {"zone", "za"},          {"version", "v1"},
-                                        {"batch-slots", kSlots}, {"state", "ready"},
-                                        {"sequence", sequence},  {"born", started_ms_}};
+      const nlohmann::json announcement{
+          {"backend", service_},  {"address", plan.address}, {"zone", "za"},
+          {"version", "v1"},      {"batch-slots", kSlots},   {"state", "ready"},
+          {"sequence", sequence}, {"born", started_ms_},     {"warmup-remaining-ms", 0}};
       const std::string path = "/replicas/" + plan.id + "/heartbeat";
       bool acknowledged = false;
       for (std::size_t i = 0; i < controls_.size() && !acknowledged; ++i) {
--- a/tests/system/weights_engine.cc
+++ b/tests/system/weights_engine.cc
@@ -480,6 +480,7 @@
                              {"version", "v1"},
                              {"batch-slots", kSlots},
                              {"state", "ready"},
+                             {"warmup-remaining-ms", 0},
                              {"sequence", sequence}});
     const std::string path = "/replicas/" + options_.id + "/heartbeat";
     bool acknowledged = false;
