Send the drop command and load commands one after the other

LoadGuard follows one command at a time: a drop that was refused while the outcome of a load was not known made it forget that load, and damaged weights were used.

Change: the loop sends the drop as well, before the rest of a pass. The command waits for a staging again.

system_staged_weights_test, system_overtaken_weights_test and system_late_naming_test pass, one run each.

--- a/src/sidecar/sidecar_engine.cc
+++ b/src/sidecar/sidecar_engine.cc
@@ -41,10 +41,6 @@
   bool reachable = true;
   // A process that stops does not leave a load unchecked: its successor may not have its chunks.
   while (!stopping_ || CheckPending()) {
-    if (command_in_flight_) {
-      co_await process::Sleep(kMinEnginePollDelay);
-      continue;
-    }
     std::string problem;
     try {
       co_await ReadEngineState();
@@ -131,7 +127,8 @@
 }
 
 bool SidecarNode::DropDue(TimePoint now) const {
-  if (!engine_state_ || command_in_flight_ || now < next_drop_) return false;
+  // A refused command must not stand in front of a load.
+  if (!engine_state_ || now < next_drop_) return false;
   const std::int64_t held = engine_state_->weights.complete_version;
   // An engine that carries out a load command begins nothing before it has the newer weights.
   if (held == 0 || engine_state_->command_in_progress || load_guard_.dropping()) return false;
@@ -141,6 +138,8 @@
 }
 
 Task<void> SidecarNode::UpdateEngineWeights() {
+  // Not beside the rest: LoadGuard follows one command at a time.
+  if (DropDue(MonotonicNow())) co_return co_await DropOvertakenWeights();
   const auto weights = current_;
   const auto& state = *engine_state_;
   if (state.weights.complete_version == load_command_version_) load_command_version_ = 0;
@@ -171,7 +170,7 @@
     if (slow && !std::exchange(verification_slow_, true)) co_return;
     verification_slow_ = false;
     // The weights may be overtaken, or the old ones dropped, since the staging began.
-    if (state.command_in_progress || command_in_flight_) co_return;
+    if (state.command_in_progress) co_return;
     if (Overtaken(weights->version, false, MonotonicNow())) co_return;
     platform::LoadCommand command{weights->model, weights->version, std::nullopt, state.commands};
     co_await SendLoadCommand(std::move(command));
--- a/src/sidecar/sidecar_load.cc
+++ b/src/sidecar/sidecar_load.cc
@@ -153,16 +153,7 @@
   SendStatus(sent_at);
   const std::int64_t version = command.version;
   const bool all_layers = !command.layers;
-  auto answer = platform::LoadResult::kRefused;
-  std::exception_ptr problem;
-  command_in_flight_ = true;
-  try {
-    answer = co_await engine_.SendLoadCommand(std::move(command));
-  } catch (const Error&) {
-    problem = std::current_exception();
-  }
-  command_in_flight_ = false;
-  if (problem) std::rethrow_exception(problem);
+  const auto answer = co_await engine_.SendLoadCommand(std::move(command));
   const bool accepted = answer == platform::LoadResult::kBegun;
   if (accepted) {
     load_guard_.OnCommandAccepted();
--- a/src/sidecar/sidecar_node.cc
+++ b/src/sidecar/sidecar_node.cc
@@ -77,7 +77,6 @@
   const TimePoint now = MonotonicNow();
   UpdateControlLinks(now);
   target_sync_.AskIfDue(*mesh_, now);
-  if (DropDue(now)) asio::co_spawn(context_, DropOvertakenWeights(), asio::detached);
   const std::int64_t intended = IntendedVersion();
   const std::int64_t newest_started =
       std::max(current_ ? current_->version : 0, incoming_ ? incoming_->version : 0);
--- a/src/sidecar/sidecar_node.h
+++ b/src/sidecar/sidecar_node.h
@@ -97,8 +97,7 @@
   /// begin on it any more.
   /// @param newer_staged see serving::DropTime
   bool Overtaken(std::int64_t version, bool newer_staged, TimePoint now) const;
-  /// Returns whether the engine has to be told to drop its weights. Decided apart from EngineLoop,
-  /// which may wait for the engine for seconds.
+  /// Returns whether the engine has to be told to drop its weights.
   bool DropDue(TimePoint now) const;
   /// Lets the engine drop weights that it must not answer on any more.
   net::Task<void> DropOvertakenWeights();
@@ -217,8 +216,6 @@
   std::int64_t load_command_version_ = 0;
   TimePoint load_command_at_{};
   std::int64_t load_command_incarnation_ = 0;
-  /// A load command was sent, and its answer has not arrived yet.
-  bool command_in_flight_ = false;
   /// Earliest time of the next command to drop weights.
   TimePoint next_drop_{};
   /// Commands to drop weights that the engine has not accepted, since the last one that it has.
